Workspace, adapter and a first direct-or-tandem choice with the credit balance

The adapter speaks every event and action of the wire; the module holds the design's ordinary path, the five rules, a mark for silent exchanges and an allowance for cold ones.

--- /dev/null
+++ b/src/chance.rs
@@ -0,0 +1,45 @@
+//! Random numbers: Marsaglia's multiply-with-carry, enough for jitter and quick to seed.
+
+/// A multiply-with-carry generator; the same seed gives the same numbers.
+///
+/// ```
+/// use mintstall::chance::Chance;
+/// let (mut a, mut b) = (Chance::new(7), Chance::new(7));
+/// let draw = a.below_one();
+/// assert_eq!(draw, b.below_one());
+/// assert!((0.0..1.0).contains(&draw) && draw != a.below_one());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Chance {
+    low: u32,
+    carry: u32,
+}
+
+impl Chance {
+    const MULTIPLIER: u64 = 4_294_957_665;
+
+    pub fn new(seed: u64) -> Self {
+        // Both halves at nought, or both at their top, would stay there for good.
+        let carry = ((seed >> 32) as u32 % (Self::MULTIPLIER as u32 - 1)) + 1;
+        let mut chance = Self {
+            low: seed as u32,
+            carry,
+        };
+        // The first numbers of neighbouring seeds are alike.
+        for _ in 0..4 {
+            chance.next();
+        }
+        chance
+    }
+
+    fn next(&mut self) -> u32 {
+        let wide = Self::MULTIPLIER * u64::from(self.low) + u64::from(self.carry);
+        (self.low, self.carry) = (wide as u32, (wide >> 32) as u32);
+        self.low
+    }
+
+    /// A number from nought up to, but not including, one.
+    pub fn below_one(&mut self) -> f64 {
+        f64::from(self.next()) / (f64::from(u32::MAX) + 1.0)
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,462 @@
+//! All decisions: which calls are set up, over which route, and what becomes of those that fail.
+//!
+//! The machine makes one [`Controller`] from its [`OfficeData`] and tells it what happens by the
+//! methods below, each with the time; the controller acts through the [`Host`] it is handed. The
+//! interface is in `host.rs`, the reasons in `docs/design.md`. A call's entry holds what to do
+//! next: a closure that is handed the end of its seizure, or the end of its wait.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::chance::Chance;
+use crate::host::*;
+
+/// The balance counts tenths of a further attempt.
+const FURTHER: u32 = 10;
+const CREDIT_AT_START: u32 = 2 * FURTHER;
+const CREDIT_CAP: u32 = 4 * FURTHER;
+const SEIZURES: u8 = 3;
+const FIRST_CEILING: Duration = Duration::from_millis(100);
+const LAST_CEILING: Duration = Duration::from_millis(800);
+/// The least time in which a seizure is worth sending, and what is kept for the final answer.
+const USEFUL: Duration = Duration::from_millis(20);
+const RESERVE: Duration = Duration::from_millis(50);
+/// Circuits beyond its width that a call leaves free on a group that is not its direct one.
+const RESERVED: f64 = 2.0;
+/// Time-outs in a row without a sign of life that make an exchange silent, and how often one is tried then.
+const SILENT_AFTER: u32 = 2;
+const TRIAL_EVERY: Duration = Duration::from_secs(1);
+/// How long a processor that was full without saying for how long is left alone.
+const FULL_FOR: Duration = Duration::from_millis(300);
+/// Memory of the rates of seizures.
+const RATE_MEMORY: f64 = 10.0;
+const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
+
+type AfterSeizure = Box<dyn FnOnce(&mut Controller, Duration, &mut dyn Host, Call, Cause)>;
+type AfterWait = Box<dyn FnOnce(&mut Controller, Duration, &mut dyn Host, Call)>;
+
+/// What a call does next, once it is told what it waits for.
+enum Next {
+    Seized(AfterSeizure),
+    Waiting { until: Duration, then: AfterWait },
+}
+
+/// A call for which this controller owes a final answer.
+struct Call {
+    offer: Offer,
+    arrived: Duration,
+    seizures: u8,
+    /// Tandems that turned it back; never longer than the seizures a call may make.
+    turned: Vec<ExchangeId>,
+    /// Set where a set-up that must not be repeated may have been carried out.
+    spent: bool,
+}
+
+/// What is known of one type of call.
+struct CallKind {
+    target: Duration,
+    repeats: Repeats,
+    pools: Vec<OfficeNo>,
+}
+
+/// What is known of one exchange. Entries come from the roster and leave with it, bar the own group's figures.
+#[derive(Clone, Debug)]
+struct Exchange {
+    office: OfficeNo,
+    standing: Standing,
+    started: Duration,
+    /// Free circuits (or agents) towards it; not known until told.
+    free: Option<f64>,
+    /// Time-outs in a row without a sign of life, and when it may be tried again once silent.
+    unanswered: u32,
+    trial_at: Duration,
+    /// A full processor is left alone until then.
+    full_until: Duration,
+    /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
+    allowance: f64,
+    reckoned: Duration,
+}
+
+pub struct Controller {
+    own: Option<OfficeNo>,
+    kinds: Vec<CallKind>,
+    seizure_limit: u8,
+    come_back: Duration,
+    release_wait: Duration,
+    warm_up: Duration,
+    cold_share: f64,
+    must_subscribe: bool,
+    chance: Chance,
+    credit: u32,
+    /// Seizures a second, over all exchanges, fading.
+    rate: f64,
+    rated: Duration,
+    /// Emptied by the roster: what it no longer names is dropped.
+    exchanges: BTreeMap<ExchangeId, Exchange>,
+    /// Emptied by each call's standing or final answer.
+    calls: BTreeMap<CallId, (Call, Next)>,
+}
+
+impl Controller {
+    pub fn new(data: &OfficeData, seed: u64) -> Self {
+        let kind = |of: &CallTypeData| CallKind {
+            target: of.setup_target.min(of.guard_time),
+            repeats: of.repeats,
+            pools: of.pools.clone(),
+        };
+        Self {
+            own: data.own,
+            kinds: data.call_types.iter().map(kind).collect(),
+            seizure_limit: SEIZURES.min(data.seizure_limit),
+            come_back: data.longest_come_back,
+            release_wait: data.release_wait,
+            warm_up: data.warm_up,
+            cold_share: data.cold_share.clamp(0.0, 1.0),
+            must_subscribe: data.must_subscribe,
+            chance: Chance::new(seed),
+            credit: CREDIT_AT_START,
+            rate: 0.0,
+            rated: Duration::ZERO,
+            exchanges: BTreeMap::new(),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    // What the machine tells.
+
+    /// The whole roster, as last held or as it is now.
+    pub fn roster(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
+        let first = self.exchanges.is_empty();
+        self.exchanges
+            .retain(|id, _| lines.iter().any(|line| line.exchange == *id));
+        self.roster_changes(now, host, lines);
+        if first && self.must_subscribe {
+            host.subscribe();
+        }
+    }
+
+    /// Changed lines of the roster only.
+    pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
+        for line in lines {
+            let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
+                office: line.office,
+                standing: line.standing,
+                started: line.started,
+                free: None,
+                unanswered: 0,
+                trial_at: Duration::ZERO,
+                full_until: Duration::ZERO,
+                allowance: 1.0,
+                reckoned: now,
+            });
+            if exchange.standing != line.standing || exchange.started != line.started {
+                host.log(&format!(
+                    "exchange {}: {:?}, was {:?}; started {:?}, was {:?}",
+                    line.office.0, line.standing, exchange.standing, line.started, exchange.started
+                ));
+                // A new processor knows nothing of what the old one left unanswered.
+                (exchange.unanswered, exchange.full_until) = (0, Duration::ZERO);
+                (exchange.allowance, exchange.reckoned) = (1.0, now);
+            }
+            (exchange.office, exchange.standing, exchange.started) =
+                (line.office, line.standing, line.started);
+        }
+    }
+
+    /// A subscription failed or broke: asked for again after a jittered while.
+    pub fn roster_failed(&mut self, _now: Duration, host: &mut dyn Host) {
+        if self.must_subscribe {
+            host.alarm(LAST_CEILING.mul_f64(1.0 + self.chance.below_one()), HOUSEKEEPING);
+        }
+    }
+
+    /// A call is offered, by a subscriber or in transit.
+    pub fn offered(&mut self, now: Duration, host: &mut dyn Host, offer: Offer) {
+        let call = Call {
+            offer,
+            arrived: now,
+            seizures: 0,
+            turned: Vec::new(),
+            spent: false,
+        };
+        self.set_up(now, host, call);
+    }
+
+    /// The call stands; all that is left of it is its end, which needs no answer.
+    pub fn stands(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        call: CallId,
+        _seizure: SeizureNo,
+        exchange: ExchangeId,
+        _after: Duration,
+    ) {
+        self.calls.remove(&call);
+        self.alive(now, host, exchange);
+    }
+
+    /// A seizure has ended; `closed` where the call has its final answer.
+    #[allow(clippy::too_many_arguments)]
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        call: CallId,
+        seizure: SeizureNo,
+        exchange: ExchangeId,
+        cause: Cause,
+        _after: Duration,
+        closed: bool,
+    ) {
+        match cause {
+            Cause::TimedOut | Cause::Unreachable => self.unanswered(now, host, exchange),
+            Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut => {}
+            _ => self.alive(now, host, exchange),
+        }
+        if let Cause::ProcessorFull { wait } = cause {
+            let wait = if wait.is_zero() { FULL_FOR } else { wait };
+            if let Some(far) = self.exchanges.get_mut(&exchange) {
+                far.full_until = far.full_until.max(now + wait);
+            }
+        }
+        match self.calls.remove(&call) {
+            Some((call, Next::Seized(next))) if !closed && call.seizures == seizure.0 + 1 => {
+                next(self, now, host, call, cause);
+            }
+            Some(entry) if !closed => drop(self.calls.insert(call, entry)),
+            _ => {}
+        }
+    }
+
+    /// The caller is gone; nothing is owed any more.
+    pub fn withdrawn(&mut self, _now: Duration, _host: &mut dyn Host, call: CallId) {
+        self.calls.remove(&call);
+    }
+
+    /// An alarm set earlier; stale ones find no call that waits for them.
+    pub fn rings(&mut self, now: Duration, host: &mut dyn Host, alarm: AlarmId) {
+        if alarm == HOUSEKEEPING {
+            host.subscribe();
+            return;
+        }
+        let id = CallId(alarm.0);
+        match self.calls.remove(&id) {
+            Some((call, Next::Waiting { until, then })) if until <= now => then(self, now, host, call),
+            Some(entry) => drop(self.calls.insert(id, entry)),
+            None => {}
+        }
+    }
+
+    /// A report that came with an outcome.
+    pub fn reported(&mut self, _now: Duration, _host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
+        if let Some(far) = self.exchanges.get_mut(&exchange) {
+            far.free = report.free.or(far.free);
+        }
+    }
+
+    /// A probe's answer, or word of a change in the own group.
+    pub fn probed(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        exchange: ExchangeId,
+        _answered: bool,
+        _after: Duration,
+        report: &Report,
+    ) {
+        self.reported(now, host, exchange, report);
+    }
+
+    /// A message from another controller: none are sent yet.
+    pub fn heard(&mut self, _now: Duration, _host: &mut dyn Host, _peer: PeerNo, _message: &[u8]) {}
+
+    // What becomes of a call.
+
+    fn kind(&self, call: &Call) -> (Duration, Repeats) {
+        let kind = self.kinds.get(usize::from(call.offer.call_type.0));
+        kind.map_or((Duration::MAX, Repeats::Never), |kind| {
+            (kind.target, kind.repeats)
+        })
+    }
+
+    fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+        match self.route(now, &call) {
+            Some(to) => self.seize(now, host, call, to),
+            None => self.give_up(host, call),
+        }
+    }
+
+    /// The one place that sends: `route` has seen to drains, cold exchanges and silence just before.
+    fn seize(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId) {
+        let Some(left) = call
+            .offer
+            .until
+            .checked_sub(now + RESERVE)
+            .filter(|left| *left >= USEFUL)
+        else {
+            return self.give_up(host, call);
+        };
+        let Some(far) = self.exchanges.get_mut(&to) else {
+            return self.give_up(host, call);
+        };
+        far.free = far.free.map(|free| free - f64::from(call.offer.width));
+        far.allowance -= 1.0;
+        far.trial_at = now + TRIAL_EVERY;
+        if call.seizures == 0 && !call.offer.transit {
+            self.credit = (self.credit + 1).min(CREDIT_CAP);
+        }
+        self.rate = self.faded_rate(now) + 1.0 / RATE_MEMORY;
+        self.rated = now;
+        call.seizures += 1;
+        // What takes longer than the setup target is worth little, and holds circuits on its way.
+        let (target, _) = self.kind(&call);
+        let limit = (call.arrived + target)
+            .checked_sub(now)
+            .filter(|rest| *rest >= USEFUL)
+            .unwrap_or(left)
+            .min(left);
+        host.seize(call.offer.call, to, limit);
+        let next: AfterSeizure =
+            Box::new(move |me, now, host, call, cause| me.failed(now, host, call, to, cause));
+        self.calls.insert(call.offer.call, (call, Next::Seized(next)));
+    }
+
+    /// A seizure came to nothing: only what a further attempt may mend pays for one.
+    fn failed(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId, cause: Cause) {
+        let (_, repeats) = self.kind(&call);
+        let told = match cause {
+            Cause::TimedOut | Cause::Cut | Cause::Cancelled => {
+                call.spent |= repeats != Repeats::Freely;
+                self.release_wait
+            }
+            Cause::ProcessorFull { wait } => wait,
+            Cause::Done | Cause::Busy | Cause::NotSent { own_down: true } => return self.give_up(host, call),
+            _ => Duration::ZERO,
+        };
+        if matches!(cause, Cause::TurnedBack { .. }) {
+            call.turned.push(to);
+        }
+        let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
+        let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
+        let wait = told.max(ceiling.mul_f64(self.chance.below_one()));
+        let fits = now + wait + USEFUL + RESERVE <= call.offer.until;
+        let may = !call.offer.transit && !call.spent && call.seizures < self.seizure_limit;
+        if !may || !fits || self.credit < FURTHER {
+            return self.give_up(host, call);
+        }
+        self.credit -= FURTHER;
+        host.alarm(wait, AlarmId(call.offer.call.0));
+        let then: AfterWait = Box::new(|me, now, host, call| me.set_up(now, host, call));
+        self.calls.insert(
+            call.offer.call,
+            (
+                call,
+                Next::Waiting {
+                    until: now + wait,
+                    then,
+                },
+            ),
+        );
+    }
+
+    /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
+    fn give_up(&mut self, host: &mut dyn Host, call: Call) {
+        match call.spent {
+            true => host.release(call.offer.call),
+            false => host.reject(call.offer.call, self.come_back),
+        }
+    }
+
+    // Routes.
+
+    /// Direct while its group has room, else the tandem whose first leg has most room.
+    fn route(&mut self, now: Duration, call: &Call) -> Option<ExchangeId> {
+        let offer = &call.offer;
+        let width = f64::from(offer.width);
+        let kind = self.kinds.get(usize::from(offer.call_type.0));
+        let pools = kind.map_or(&[][..], |kind| &kind.pools);
+        let dest = self.exchanges.iter().filter(|(_, far)| far.office == offer.dest);
+        let (dest, far) = dest.max_by_key(|(_, far)| (far.standing == Standing::Ready, far.started))?;
+        let dest = *dest;
+        // A destination that is no longer there, or answers nobody, is not reached over a tandem either.
+        if self.own.is_some() && !far.answers(now) {
+            return None;
+        }
+        let spare = if offer.transit { RESERVED } else { 0.0 };
+        if far.has_room(width + spare) && far.answers(now) && self.allowance(now, far) >= 1.0 {
+            return Some(dest);
+        }
+        if offer.transit {
+            return None;
+        }
+        let own = self.own;
+        self.exchanges
+            .iter()
+            .filter(|(id, far)| **id != dest && Some(far.office) != own && !call.turned.contains(id))
+            .filter(|(_, far)| own.is_some() || pools.contains(&far.office))
+            .filter(|(_, far)| far.has_room(width + RESERVED) && far.answers(now))
+            .filter(|(_, far)| self.allowance(now, far) >= 1.0)
+            .max_by(|(_, a), (_, b)| a.free.unwrap_or(0.0).total_cmp(&b.free.unwrap_or(0.0)))
+            .map(|(id, _)| *id)
+    }
+
+    /// Set-ups that a cold exchange may be sent now: it gets its present share of what an exchange is
+    /// sent when warm, so that all controllers together stay below what it can do. Guards against
+    /// pushing it over, and against set-ups that would only wait there. Warm ones are not bounded.
+    fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
+        let age = now.saturating_sub(far.started);
+        if far.started.is_zero() || age >= self.warm_up {
+            return f64::INFINITY;
+        }
+        let mean = self.faded_rate(now) / self.exchanges.len().saturating_sub(1).max(1) as f64;
+        let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
+        let present = self.cold_share + (1.0 - self.cold_share) * warmth;
+        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean).min(1.0)
+    }
+
+    fn faded_rate(&self, now: Duration) -> f64 {
+        self.rate * (-now.saturating_sub(self.rated).as_secs_f64() / RATE_MEMORY).exp()
+    }
+
+    // Signs of life.
+
+    fn alive(&mut self, _now: Duration, host: &mut dyn Host, exchange: ExchangeId) {
+        if let Some(far) = self.exchanges.get_mut(&exchange) {
+            if far.unanswered >= SILENT_AFTER {
+                host.log(&format!(
+                    "exchange {} answers again after {} time-outs",
+                    far.office.0, far.unanswered
+                ));
+            }
+            far.unanswered = 0;
+        }
+    }
+
+    /// Guards against sending call after call into silence, whatever keeps the exchange from answering.
+    fn unanswered(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId) {
+        if let Some(far) = self.exchanges.get_mut(&exchange) {
+            far.unanswered = far.unanswered.saturating_add(1);
+            far.trial_at = now + TRIAL_EVERY;
+            if far.unanswered == SILENT_AFTER {
+                host.log(&format!(
+                    "exchange {} silent: {} time-outs in a row",
+                    far.office.0, far.unanswered
+                ));
+            }
+        }
+    }
+}
+
+impl Exchange {
+    fn has_room(&self, circuits: f64) -> bool {
+        self.free.is_none_or(|free| free >= circuits)
+    }
+
+    /// Whether a set-up sent there now is likely to be answered.
+    fn answers(&self, now: Duration) -> bool {
+        self.standing == Standing::Ready
+            && now >= self.full_until
+            && (self.unanswered < SILENT_AFTER || now >= self.trial_at)
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,206 @@
+//! What stands between a [`crate::Controller`] and the machine it runs on.
+//!
+//! The machine tells the controller what happens by calling its methods; the controller acts by
+//! calling [`Host`]. All times are spans since the zero of the machine's clock.
+
+use std::time::Duration;
+
+macro_rules! id {
+    ($($(#[$doc:meta])* $name:ident($raw:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $raw);
+    )*};
+}
+
+id! {
+    /// One call, or one try of a caller who dials again.
+    CallId(u64);
+    /// One exchange (or pool of agents) as the roster names it.
+    ExchangeId(u32);
+    /// The number of an exchange in the numbering plan; calls name their destination by it.
+    OfficeNo(u16);
+    /// Position in [`OfficeData::call_types`].
+    CallType(u8);
+    /// Position in [`OfficeData::customers`].
+    CustomerNo(u16);
+    /// The number dialled; 0 where none was.
+    Dialled(u64);
+    /// Another controller.
+    PeerNo(u16);
+    /// Which seizure of a call, counted from 0.
+    SeizureNo(u8);
+    /// Handed back when an alarm rings.
+    AlarmId(u64);
+    Zone(u8);
+}
+
+/// What a controller can do. Everything takes effect at once, in the order called.
+pub trait Host {
+    /// Seizes circuits towards `to` and sends the set-up there; given up after `limit`.
+    fn seize(&mut self, call: CallId, to: ExchangeId, limit: Duration);
+    /// Gives up one seizure; its end is told later.
+    fn cancel(&mut self, call: CallId, seizure: SeizureNo);
+    /// Final answer: rejected; the caller is asked to stay away for `come_back` (zero: no word).
+    fn reject(&mut self, call: CallId, come_back: Duration);
+    /// Final answer: released without having stood.
+    fn release(&mut self, call: CallId);
+    /// Rings `alarm` once `after` has passed.
+    fn alarm(&mut self, after: Duration, alarm: AlarmId);
+    /// Asks an exchange for a report.
+    fn probe(&mut self, exchange: ExchangeId);
+    /// Sends a short message to one other controller, or to all of them.
+    fn tell(&mut self, peer: Option<PeerNo>, message: &[u8]);
+    /// Asks the roster for its changes from now on, where they don't come by themselves.
+    fn subscribe(&mut self);
+    /// Adds a line to the log.
+    fn log(&mut self, line: &str);
+}
+
+/// How far a set-up of a call type may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Freely,
+    /// Exchanges discard repeats, within limits.
+    Guarded,
+    /// A set-up that may have been carried out must not be repeated.
+    Never,
+}
+
+#[derive(Clone, Debug)]
+pub struct CallTypeData {
+    pub setup_target: Duration,
+    pub guard_time: Duration,
+    pub revenue: f64,
+    /// Share of the revenue that a call standing after the setup target earns.
+    pub late_share: f64,
+    pub width: u16,
+    pub mean_hold: Duration,
+    pub repeats: Repeats,
+    /// Where agents stand in pools: the pools that may take this type.
+    pub pools: Vec<OfficeNo>,
+}
+
+#[derive(Clone, Debug)]
+pub struct CustomerData {
+    /// Calls a second, over all controllers, within the customer's share.
+    pub quota: f64,
+}
+
+/// Everything an exchange's controller reads at start.
+#[derive(Clone, Debug)]
+pub struct OfficeData {
+    /// The own exchange's number; none where agents stand in pools.
+    pub own: Option<OfficeNo>,
+    pub zone: Zone,
+    pub controllers: u16,
+    pub call_types: Vec<CallTypeData>,
+    pub customers: Vec<CustomerData>,
+    /// Worth of a call beyond its customer's quota, as a share of its revenue.
+    pub over_quota_worth: f64,
+    pub seizure_limit: u8,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    /// The longest wait that callers follow when they are told one; zero where they can't be told.
+    pub longest_come_back: Duration,
+    pub must_subscribe: bool,
+    /// Whether far exchanges report with each answer, not only when probed.
+    pub reports_unasked: bool,
+    pub probe_price: f64,
+    pub drain_grace: Duration,
+    /// A cold exchange sent more than this many times its capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long falls over.
+    pub fall_span: Duration,
+    /// Share of its capacity that an exchange has when it starts.
+    pub cold_share: f64,
+    /// How long it takes to warm up at most.
+    pub warm_up: Duration,
+    /// How long after a time-out, a cut or a cancel circuits may stay taken.
+    pub release_wait: Duration,
+    /// A waiting set-up is repeated after this; zero: never.
+    pub repeat_after: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct RosterLine {
+    pub exchange: ExchangeId,
+    pub office: OfficeNo,
+    pub zone: Zone,
+    pub standing: Standing,
+    /// When its processor last started; zero: long ago.
+    pub started: Duration,
+}
+
+/// A call as it is offered.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    pub call: CallId,
+    pub call_type: CallType,
+    pub customer: CustomerNo,
+    pub dialled: Dialled,
+    /// When the caller gives up this try.
+    pub until: Duration,
+    pub dest: OfficeNo,
+    pub width: u16,
+    /// The tandem that a centre advises; where the call comes from when it is in transit.
+    pub advised: Option<OfficeNo>,
+    pub transit: bool,
+    /// It stood, was cut, and comes again.
+    pub cut: bool,
+    pub redial: bool,
+}
+
+/// How a seizure ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The call stood and has ended.
+    Done,
+    /// All lines of the number are busy, or a signalling fault.
+    Busy,
+    /// Full: no circuit or agent there.
+    NoCircuit,
+    /// The tandem turned the call back; `beyond`: the processor after it was full.
+    TurnedBack {
+        beyond: bool,
+    },
+    /// The far processor is full and asks to be left alone for `wait` (zero: not said).
+    ProcessorFull {
+        wait: Duration,
+    },
+    TimedOut,
+    Unreachable,
+    /// The set-up or the standing call was cut.
+    Cut,
+    Cancelled,
+    /// Never sent: no circuit of the own group, or (`own_down`) the own processor is down.
+    NotSent {
+        own_down: bool,
+    },
+}
+
+/// What an exchange reports, as far as it does; `free` and `size` are circuits of the group to it
+/// (or agents of the pool).
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub free: Option<f64>,
+    pub size: Option<f64>,
+    pub working: Option<f64>,
+    pub queue: Option<f64>,
+    pub busy: Option<f64>,
+    /// The wait at its processor.
+    pub wait: Option<Duration>,
+    /// New set-ups a second that it can take from all senders.
+    pub rate: Option<f64>,
+    /// Share of new set-ups that it asks each sender to hold back.
+    pub hold_back: Option<f64>,
+}
