--- a/src/choice.rs
+++ b/src/choice.rs
@@ -339,7 +339,9 @@
         }
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
         let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
+        // To the microsecond, as clocks count: an alarm that rang a shade early would find the wait not over.
         let wait = told.max(ceiling.mul_f64(self.chance.below_one()));
+        let wait = Duration::from_micros(wait.as_micros() as u64);
         let fits = now + wait + USEFUL + RESERVE <= call.offer.until;
         let may = !call.offer.transit && !call.spent && call.seizures < self.seizure_limit;
         if !may || !fits || self.credit < FURTHER {
@@ -380,7 +382,8 @@
         let (dest, far) = dest.max_by_key(|(_, far)| (far.standing == Standing::Ready, far.started))?;
         let dest = *dest;
         // A destination that is no longer there, or answers nobody, is not reached over a tandem either.
-        if self.own.is_some() && !far.answers(now) {
+        // Nor is the own exchange, for which calls come while another's controller is down.
+        if self.own.is_some() && (!far.answers(now) || Some(offer.dest) == self.own) {
             return None;
         }
         let spare = if offer.transit { RESERVED } else { 0.0 };
