Window on set-ups out to each exchange, and a short line for calls without a way

A window per far exchange opens while set-ups stand promptly and shuts when they are late, full or time out; a call without a way waits up to half its setup target, highest revenue first. It should also guard against slow and cold processors and surges; it could hold back calls to far places.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! interface is in `host.rs`, the reasons in `docs/design.md`. A call's entry holds what to do
 //! next: a closure that is handed the end of its seizure, or the end of its wait.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::chance::Chance;
@@ -28,6 +28,13 @@
 const TRIAL_EVERY: Duration = Duration::from_secs(1);
 /// How long a processor that was full without saying for how long is left alone.
 const FULL_FOR: Duration = Duration::from_millis(300);
+/// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
+/// factor when they don't.
+const PROMPT: f64 = 0.35;
+const SHUT_BY: f64 = 0.7;
+const WINDOW_AT_START: f64 = 4.0;
+/// Share of the setup target for which a call without a way is held.
+const HELD: f64 = 0.5;
 /// Memory of the rates of seizures.
 const RATE_MEMORY: f64 = 10.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -56,6 +63,8 @@
 struct CallKind {
     target: Duration,
     repeats: Repeats,
+    /// How many types of call earn more.
+    rank: usize,
     pools: Vec<OfficeNo>,
 }
 
@@ -70,6 +79,10 @@
     /// Time-outs in a row without a sign of life, and when it may be tried again once silent.
     unanswered: u32,
     trial_at: Duration,
+    /// Set-ups out to it, how many may be, and when that was last cut.
+    out: f64,
+    window: f64,
+    shut_at: Duration,
     /// A full processor is left alone until then.
     full_until: Duration,
     /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
@@ -82,9 +95,12 @@
     kinds: Vec<CallKind>,
     seizure_limit: u8,
     come_back: Duration,
+    may_cancel: bool,
     release_wait: Duration,
     warm_up: Duration,
     cold_share: f64,
+    /// A set-up that takes longer met a pressed processor.
+    prompt: Duration,
     must_subscribe: bool,
     chance: Chance,
     credit: u32,
@@ -93,8 +109,10 @@
     rated: Duration,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
-    /// Emptied by each call's standing or final answer.
+    /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
     calls: BTreeMap<CallId, (Call, Next)>,
+    /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
+    line: BTreeSet<(usize, Duration, CallId)>,
 }
 
 impl Controller {
@@ -102,16 +120,29 @@
         let kind = |of: &CallTypeData| CallKind {
             target: of.setup_target.min(of.guard_time),
             repeats: of.repeats,
+            rank: data
+                .call_types
+                .iter()
+                .filter(|other| other.revenue > of.revenue)
+                .count(),
             pools: of.pools.clone(),
         };
+        let shortest = data
+            .call_types
+            .iter()
+            .map(|of| of.setup_target)
+            .min()
+            .unwrap_or(Duration::MAX / 2);
         Self {
             own: data.own,
             kinds: data.call_types.iter().map(kind).collect(),
             seizure_limit: SEIZURES.min(data.seizure_limit),
             come_back: data.longest_come_back,
+            may_cancel: data.may_cancel,
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
+            prompt: shortest.mul_f64(PROMPT),
             must_subscribe: data.must_subscribe,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
@@ -119,6 +150,7 @@
             rated: Duration::ZERO,
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
+            line: BTreeSet::new(),
         }
     }
 
@@ -145,6 +177,9 @@
                 free: None,
                 unanswered: 0,
                 trial_at: Duration::ZERO,
+                out: 0.0,
+                window: WINDOW_AT_START,
+                shut_at: Duration::ZERO,
                 full_until: Duration::ZERO,
                 allowance: 1.0,
                 reckoned: now,
@@ -190,10 +225,13 @@
         call: CallId,
         _seizure: SeizureNo,
         exchange: ExchangeId,
-        _after: Duration,
+        after: Duration,
     ) {
-        self.calls.remove(&call);
+        if let Some((_, Next::Seized(_))) = self.calls.remove(&call) {
+            self.answered(now, exchange, after <= self.prompt);
+        }
         self.alive(now, host, exchange);
+        self.serve_line(now, host);
     }
 
     /// A seizure has ended; `closed` where the call has its final answer.
@@ -206,7 +244,7 @@
         seizure: SeizureNo,
         exchange: ExchangeId,
         cause: Cause,
-        _after: Duration,
+        after: Duration,
         closed: bool,
     ) {
         match cause {
@@ -221,17 +259,33 @@
             }
         }
         match self.calls.remove(&call) {
-            Some((call, Next::Seized(next))) if !closed && call.seizures == seizure.0 + 1 => {
-                next(self, now, host, call, cause);
+            Some((call, Next::Seized(next))) if call.seizures == seizure.0 + 1 => {
+                let pressed = matches!(cause, Cause::ProcessorFull { .. } | Cause::TimedOut);
+                self.answered(now, exchange, !pressed && after <= self.prompt);
+                if !closed {
+                    next(self, now, host, call, cause);
+                }
             }
-            Some(entry) if !closed => drop(self.calls.insert(call, entry)),
+            Some(entry) => drop(self.calls.insert(call, entry)),
             _ => {}
         }
+        self.serve_line(now, host);
     }
 
     /// The caller is gone; nothing is owed any more.
-    pub fn withdrawn(&mut self, _now: Duration, _host: &mut dyn Host, call: CallId) {
-        self.calls.remove(&call);
+    pub fn withdrawn(&mut self, _now: Duration, host: &mut dyn Host, call: CallId) {
+        match self.calls.remove(&call) {
+            Some((entry, Next::Seized(_))) => {
+                // The seizure is still out, and its window with it, until its end is told.
+                if self.may_cancel {
+                    host.cancel(call, SeizureNo(entry.seizures - 1));
+                }
+                self.calls
+                    .insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
+            }
+            Some((entry, _)) => drop(self.line.remove(&self.place_in_line(&entry))),
+            None => {}
+        }
     }
 
     /// An alarm set earlier; stale ones find no call that waits for them.
@@ -266,6 +320,7 @@
         report: &Report,
     ) {
         self.reported(now, host, exchange, report);
+        self.serve_line(now, host);
     }
 
     /// A message from another controller: none are sent yet.
@@ -283,7 +338,55 @@
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         match self.route(now, &call) {
             Some(to) => self.seize(now, host, call, to),
-            None => self.give_up(host, call),
+            None => self.hold(now, host, call),
+        }
+    }
+
+    /// Holds a call without a way for part of its setup target, in case circuits or a processor free up.
+    /// Guards against answering a passing shortage by rejecting, and against the redials that follow.
+    fn hold(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+        let (target, _) = self.kind(&call);
+        let until = call
+            .arrived
+            .saturating_add(target.mul_f64(HELD))
+            .min(call.offer.until);
+        if call.offer.transit || until <= now {
+            return self.give_up(host, call);
+        }
+        self.line.insert(self.place_in_line(&call));
+        host.alarm(until - now, AlarmId(call.offer.call.0));
+        let then: AfterWait = Box::new(|me, _, host, call| {
+            me.line.remove(&me.place_in_line(&call));
+            me.give_up(host, call);
+        });
+        self.calls
+            .insert(call.offer.call, (call, Next::Waiting { until, then }));
+    }
+
+    fn place_in_line(&self, call: &Call) -> (usize, Duration, CallId) {
+        let kind = self.kinds.get(usize::from(call.offer.call_type.0));
+        (
+            kind.map_or(usize::MAX, |kind| kind.rank),
+            call.arrived,
+            call.offer.call,
+        )
+    }
+
+    /// Sends on what now finds a way, highest revenue first.
+    fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
+        let mut from = (0, Duration::ZERO, CallId(0));
+        while let Some(place) = self.line.range(from..).next().copied() {
+            from = (place.0, place.1, CallId(place.2.0 + 1));
+            let to = self
+                .calls
+                .get(&place.2)
+                .and_then(|(call, _)| self.route(now, call));
+            if let Some(to) = to {
+                self.line.remove(&place);
+                if let Some((call, _)) = self.calls.remove(&place.2) {
+                    self.seize(now, host, call, to);
+                }
+            }
         }
     }
 
@@ -303,6 +406,7 @@
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         far.allowance -= 1.0;
         far.trial_at = now + TRIAL_EVERY;
+        far.out += 1.0;
         if call.seizures == 0 && !call.offer.transit {
             self.credit = (self.credit + 1).min(CREDIT_CAP);
         }
@@ -373,7 +477,7 @@
     // Routes.
 
     /// Direct while its group has room, else the tandem whose first leg has most room.
-    fn route(&mut self, now: Duration, call: &Call) -> Option<ExchangeId> {
+    fn route(&self, now: Duration, call: &Call) -> Option<ExchangeId> {
         let offer = &call.offer;
         let width = f64::from(offer.width);
         let kind = self.kinds.get(usize::from(offer.call_type.0));
@@ -424,6 +528,24 @@
 
     // Signs of life.
 
+    /// One set-up less out to an exchange. The window on such set-ups keeps a pressed processor, the far one
+    /// or the own, from being sent more than it works off: its queue would make every set-up late, and what
+    /// is given up is worked on all the same. It could hold back calls where a far way is long by itself.
+    fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool) {
+        let Some(far) = self.exchanges.get_mut(&exchange) else {
+            return;
+        };
+        far.out = (far.out - 1.0).max(0.0);
+        if promptly {
+            far.window = (far.window + 1.0 / far.window)
+                .min(2.0 * far.out + WINDOW_AT_START)
+                .max(far.window);
+        } else if now >= far.shut_at + self.prompt {
+            far.window = (far.window * SHUT_BY).max(1.0);
+            far.shut_at = now;
+        }
+    }
+
     fn alive(&mut self, _now: Duration, host: &mut dyn Host, exchange: ExchangeId) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             if far.unanswered >= SILENT_AFTER {
@@ -460,6 +582,7 @@
     fn answers(&self, now: Duration) -> bool {
         self.standing == Standing::Ready
             && now >= self.full_until
+            && self.out < self.window.floor()
             && (self.unanswered < SILENT_AFTER || now >= self.trial_at)
     }
 }
