A tandem that turned a call back is left out for that destination for two seconds

Cause: turn-backs came again and again from tandems without room beyond, each work for three processors. The memory replaces the list of tandems that each call kept. It should also guard against hung or pressed far ends behind a tandem; it could keep calls off a tandem whose circuits freed at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,8 @@
 const TRIAL_EVERY: Duration = Duration::from_secs(1);
 /// How long a processor that was full without saying for how long is left alone.
 const FULL_FOR: Duration = Duration::from_millis(300);
+/// How long a tandem that turned a call back is not tried again for the same destination.
+const BLOCKED_FOR: Duration = Duration::from_secs(2);
 /// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
 /// factor when they don't.
 const PROMPT: f64 = 0.35;
@@ -53,8 +55,6 @@
     offer: Offer,
     arrived: Duration,
     seizures: u8,
-    /// Tandems that turned it back; never longer than the seizures a call may make.
-    turned: Vec<ExchangeId>,
     /// Set where a set-up that must not be repeated may have been carried out.
     spent: bool,
 }
@@ -83,6 +83,9 @@
     out: f64,
     window: f64,
     shut_at: Duration,
+    /// Where it turned calls back from: until when, and from which width on, it is no tandem to there.
+    /// One entry a destination at the most; gone with the exchange.
+    blocked: BTreeMap<OfficeNo, (Duration, u16)>,
     /// A full processor is left alone until then.
     full_until: Duration,
     /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
@@ -180,6 +183,7 @@
                 out: 0.0,
                 window: WINDOW_AT_START,
                 shut_at: Duration::ZERO,
+                blocked: BTreeMap::new(),
                 full_until: Duration::ZERO,
                 allowance: 1.0,
                 reckoned: now,
@@ -211,7 +215,6 @@
             offer,
             arrived: now,
             seizures: 0,
-            turned: Vec::new(),
             spent: false,
         };
         self.set_up(now, host, call);
@@ -438,8 +441,15 @@
             Cause::Done | Cause::Busy | Cause::NotSent { own_down: true } => return self.give_up(host, call),
             _ => Duration::ZERO,
         };
-        if matches!(cause, Cause::TurnedBack { .. }) {
-            call.turned.push(to);
+        if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
+            // Guards against turn-backs piling up on tandems that have no room beyond; this call skips it too.
+            let (until, width) = tandem.blocked.entry(call.offer.dest).or_insert((now, u16::MAX));
+            *width = if *until <= now {
+                call.offer.width
+            } else {
+                call.offer.width.min(*width)
+            };
+            *until = now + BLOCKED_FOR;
         }
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
         let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
@@ -500,7 +510,12 @@
         let own = self.own;
         self.exchanges
             .iter()
-            .filter(|(id, far)| **id != dest && Some(far.office) != own && !call.turned.contains(id))
+            .filter(|(id, far)| **id != dest && Some(far.office) != own)
+            .filter(|(_, far)| {
+                !far.blocked
+                    .get(&offer.dest)
+                    .is_some_and(|(until, from)| now < *until && offer.width >= *from)
+            })
             .filter(|(_, far)| own.is_some() || pools.contains(&far.office))
             .filter(|(_, far)| far.has_room(width + RESERVED) && far.answers(now))
             .filter(|(_, far)| self.allowance(now, far) >= 1.0)
