A processor full time after time is left alone for doubling spans

Should also guard against hung processors whose line has filled; could keep calls off one full by chance.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,7 @@
 const TRIAL_EVERY: Duration = Duration::from_secs(1);
 /// How long a processor that was full without saying for how long is left alone.
 const FULL_FOR: Duration = Duration::from_millis(300);
+const FULL_DOUBLINGS: u32 = 3;
 /// How long a tandem that turned a call back is not tried again for the same destination.
 const BLOCKED_FOR: Duration = Duration::from_secs(2);
 /// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
@@ -86,8 +87,9 @@
     /// Where it turned calls back from: until when, and from which width on, it is no tandem to there.
     /// One entry a destination at the most; gone with the exchange.
     blocked: BTreeMap<OfficeNo, (Duration, u16)>,
-    /// A full processor is left alone until then.
+    /// A full processor is left alone until then; how often in a row it was full.
     full_until: Duration,
+    fulls: u32,
     /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
     allowance: f64,
     reckoned: Duration,
@@ -185,6 +187,7 @@
                 shut_at: Duration::ZERO,
                 blocked: BTreeMap::new(),
                 full_until: Duration::ZERO,
+                fulls: 0,
                 allowance: 1.0,
                 reckoned: now,
             });
@@ -256,8 +259,11 @@
             _ => self.alive(now, host, exchange),
         }
         if let Cause::ProcessorFull { wait } = cause {
-            let wait = if wait.is_zero() { FULL_FOR } else { wait };
+            // A line that is full is seconds long: guards against asking it again and again while it drains,
+            // or while its processor hangs. It could keep calls off one that was full by chance.
             if let Some(far) = self.exchanges.get_mut(&exchange) {
+                let wait = wait.max(FULL_FOR * 2u32.pow(far.fulls.min(FULL_DOUBLINGS)));
+                far.fulls += 1;
                 far.full_until = far.full_until.max(now + wait);
             }
         }
@@ -552,6 +558,7 @@
         };
         far.out = (far.out - 1.0).max(0.0);
         if promptly {
+            far.fulls = 0;
             far.window = (far.window + 1.0 / far.window)
                 .min(2.0 * far.out + WINDOW_AT_START)
                 .max(far.window);
