--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,220 @@
+//! A tiny fake host: writes down what the controller does.
+
+use std::time::Duration;
+
+use mintstall::Controller;
+use mintstall::host::*;
+
+pub const HERE: OfficeNo = OfficeNo(0);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Did {
+    Seized(u64, u32),
+    Cancelled(u64),
+    Rejected(u64),
+    Released(u64),
+    Probed(u32),
+}
+
+#[derive(Default)]
+struct Notes {
+    did: Vec<Did>,
+    alarms: Vec<(Duration, AlarmId)>,
+    now: Duration,
+}
+
+impl Host for Notes {
+    fn seize(&mut self, call: CallId, to: ExchangeId, limit: Duration) {
+        assert!(!limit.is_zero(), "no limit means until the caller gives up");
+        self.did.push(Did::Seized(call.0, to.0));
+    }
+    fn cancel(&mut self, call: CallId, _: SeizureNo) {
+        self.did.push(Did::Cancelled(call.0));
+    }
+    fn reject(&mut self, call: CallId, _: Duration) {
+        self.did.push(Did::Rejected(call.0));
+    }
+    fn release(&mut self, call: CallId) {
+        self.did.push(Did::Released(call.0));
+    }
+    fn alarm(&mut self, after: Duration, alarm: AlarmId) {
+        self.alarms.push((self.now + after, alarm));
+    }
+    fn probe(&mut self, exchange: ExchangeId) {
+        self.did.push(Did::Probed(exchange.0));
+    }
+    fn tell(&mut self, _: Option<PeerNo>, _: &[u8]) {}
+    fn subscribe(&mut self) {}
+    fn log(&mut self, _: &str) {}
+}
+
+/// One controller at office 0 among exchanges 1, 2, ... whose ids are their office numbers.
+pub struct Desk {
+    pub controller: Controller,
+    notes: Notes,
+}
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn call_type(revenue: f64, width: u16) -> CallTypeData {
+    CallTypeData {
+        setup_target: ms(2000),
+        guard_time: ms(9000),
+        revenue,
+        late_share: 0.1,
+        width,
+        mean_hold: ms(10_000),
+        repeats: Repeats::Freely,
+        pools: Vec::new(),
+    }
+}
+
+pub fn office() -> OfficeData {
+    OfficeData {
+        own: Some(HERE),
+        zone: Zone(0),
+        controllers: 4,
+        call_types: vec![call_type(1.0, 1), call_type(8.0, 1)],
+        customers: Vec::new(),
+        over_quota_worth: 1.0,
+        seizure_limit: 5,
+        may_cancel: true,
+        may_probe: false,
+        may_tell: false,
+        longest_come_back: ms(2000),
+        must_subscribe: false,
+        reports_unasked: true,
+        probe_price: 0.0,
+        drain_grace: ms(500),
+        fall_multiple: 2.0,
+        fall_span: ms(1000),
+        cold_share: 0.3,
+        warm_up: ms(10_000),
+        release_wait: ms(300),
+        repeat_after: Duration::ZERO,
+    }
+}
+
+pub fn line(exchange: u32, standing: Standing, started: Duration) -> RosterLine {
+    RosterLine {
+        exchange: ExchangeId(exchange),
+        office: OfficeNo(exchange as u16),
+        zone: Zone(0),
+        standing,
+        started,
+    }
+}
+
+impl Desk {
+    /// Exchanges 0 to 3, each with `free` circuits towards it.
+    pub fn new(data: &OfficeData, free: f64) -> Self {
+        let mut desk = Self {
+            controller: Controller::new(data, 1),
+            notes: Notes::default(),
+        };
+        let lines: Vec<_> = (0..4)
+            .map(|no| line(no, Standing::Ready, Duration::ZERO))
+            .collect();
+        desk.controller.roster(Duration::ZERO, &mut desk.notes, &lines);
+        (1..4).for_each(|no| desk.free(no, free));
+        desk
+    }
+
+    /// What was done since last asked.
+    pub fn did(&mut self) -> Vec<Did> {
+        std::mem::take(&mut self.notes.did)
+    }
+
+    pub fn now(&self) -> Duration {
+        self.notes.now
+    }
+
+    pub fn free(&mut self, exchange: u32, free: f64) {
+        let report = Report {
+            free: Some(free),
+            size: Some(20.0),
+            ..Report::default()
+        };
+        let now = self.notes.now;
+        self.controller.probed(
+            now,
+            &mut self.notes,
+            ExchangeId(exchange),
+            true,
+            Duration::ZERO,
+            &report,
+        );
+    }
+
+    pub fn listed(&mut self, lines: &[RosterLine]) {
+        self.controller
+            .roster_changes(self.notes.now, &mut self.notes, lines);
+    }
+
+    pub fn offer(&self, call: u64, dest: u16) -> Offer {
+        Offer {
+            call: CallId(call),
+            call_type: CallType(0),
+            customer: CustomerNo(0),
+            dialled: Dialled(call),
+            until: self.notes.now + ms(3000),
+            dest: OfficeNo(dest),
+            width: 1,
+            advised: None,
+            transit: false,
+            cut: false,
+            redial: false,
+        }
+    }
+
+    pub fn offered(&mut self, offer: Offer) {
+        self.controller.offered(self.notes.now, &mut self.notes, offer);
+    }
+
+    pub fn calls(&mut self, call: u64, dest: u16) {
+        self.offered(self.offer(call, dest));
+    }
+
+    pub fn stands(&mut self, call: u64, seizure: u8, exchange: u32, after: Duration) {
+        let now = self.notes.now;
+        let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
+        self.controller
+            .stands(now, &mut self.notes, call, seizure, exchange, after);
+    }
+
+    pub fn ended(&mut self, call: u64, seizure: u8, exchange: u32, cause: Cause) {
+        let now = self.notes.now;
+        let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
+        self.controller.ended(
+            now,
+            &mut self.notes,
+            call,
+            seizure,
+            exchange,
+            cause,
+            ms(10),
+            false,
+        );
+    }
+
+    pub fn withdrawn(&mut self, call: u64) {
+        self.controller
+            .withdrawn(self.notes.now, &mut self.notes, CallId(call));
+    }
+
+    /// Lets time pass, ringing what is due on the way.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.notes.now + span;
+        while let Some(at) = (0..self.notes.alarms.len()).min_by_key(|at| self.notes.alarms[*at].0) {
+            if self.notes.alarms[at].0 > end {
+                break;
+            }
+            let (due, alarm) = self.notes.alarms.remove(at);
+            self.notes.now = due;
+            self.controller.rings(due, &mut self.notes, alarm);
+        }
+        self.notes.now = end;
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,210 @@
+//! One short story for each rule and for each failure met.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Desk, Did::*, line, ms, office};
+use mintstall::host::{Cause, Repeats, Standing};
+
+#[test]
+fn direct_first_then_the_tandem_with_most_room() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.free(3, 12.0);
+    desk.calls(1, 1);
+    desk.free(1, 0.0);
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), [Seized(1, 1), Seized(2, 3)]);
+}
+
+#[test]
+fn credit_pays_for_two_further_attempts_and_no_more() {
+    let mut desk = Desk::new(&office(), 9.0);
+    for call in 1..=3 {
+        desk.calls(call, 2);
+        desk.ended(call, 0, 2, Cause::Unreachable);
+        desk.pass(ms(4000));
+        desk.stands(call, 1, 2, ms(10));
+    }
+    let did = desk.did();
+    assert_eq!(did.iter().filter(|did| matches!(did, Seized(..))).count(), 5);
+    assert_eq!(did.last(), Some(&Rejected(3)));
+}
+
+#[test]
+fn a_told_wait_is_kept() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.calls(1, 1);
+    desk.ended(1, 0, 1, Cause::ProcessorFull { wait: ms(900) });
+    desk.did();
+    desk.pass(ms(899));
+    assert_eq!(desk.did(), []);
+    desk.pass(ms(2));
+    assert_eq!(desk.did(), [Seized(1, 1)]);
+}
+
+#[test]
+fn a_wait_beyond_the_time_left_is_an_answer_at_once() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.calls(1, 1);
+    desk.ended(1, 0, 1, Cause::ProcessorFull { wait: ms(2950) });
+    assert_eq!(desk.did(), [Seized(1, 1), Rejected(1)]);
+}
+
+#[test]
+fn the_release_is_awaited_after_a_time_out() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.calls(1, 1);
+    desk.pass(ms(500));
+    desk.ended(1, 0, 1, Cause::TimedOut);
+    desk.did();
+    desk.pass(ms(299));
+    assert_eq!(desk.did(), []);
+    desk.pass(ms(1000));
+    assert_eq!(desk.did()[0], Seized(1, 1));
+}
+
+#[test]
+fn every_wait_ends_with_an_answer() {
+    // Waits finer than the clock were found not over when their alarm rang.
+    for draw in 0..50 {
+        let mut desk = Desk::new(&office(), 9.0);
+        desk.pass(Duration::from_micros(draw * 7));
+        desk.calls(1, 1);
+        desk.ended(1, 0, 1, Cause::Unreachable);
+        desk.pass(ms(2900));
+        assert_eq!(desk.did().len(), 2, "seized twice");
+    }
+}
+
+#[test]
+fn a_call_without_a_way_is_held_a_while_and_then_rejected() {
+    let mut desk = Desk::new(&office(), 0.0);
+    desk.calls(1, 1);
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), []);
+    desk.pass(ms(400));
+    desk.free(1, 1.0);
+    assert_eq!(desk.did(), [Seized(1, 1)]);
+    desk.pass(ms(2000));
+    assert_eq!(desk.did(), [Rejected(2)]);
+}
+
+#[test]
+fn nothing_is_sent_after_the_caller_has_gone() {
+    let mut desk = Desk::new(&office(), 0.0);
+    desk.calls(1, 1);
+    desk.withdrawn(1);
+    desk.free(1, 5.0);
+    desk.calls(2, 1);
+    desk.withdrawn(2);
+    desk.ended(2, 0, 1, Cause::Cancelled);
+    desk.pass(ms(5000));
+    assert_eq!(desk.did(), [Seized(2, 1), Cancelled(2)]);
+}
+
+#[test]
+fn a_draining_exchange_gets_nothing_new() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.listed(&[line(1, Standing::Draining, Duration::ZERO)]);
+    desk.calls(1, 1);
+    desk.free(2, 0.0);
+    desk.calls(2, 2);
+    assert_eq!(desk.did(), [Seized(2, 3)], "and is no tandem either");
+}
+
+#[test]
+fn a_cold_exchange_is_sent_little_at_first() {
+    let mut desk = Desk::new(&office(), 99.0);
+    desk.pass(ms(1000));
+    desk.listed(&[line(1, Standing::Ready, ms(900))]);
+    (0..20).for_each(|call| desk.calls(call, 1));
+    assert_eq!(desk.did(), [Seized(0, 1)]);
+}
+
+#[test]
+fn a_call_to_the_own_exchange_is_not_sent_anywhere() {
+    // Such calls come while another exchange's controller is down.
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.calls(1, 0);
+    desk.pass(ms(3000));
+    assert_eq!(desk.did(), [Rejected(1)]);
+}
+
+#[test]
+fn a_call_in_transit_goes_on_or_is_turned_back_at_once() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.offered(mintstall::host::Offer {
+        transit: true,
+        ..desk.offer(1, 1)
+    });
+    desk.free(2, 1.0);
+    desk.offered(mintstall::host::Offer {
+        transit: true,
+        ..desk.offer(2, 2)
+    });
+    assert_eq!(desk.did(), [Seized(1, 1), Rejected(2)]);
+}
+
+#[test]
+fn a_tandem_that_turned_a_call_back_is_skipped() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.free(1, 0.0);
+    desk.free(3, 8.0);
+    desk.calls(1, 1);
+    desk.ended(1, 0, 2, Cause::TurnedBack { beyond: false });
+    desk.calls(2, 1);
+    desk.pass(ms(200));
+    assert_eq!(desk.did(), [Seized(1, 2), Seized(2, 3), Seized(1, 3)]);
+}
+
+#[test]
+fn a_pressed_exchange_gets_fewer_set_ups_at_a_time() {
+    let mut desk = Desk::new(&office(), 99.0);
+    (0..20).for_each(|call| desk.calls(call, 1));
+    let at_first = desk.did().len();
+    desk.pass(ms(900));
+    (0..at_first as u64).for_each(|call| desk.stands(call, 0, 1, ms(900)));
+    assert!(desk.did().len() < at_first, "the window has shut a little");
+}
+
+#[test]
+fn a_processor_full_again_and_again_is_left_alone_for_longer() {
+    let mut desk = Desk::new(&office(), 99.0);
+    let mut sent = 0;
+    for call in 0..40 {
+        desk.calls(call, 1);
+        if desk.did().contains(&Seized(call, 1)) {
+            sent += 1;
+            desk.ended(call, 0, 1, Cause::ProcessorFull { wait: Duration::ZERO });
+        }
+        desk.withdrawn(call);
+        desk.pass(ms(100));
+    }
+    assert!(sent <= 4, "sent {sent} in four seconds");
+}
+
+#[test]
+fn a_silent_exchange_is_tried_only_now_and_then() {
+    let mut desk = Desk::new(&office(), 99.0);
+    for call in 0..2 {
+        desk.calls(call, 1);
+        desk.ended(call, 0, 1, Cause::TimedOut);
+        desk.withdrawn(call);
+    }
+    desk.did();
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), []);
+    desk.pass(ms(990));
+    assert_eq!(desk.did(), [Seized(2, 1)], "one trial");
+}
+
+#[test]
+fn what_may_have_been_carried_out_is_not_repeated() {
+    let mut data = office();
+    data.call_types[0].repeats = Repeats::Never;
+    let mut desk = Desk::new(&data, 9.0);
+    desk.calls(1, 1);
+    desk.ended(1, 0, 1, Cause::TimedOut);
+    assert_eq!(desk.did(), [Seized(1, 1), Released(1)]);
+}
