--- a/src/choice.rs
+++ b/src/choice.rs
@@ -503,11 +503,11 @@
         let dest = *dest;
         // A destination that is no longer there, or answers nobody, is not reached over a tandem either.
         // Nor is the own exchange, for which calls come while another's controller is down.
-        if self.own.is_some() && (!far.answers(now) || Some(offer.dest) == self.own) {
+        if self.own.is_some() && (!self.takes(now, far) || Some(offer.dest) == self.own) {
             return None;
         }
         let spare = if offer.transit { RESERVED } else { 0.0 };
-        if far.has_room(width + spare) && far.answers(now) && self.allowance(now, far) >= 1.0 {
+        if far.has_room(width + spare) && self.takes(now, far) {
             return Some(dest);
         }
         if offer.transit {
@@ -523,12 +523,15 @@
                     .is_some_and(|(until, from)| now < *until && offer.width >= *from)
             })
             .filter(|(_, far)| own.is_some() || pools.contains(&far.office))
-            .filter(|(_, far)| far.has_room(width + RESERVED) && far.answers(now))
-            .filter(|(_, far)| self.allowance(now, far) >= 1.0)
+            .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far))
             .max_by(|(_, a), (_, b)| a.free.unwrap_or(0.0).total_cmp(&b.free.unwrap_or(0.0)))
             .map(|(id, _)| *id)
     }
 
+    fn takes(&self, now: Duration, far: &Exchange) -> bool {
+        far.answers(now) && self.allowance(now, far) >= 1.0
+    }
+
     /// Set-ups that a cold exchange may be sent now: it gets its present share of what an exchange is
     /// sent when warm, so that all controllers together stay below what it can do. Guards against
     /// pushing it over, and against set-ups that would only wait there. Warm ones are not bounded.
