A redial is known by its number and counts from its first try

Numbers given up lately are kept for four seconds; a redial past its setup target is not held. It should also guard against a surging group's redials; it harms where many share one number.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! interface is in `host.rs`, the reasons in `docs/design.md`. A call's entry holds what to do
 //! next: a closure that is handed the end of its seizure, or the end of its wait.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use crate::chance::Chance;
@@ -36,6 +36,8 @@
 const PROMPT: f64 = 0.35;
 const SHUT_BY: f64 = 0.7;
 const WINDOW_AT_START: f64 = 4.0;
+/// A number that comes again within this time is its caller dialling again.
+const REDIALS_WITHIN: Duration = Duration::from_secs(4);
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
 /// Memory of the rates of seizures.
@@ -116,6 +118,8 @@
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
     calls: BTreeMap<CallId, (Call, Next)>,
+    /// Numbers whose calls were given up lately, and when they were first offered; emptied by time.
+    given_up: VecDeque<(Duration, Dialled, Duration)>,
     /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
     line: BTreeSet<(usize, Duration, CallId)>,
 }
@@ -155,6 +159,7 @@
             rated: Duration::ZERO,
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
+            given_up: VecDeque::new(),
             line: BTreeSet::new(),
         }
     }
@@ -214,9 +219,16 @@
 
     /// A call is offered, by a subscriber or in transit.
     pub fn offered(&mut self, now: Duration, host: &mut dyn Host, offer: Offer) {
+        // A caller who dials again waits since the first try: what is late already earns little.
+        let first = self
+            .given_up
+            .iter()
+            .rev()
+            .find(|(_, dialled, _)| *dialled == offer.dialled && dialled.0 != 0);
+        let arrived = first.map_or(now, |(_, _, arrived)| *arrived);
         let call = Call {
             offer,
-            arrived: now,
+            arrived,
             seizures: 0,
             spent: false,
         };
@@ -360,13 +372,13 @@
             .saturating_add(target.mul_f64(HELD))
             .min(call.offer.until);
         if call.offer.transit || until <= now {
-            return self.give_up(host, call);
+            return self.give_up(now, host, call);
         }
         self.line.insert(self.place_in_line(&call));
         host.alarm(until - now, AlarmId(call.offer.call.0));
-        let then: AfterWait = Box::new(|me, _, host, call| {
+        let then: AfterWait = Box::new(|me, now, host, call| {
             me.line.remove(&me.place_in_line(&call));
-            me.give_up(host, call);
+            me.give_up(now, host, call);
         });
         self.calls
             .insert(call.offer.call, (call, Next::Waiting { until, then }));
@@ -407,10 +419,10 @@
             .checked_sub(now + RESERVE)
             .filter(|left| *left >= USEFUL)
         else {
-            return self.give_up(host, call);
+            return self.give_up(now, host, call);
         };
         let Some(far) = self.exchanges.get_mut(&to) else {
-            return self.give_up(host, call);
+            return self.give_up(now, host, call);
         };
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         far.allowance -= 1.0;
@@ -444,7 +456,9 @@
                 self.release_wait
             }
             Cause::ProcessorFull { wait } => wait,
-            Cause::Done | Cause::Busy | Cause::NotSent { own_down: true } => return self.give_up(host, call),
+            Cause::Done | Cause::Busy | Cause::NotSent { own_down: true } => {
+                return self.give_up(now, host, call);
+            }
             _ => Duration::ZERO,
         };
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
@@ -465,7 +479,7 @@
         let fits = now + wait + USEFUL + RESERVE <= call.offer.until;
         let may = !call.offer.transit && !call.spent && call.seizures < self.seizure_limit;
         if !may || !fits || self.credit < FURTHER {
-            return self.give_up(host, call);
+            return self.give_up(now, host, call);
         }
         self.credit -= FURTHER;
         host.alarm(wait, AlarmId(call.offer.call.0));
@@ -483,7 +497,17 @@
     }
 
     /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
-    fn give_up(&mut self, host: &mut dyn Host, call: Call) {
+    fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+        if !call.offer.transit {
+            self.given_up.push_back((now, call.offer.dialled, call.arrived));
+            while self
+                .given_up
+                .front()
+                .is_some_and(|(at, ..)| *at + REDIALS_WITHIN < now)
+            {
+                self.given_up.pop_front();
+            }
+        }
         match call.spent {
             true => host.release(call.offer.call),
             false => host.reject(call.offer.call, self.come_back),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -90,6 +90,20 @@
     assert_eq!(desk.did(), [Rejected(2)]);
 }
 
+#[test]
+fn a_redial_counts_from_its_first_try_and_lets_others_go_first() {
+    let mut desk = Desk::new(&office(), 0.0);
+    desk.calls(1, 1);
+    desk.pass(ms(2000));
+    assert_eq!(desk.did(), [Rejected(1)]);
+    let again = mintstall::host::Dialled(1);
+    desk.offered(mintstall::host::Offer {
+        dialled: again,
+        ..desk.offer(2, 1)
+    });
+    assert_eq!(desk.did(), [Rejected(2)], "not held: it is late already");
+}
+
 #[test]
 fn nothing_is_sent_after_the_caller_has_gone() {
     let mut desk = Desk::new(&office(), 0.0);
