--- a/src/choice.rs
+++ b/src/choice.rs
@@ -530,7 +530,9 @@
         if self.own.is_some() && (!self.takes(now, far) || Some(offer.dest) == self.own) {
             return None;
         }
-        let spare = if offer.transit { RESERVED } else { 0.0 };
+        // What earns little for its circuits leaves the last ones to others.
+        let late = now >= call.arrived + self.kind(call).0;
+        let spare = if offer.transit || late { RESERVED } else { 0.0 };
         if far.has_room(width + spare) && self.takes(now, far) {
             return Some(dest);
         }
