--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 /// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
 /// factor when they don't.
 const PROMPT: f64 = 0.35;
+/// And well before a waiting set-up is repeated, which is work for a processor that is pressed already.
+const BEFORE_REPEAT: f64 = 0.5;
 const SHUT_BY: f64 = 0.7;
 const WINDOW_AT_START: f64 = 4.0;
 /// A number that comes again within this time is its caller dialling again.
@@ -142,6 +144,11 @@
             .map(|of| of.setup_target)
             .min()
             .unwrap_or(Duration::MAX / 2);
+        let repeated = if data.repeat_after.is_zero() {
+            Duration::MAX / 2
+        } else {
+            data.repeat_after
+        };
         Self {
             own: data.own,
             kinds: data.call_types.iter().map(kind).collect(),
@@ -151,7 +158,7 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
-            prompt: shortest.mul_f64(PROMPT),
+            prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
