--- a/crates/benchlink/src/frames.rs
+++ b/crates/benchlink/src/frames.rs
@@ -38,17 +38,12 @@
                 self.rest = rest;
                 Ok(taken)
             }
-            None => bad(format!(
-                "{}: {count} bytes wanted, {} left",
-                self.what,
-                self.rest.len()
-            )),
+            None => bad(format!("{}: {count} bytes wanted, {} left", self.what, self.rest.len())),
         }
     }
 
     fn array<const N: usize>(&mut self) -> Read<[u8; N]> {
-        self.take(N)
-            .map(|taken| taken.try_into().expect("take gives as many bytes as asked"))
+        self.take(N).map(|taken| taken.try_into().expect("take gives as many bytes as asked"))
     }
 
     pub fn u8(&mut self) -> Read<u8> {
@@ -75,9 +70,7 @@
     pub fn time(&mut self) -> Read<Duration> {
         let seconds = self.array().map(f64::from_be_bytes)?;
         match Duration::try_from_secs_f64(seconds) {
-            Ok(time) => Ok(Duration::from_micros(
-                (time.as_nanos().saturating_add(500) / 1000) as u64,
-            )),
+            Ok(time) => Ok(Duration::from_micros((time.as_nanos().saturating_add(500) / 1000) as u64)),
             Err(_) => bad(format!("{}: {seconds} is no time", self.what)),
         }
     }
@@ -86,13 +79,7 @@
     pub fn record(&mut self) -> Read<(u8, Fields<'a>)> {
         let code = self.u8()?;
         let length = self.u32()? as usize;
-        Ok((
-            code,
-            Fields {
-                rest: self.take(length)?,
-                what: self.what,
-            },
-        ))
+        Ok((code, Fields { rest: self.take(length)?, what: self.what }))
     }
 }
 
@@ -143,10 +130,7 @@
     #[test]
     fn fields_that_run_past_their_record_are_named() {
         let mut fields = Fields::new(&[2, 0, 0, 0, 9, 1], "batch");
-        assert_eq!(
-            fields.record().err(),
-            Some(BadFrame("batch: 9 bytes wanted, 1 left".into()))
-        );
+        assert_eq!(fields.record().err(), Some(BadFrame("batch: 9 bytes wanted, 1 left".into())));
     }
 
     #[test]
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -23,19 +23,12 @@
         }
         let length = u32::from_be_bytes(length);
         batch.clear();
-        let got = input
-            .by_ref()
-            .take(length.into())
-            .read_to_end(&mut batch)
-            .map_err(io_failed)?;
+        let got = input.by_ref().take(length.into()).read_to_end(&mut batch).map_err(io_failed)?;
         if got < length as usize {
             return frames::bad(format!("batch: {length} bytes wanted, input ended after {got}"));
         }
         room.answer(&batch, &mut reply)?;
-        output
-            .write_all(&reply)
-            .and_then(|()| output.flush())
-            .map_err(io_failed)?;
+        output.write_all(&reply).and_then(|()| output.flush()).map_err(io_failed)?;
     }
 }
 
--- a/crates/benchlink/src/office.rs
+++ b/crates/benchlink/src/office.rs
@@ -39,13 +39,7 @@
             "reduce" => Figure::HoldBack,
             _ => Figure::Unknown,
         };
-        Self(
-            names
-                .split(',')
-                .filter(|name| !name.is_empty())
-                .map(figure)
-                .collect(),
-        )
+        Self(names.split(',').filter(|name| !name.is_empty()).map(figure).collect())
     }
 
     /// Figures below nought were not told.
@@ -83,9 +77,7 @@
     fn or<T: FromStr>(&self, path: &str, missing: T) -> Read<T> {
         match self.text(path) {
             "" => Ok(missing),
-            text => text
-                .parse()
-                .or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
+            text => text.parse().or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
         }
     }
 
@@ -93,9 +85,7 @@
     fn must<T: FromStr>(&self, path: &str) -> Read<T> {
         match self.text(path) {
             "" => bad(format!("settings: {path} is missing")),
-            text => text
-                .parse()
-                .or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
+            text => text.parse().or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
         }
     }
 
@@ -146,9 +136,7 @@
             .split(',')
             .filter(|pool| !pool.is_empty())
             .map(|pool| {
-                pool.parse()
-                    .map(OfficeNo)
-                    .or_else(|_| bad(format!("settings: {pools_path} holds {pool}")))
+                pool.parse().map(OfficeNo).or_else(|_| bad(format!("settings: {pools_path} holds {pool}")))
             })
             .collect::<Read<_>>()?,
     })
@@ -166,11 +154,7 @@
         };
     }
     let pooled = paths.text("specifics.network_form") == "skills";
-    let own: i32 = if pooled {
-        -1
-    } else {
-        paths.must("specifics.own_number")?
-    };
+    let own: i32 = if pooled { -1 } else { paths.must("specifics.own_number")? };
     let come_back = paths.span_or_none("limits.max_retry_after_s")?;
     let count: usize = paths.must("lanes.count")?;
     let customers: usize = paths.or("tenants.count", 0)?;
@@ -180,22 +164,14 @@
         controllers: paths.or("balancers", 1u16)?.max(1),
         call_types: (0..count).map(|at| call_type(&paths, at)).collect::<Read<_>>()?,
         customers: (0..customers)
-            .map(|at| {
-                Ok(CustomerData {
-                    quota: paths.or(&format!("tenants.{at}.quota_per_s"), 0.0)?,
-                })
-            })
+            .map(|at| Ok(CustomerData { quota: paths.or(&format!("tenants.{at}.quota_per_s"), 0.0)? }))
             .collect::<Read<_>>()?,
         over_quota_worth: paths.or("over_share_worth", 1.0)?,
         seizure_limit: paths.or("limits.most_tries", u8::MAX)?,
         may_cancel: paths.or("limits.cancelling", false)?,
         may_probe: paths.or("limits.probes", false)?,
         may_tell: paths.or("limits.peers", false)?,
-        longest_come_back: if paths.or("limits.retry_after", false)? {
-            come_back
-        } else {
-            Duration::ZERO
-        },
+        longest_come_back: if paths.or("limits.retry_after", false)? { come_back } else { Duration::ZERO },
         must_subscribe: paths.text("membership_mode") == "subscribe",
         reports_unasked: paths.text("report.how") == "piggyback",
         probe_price: paths.or("prices.probe", 0.0)?,
@@ -221,10 +197,7 @@
         let (data, layout) = read(text.as_bytes()).unwrap();
         assert_eq!((data.own, data.call_types[0].width), (Some(OfficeNo(3)), 4));
         let report = layout.report([5.0, -1.0, 9.0, 40.0].into_iter());
-        assert_eq!(
-            (report.free, report.size, report.rate),
-            (Some(5.0), None, Some(40.0))
-        );
+        assert_eq!((report.free, report.size, report.rate), (Some(5.0), None, Some(40.0)));
     }
 
     #[test]
--- a/crates/benchlink/src/switchroom.rs
+++ b/crates/benchlink/src/switchroom.rs
@@ -30,10 +30,7 @@
 
 impl Host for Line<'_> {
     fn seize(&mut self, call: CallId, to: ExchangeId, limit: Duration) {
-        self.record(67)
-            .put(call.0.to_be_bytes())
-            .put(to.0.to_be_bytes())
-            .time(limit);
+        self.record(67).put(call.0.to_be_bytes()).put(to.0.to_be_bytes()).time(limit);
     }
 
     fn cancel(&mut self, call: CallId, seizure: SeizureNo) {
@@ -87,9 +84,7 @@
         (10, _) => Cause::Done,
         (20, _) => Cause::Busy,
         (30, 1) => Cause::NoCircuit,
-        (30, 2) => Cause::TurnedBack {
-            beyond: clear_code & 16 != 0,
-        },
+        (30, 2) => Cause::TurnedBack { beyond: clear_code & 16 != 0 },
         (30, _) => Cause::ProcessorFull { wait },
         (40, _) => Cause::TimedOut,
         (50, _) => Cause::Unreachable,
@@ -116,13 +111,7 @@
             other => return bad(format!("ledger: unknown mode {other}")),
         };
         let _capacity_hint = fields.f32()?;
-        lines.push(RosterLine {
-            exchange,
-            office,
-            zone,
-            standing,
-            started: fields.time()?,
-        });
+        lines.push(RosterLine { exchange, office, zone, standing, started: fields.time()? });
     }
     Ok((number, lines))
 }
@@ -213,22 +202,12 @@
             return Ok(());
         }
         let number = f.u16()?;
-        let line = &mut Line {
-            reply,
-            count,
-            controller: number,
-        };
+        let line = &mut Line { reply, count, controller: number };
         if code == 0 {
             let seed = f.u64()?;
             let length = f.u32()? as usize;
             let (data, layout) = office::read(f.take(length)?)?;
-            self.instances.insert(
-                number,
-                Instance {
-                    controller: Controller::new(&data, seed),
-                    layout,
-                },
-            );
+            self.instances.insert(number, Instance { controller: Controller::new(&data, seed), layout });
             return Ok(());
         }
         if code == 9 {
@@ -240,15 +219,13 @@
         };
         let rosters = &self.rosters;
         // A fault of the module must not pass for a decision: the day ends with its text.
-        catch_unwind(AssertUnwindSafe(|| {
-            tell(controller, layout, rosters, now, code, f, line)
-        }))
-        .unwrap_or_else(|panic| {
-            let text = panic.downcast_ref::<String>().map(String::as_str);
-            let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
-            line.record(74).counted(text.as_bytes());
-            Ok(())
-        })
+        catch_unwind(AssertUnwindSafe(|| tell(controller, layout, rosters, now, code, f, line)))
+            .unwrap_or_else(|panic| {
+                let text = panic.downcast_ref::<String>().map(String::as_str);
+                let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+                line.record(74).counted(text.as_bytes());
+                Ok(())
+            })
     }
 }
 
@@ -315,34 +292,21 @@
 
     fn bytes(hex: &str) -> Vec<u8> {
         let digits: Vec<u32> = hex.chars().filter_map(|c| c.to_digit(16)).collect();
-        digits
-            .chunks(2)
-            .map(|pair| (pair[0] * 16 + pair[1]) as u8)
-            .collect()
+        digits.chunks(2).map(|pair| (pair[0] * 16 + pair[1]) as u8).collect()
     }
 
     #[test]
     fn the_empty_batch_is_answered() {
         let mut reply = Vec::new();
-        Switchroom::default()
-            .answer(&bytes("4020d3126e978d50 00000001"), &mut reply)
-            .unwrap();
+        Switchroom::default().answer(&bytes("4020d3126e978d50 00000001"), &mut reply).unwrap();
         assert_eq!(reply, bytes("00000000 00000004 00000001"));
     }
 
     #[test]
     fn the_worked_actions_are_written_to_the_letter() {
         let (mut reply, mut count) = (Vec::new(), 0);
-        let mut line = Line {
-            reply: &mut reply,
-            count: &mut count,
-            controller: 3,
-        };
-        line.seize(
-            CallId(0x000d_f759_5d3a_91c4),
-            ExchangeId(0x0312_4a07),
-            Duration::from_millis(80),
-        );
+        let mut line = Line { reply: &mut reply, count: &mut count, controller: 3 };
+        line.seize(CallId(0x000d_f759_5d3a_91c4), ExchangeId(0x0312_4a07), Duration::from_millis(80));
         line.alarm(Duration::from_millis(500), AlarmId(0x4d));
         line.tell(None, b"hi 7");
         line.log("two servers known");
@@ -366,19 +330,13 @@
             (offer.call, offer.dest, offer.width),
             (CallId(0x000d_f759_5d3a_91c4), OfficeNo(57), 1200)
         );
-        assert_eq!(
-            (offer.until, offer.transit),
-            (Duration::from_micros(8_652_250), false)
-        );
+        assert_eq!((offer.until, offer.transit), (Duration::from_micros(8_652_250), false));
         let ledger = bytes(
             "0000 00000002 03124a07 00 00 0000 01 3f800000 0000000000000000
              2c9011f2 01 00 0000 01 3fc00000 4018666666666666",
         );
         let (number, lines) = roster(&mut Fields::new(&ledger, "ledger")).unwrap();
-        assert_eq!(
-            (number, lines.len(), lines[1].exchange),
-            (0, 2, ExchangeId(0x2c90_11f2))
-        );
+        assert_eq!((number, lines.len(), lines[1].exchange), (0, 2, ExchangeId(0x2c90_11f2)));
         assert_eq!(lines[1].started, Duration::from_millis(6100));
     }
 
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -21,10 +21,7 @@
     pub fn new(seed: u64) -> Self {
         // Both halves at nought, or both at their top, would stay there for good.
         let carry = ((seed >> 32) as u32 % (Self::MULTIPLIER as u32 - 1)) + 1;
-        let mut chance = Self {
-            low: seed as u32,
-            carry,
-        };
+        let mut chance = Self { low: seed as u32, carry };
         // The first numbers of neighbouring seeds are alike.
         for _ in 0..4 {
             chance.next();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -131,24 +131,11 @@
         let kind = |of: &CallTypeData| CallKind {
             target: of.setup_target.min(of.guard_time),
             repeats: of.repeats,
-            rank: data
-                .call_types
-                .iter()
-                .filter(|other| other.revenue > of.revenue)
-                .count(),
+            rank: data.call_types.iter().filter(|other| other.revenue > of.revenue).count(),
             pools: of.pools.clone(),
         };
-        let shortest = data
-            .call_types
-            .iter()
-            .map(|of| of.setup_target)
-            .min()
-            .unwrap_or(Duration::MAX / 2);
-        let repeated = if data.repeat_after.is_zero() {
-            Duration::MAX / 2
-        } else {
-            data.repeat_after
-        };
+        let shortest = data.call_types.iter().map(|of| of.setup_target).min().unwrap_or(Duration::MAX / 2);
+        let repeated = if data.repeat_after.is_zero() { Duration::MAX / 2 } else { data.repeat_after };
         Self {
             own: data.own,
             kinds: data.call_types.iter().map(kind).collect(),
@@ -176,8 +163,7 @@
     /// The whole roster, as last held or as it is now.
     pub fn roster(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         let first = self.exchanges.is_empty();
-        self.exchanges
-            .retain(|id, _| lines.iter().any(|line| line.exchange == *id));
+        self.exchanges.retain(|id, _| lines.iter().any(|line| line.exchange == *id));
         self.roster_changes(now, host, lines);
         if first && self.must_subscribe {
             host.subscribe();
@@ -227,18 +213,10 @@
     /// A call is offered, by a subscriber or in transit.
     pub fn offered(&mut self, now: Duration, host: &mut dyn Host, offer: Offer) {
         // A caller who dials again waits since the first try: what is late already earns little.
-        let first = self
-            .given_up
-            .iter()
-            .rev()
-            .find(|(_, dialled, _)| *dialled == offer.dialled && dialled.0 != 0);
+        let first =
+            self.given_up.iter().rev().find(|(_, dialled, _)| *dialled == offer.dialled && dialled.0 != 0);
         let arrived = first.map_or(now, |(_, _, arrived)| *arrived);
-        let call = Call {
-            offer,
-            arrived,
-            seizures: 0,
-            spent: false,
-        };
+        let call = Call { offer, arrived, seizures: 0, spent: false };
         self.set_up(now, host, call);
     }
 
@@ -308,8 +286,7 @@
                 if self.may_cancel {
                     host.cancel(call, SeizureNo(entry.seizures - 1));
                 }
-                self.calls
-                    .insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
+                self.calls.insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
             }
             Some((entry, _)) => drop(self.line.remove(&self.place_in_line(&entry))),
             None => {}
@@ -358,9 +335,7 @@
 
     fn kind(&self, call: &Call) -> (Duration, Repeats) {
         let kind = self.kinds.get(usize::from(call.offer.call_type.0));
-        kind.map_or((Duration::MAX, Repeats::Never), |kind| {
-            (kind.target, kind.repeats)
-        })
+        kind.map_or((Duration::MAX, Repeats::Never), |kind| (kind.target, kind.repeats))
     }
 
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
@@ -374,10 +349,7 @@
     /// Guards against answering a passing shortage by rejecting, and against the redials that follow.
     fn hold(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         let (target, _) = self.kind(&call);
-        let until = call
-            .arrived
-            .saturating_add(target.mul_f64(HELD))
-            .min(call.offer.until);
+        let until = call.arrived.saturating_add(target.mul_f64(HELD)).min(call.offer.until);
         if call.offer.transit || until <= now {
             return self.give_up(now, host, call);
         }
@@ -387,17 +359,12 @@
             me.line.remove(&me.place_in_line(&call));
             me.give_up(now, host, call);
         });
-        self.calls
-            .insert(call.offer.call, (call, Next::Waiting { until, then }));
+        self.calls.insert(call.offer.call, (call, Next::Waiting { until, then }));
     }
 
     fn place_in_line(&self, call: &Call) -> (usize, Duration, CallId) {
         let kind = self.kinds.get(usize::from(call.offer.call_type.0));
-        (
-            kind.map_or(usize::MAX, |kind| kind.rank),
-            call.arrived,
-            call.offer.call,
-        )
+        (kind.map_or(usize::MAX, |kind| kind.rank), call.arrived, call.offer.call)
     }
 
     /// Sends on what now finds a way, highest revenue first.
@@ -405,10 +372,7 @@
         let mut from = (0, Duration::ZERO, CallId(0));
         while let Some(place) = self.line.range(from..).next().copied() {
             from = (place.0, place.1, CallId(place.2.0 + 1));
-            let to = self
-                .calls
-                .get(&place.2)
-                .and_then(|(call, _)| self.route(now, call));
+            let to = self.calls.get(&place.2).and_then(|(call, _)| self.route(now, call));
             if let Some(to) = to {
                 self.line.remove(&place);
                 if let Some((call, _)) = self.calls.remove(&place.2) {
@@ -420,12 +384,7 @@
 
     /// The one place that sends: `route` has seen to drains, cold exchanges and silence just before.
     fn seize(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId) {
-        let Some(left) = call
-            .offer
-            .until
-            .checked_sub(now + RESERVE)
-            .filter(|left| *left >= USEFUL)
-        else {
+        let Some(left) = call.offer.until.checked_sub(now + RESERVE).filter(|left| *left >= USEFUL) else {
             return self.give_up(now, host, call);
         };
         let Some(far) = self.exchanges.get_mut(&to) else {
@@ -443,11 +402,8 @@
         call.seizures += 1;
         // What takes longer than the setup target is worth little, and holds circuits on its way.
         let (target, _) = self.kind(&call);
-        let limit = (call.arrived + target)
-            .checked_sub(now)
-            .filter(|rest| *rest >= USEFUL)
-            .unwrap_or(left)
-            .min(left);
+        let limit =
+            (call.arrived + target).checked_sub(now).filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
         host.seize(call.offer.call, to, limit);
         let next: AfterSeizure =
             Box::new(move |me, now, host, call, cause| me.failed(now, host, call, to, cause));
@@ -471,11 +427,7 @@
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
             // Guards against turn-backs piling up on tandems that have no room beyond; this call skips it too.
             let (until, width) = tandem.blocked.entry(call.offer.dest).or_insert((now, u16::MAX));
-            *width = if *until <= now {
-                call.offer.width
-            } else {
-                call.offer.width.min(*width)
-            };
+            *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
             *until = now + BLOCKED_FOR;
         }
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
@@ -491,27 +443,14 @@
         self.credit -= FURTHER;
         host.alarm(wait, AlarmId(call.offer.call.0));
         let then: AfterWait = Box::new(|me, now, host, call| me.set_up(now, host, call));
-        self.calls.insert(
-            call.offer.call,
-            (
-                call,
-                Next::Waiting {
-                    until: now + wait,
-                    then,
-                },
-            ),
-        );
+        self.calls.insert(call.offer.call, (call, Next::Waiting { until: now + wait, then }));
     }
 
     /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
     fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         if !call.offer.transit {
             self.given_up.push_back((now, call.offer.dialled, call.arrived));
-            while self
-                .given_up
-                .front()
-                .is_some_and(|(at, ..)| *at + REDIALS_WITHIN < now)
-            {
+            while self.given_up.front().is_some_and(|(at, ..)| *at + REDIALS_WITHIN < now) {
                 self.given_up.pop_front();
             }
         }
@@ -595,9 +534,7 @@
         far.out = (far.out - 1.0).max(0.0);
         if promptly {
             far.fulls = 0;
-            far.window = (far.window + 1.0 / far.window)
-                .min(2.0 * far.out + WINDOW_AT_START)
-                .max(far.window);
+            far.window = (far.window + 1.0 / far.window).min(2.0 * far.out + WINDOW_AT_START).max(far.window);
         } else if now >= far.shut_at + self.prompt {
             far.window = (far.window * SHUT_BY).max(1.0);
             far.shut_at = now;
@@ -622,10 +559,7 @@
             far.unanswered = far.unanswered.saturating_add(1);
             far.trial_at = now + TRIAL_EVERY;
             if far.unanswered == SILENT_AFTER {
-                host.log(&format!(
-                    "exchange {} silent: {} time-outs in a row",
-                    far.office.0, far.unanswered
-                ));
+                host.log(&format!("exchange {} silent: {} time-outs in a row", far.office.0, far.unanswered));
             }
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,13 +110,8 @@
 impl Desk {
     /// Exchanges 0 to 3, each with `free` circuits towards it.
     pub fn new(data: &OfficeData, free: f64) -> Self {
-        let mut desk = Self {
-            controller: Controller::new(data, 1),
-            notes: Notes::default(),
-        };
-        let lines: Vec<_> = (0..4)
-            .map(|no| line(no, Standing::Ready, Duration::ZERO))
-            .collect();
+        let mut desk = Self { controller: Controller::new(data, 1), notes: Notes::default() };
+        let lines: Vec<_> = (0..4).map(|no| line(no, Standing::Ready, Duration::ZERO)).collect();
         desk.controller.roster(Duration::ZERO, &mut desk.notes, &lines);
         (1..4).for_each(|no| desk.free(no, free));
         desk
@@ -128,25 +123,13 @@
     }
 
     pub fn free(&mut self, exchange: u32, free: f64) {
-        let report = Report {
-            free: Some(free),
-            size: Some(20.0),
-            ..Report::default()
-        };
+        let report = Report { free: Some(free), size: Some(20.0), ..Report::default() };
         let now = self.notes.now;
-        self.controller.probed(
-            now,
-            &mut self.notes,
-            ExchangeId(exchange),
-            true,
-            Duration::ZERO,
-            &report,
-        );
+        self.controller.probed(now, &mut self.notes, ExchangeId(exchange), true, Duration::ZERO, &report);
     }
 
     pub fn listed(&mut self, lines: &[RosterLine]) {
-        self.controller
-            .roster_changes(self.notes.now, &mut self.notes, lines);
+        self.controller.roster_changes(self.notes.now, &mut self.notes, lines);
     }
 
     pub fn offer(&self, call: u64, dest: u16) -> Offer {
@@ -176,28 +159,17 @@
     pub fn stands(&mut self, call: u64, seizure: u8, exchange: u32, after: Duration) {
         let now = self.notes.now;
         let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
-        self.controller
-            .stands(now, &mut self.notes, call, seizure, exchange, after);
+        self.controller.stands(now, &mut self.notes, call, seizure, exchange, after);
     }
 
     pub fn ended(&mut self, call: u64, seizure: u8, exchange: u32, cause: Cause) {
         let now = self.notes.now;
         let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
-        self.controller.ended(
-            now,
-            &mut self.notes,
-            call,
-            seizure,
-            exchange,
-            cause,
-            ms(10),
-            false,
-        );
+        self.controller.ended(now, &mut self.notes, call, seizure, exchange, cause, ms(10), false);
     }
 
     pub fn withdrawn(&mut self, call: u64) {
-        self.controller
-            .withdrawn(self.notes.now, &mut self.notes, CallId(call));
+        self.controller.withdrawn(self.notes.now, &mut self.notes, CallId(call));
     }
 
     /// Lets time pass, ringing what is due on the way.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -97,10 +97,7 @@
     desk.pass(ms(2000));
     assert_eq!(desk.did(), [Rejected(1)]);
     let again = mintstall::host::Dialled(1);
-    desk.offered(mintstall::host::Offer {
-        dialled: again,
-        ..desk.offer(2, 1)
-    });
+    desk.offered(mintstall::host::Offer { dialled: again, ..desk.offer(2, 1) });
     assert_eq!(desk.did(), [Rejected(2)], "not held: it is late already");
 }
 
@@ -148,15 +145,9 @@
 #[test]
 fn a_call_in_transit_goes_on_or_is_turned_back_at_once() {
     let mut desk = Desk::new(&office(), 9.0);
-    desk.offered(mintstall::host::Offer {
-        transit: true,
-        ..desk.offer(1, 1)
-    });
+    desk.offered(mintstall::host::Offer { transit: true, ..desk.offer(1, 1) });
     desk.free(2, 1.0);
-    desk.offered(mintstall::host::Offer {
-        transit: true,
-        ..desk.offer(2, 2)
-    });
+    desk.offered(mintstall::host::Offer { transit: true, ..desk.offer(2, 2) });
     assert_eq!(desk.did(), [Seized(1, 1), Rejected(2)]);
 }
 
