A window over all exchanges guards the own processor

One window over all of them opens with prompt answers and shuts with late ones. It should also guard against surges of own callers; it could hold back calls where one far end alone is slow.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -84,10 +84,7 @@
     /// Time-outs in a row without a sign of life, and when it may be tried again once silent.
     unanswered: u32,
     trial_at: Duration,
-    /// Set-ups out to it, how many may be, and when that was last cut.
-    out: f64,
-    window: f64,
-    shut_at: Duration,
+    window: Window,
     /// Where it turned calls back from: until when, and from which width on, it is no tandem to there.
     /// One entry a destination at the most; gone with the exchange.
     blocked: BTreeMap<OfficeNo, (Duration, u16)>,
@@ -99,6 +96,14 @@
     reckoned: Duration,
 }
 
+/// How many set-ups may be out at a time, how many are, and when it was last cut.
+#[derive(Clone, Debug)]
+struct Window {
+    out: f64,
+    size: f64,
+    shut_at: Duration,
+}
+
 pub struct Controller {
     own: Option<OfficeNo>,
     kinds: Vec<CallKind>,
@@ -116,6 +121,8 @@
     /// Seizures a second, over all exchanges, fading.
     rate: f64,
     rated: Duration,
+    /// Over all exchanges: what the own processor works off.
+    window: Window,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
@@ -151,6 +158,7 @@
             credit: CREDIT_AT_START,
             rate: 0.0,
             rated: Duration::ZERO,
+            window: Window::new(4.0 * WINDOW_AT_START),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -180,9 +188,7 @@
                 free: None,
                 unanswered: 0,
                 trial_at: Duration::ZERO,
-                out: 0.0,
-                window: WINDOW_AT_START,
-                shut_at: Duration::ZERO,
+                window: Window::new(WINDOW_AT_START),
                 blocked: BTreeMap::new(),
                 full_until: Duration::ZERO,
                 fulls: 0,
@@ -231,7 +237,7 @@
         after: Duration,
     ) {
         if let Some((_, Next::Seized(_))) = self.calls.remove(&call) {
-            self.answered(now, exchange, after <= self.prompt);
+            self.answered(now, exchange, after <= self.prompt, false);
         }
         self.alive(now, host, exchange);
         self.serve_line(now, host);
@@ -266,8 +272,9 @@
         }
         match self.calls.remove(&call) {
             Some((call, Next::Seized(next))) if call.seizures == seizure.0 + 1 => {
-                let pressed = matches!(cause, Cause::ProcessorFull { .. } | Cause::TimedOut);
-                self.answered(now, exchange, !pressed && after <= self.prompt);
+                let silence = matches!(cause, Cause::TimedOut | Cause::Unreachable);
+                let pressed = silence || matches!(cause, Cause::ProcessorFull { .. });
+                self.answered(now, exchange, !pressed && after <= self.prompt, silence);
                 if !closed {
                     next(self, now, host, call, cause);
                 }
@@ -393,7 +400,8 @@
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         far.allowance -= 1.0;
         far.trial_at = now + TRIAL_EVERY;
-        far.out += 1.0;
+        far.window.out += 1.0;
+        self.window.out += 1.0;
         if call.seizures == 0 && !call.offer.transit {
             self.credit = (self.credit + 1).min(CREDIT_CAP);
         }
@@ -473,6 +481,9 @@
         let dest = *dest;
         // A destination that is no longer there, or answers nobody, is not reached over a tandem either.
         // Nor is the own exchange, for which calls come while another's controller is down.
+        if !offer.transit && !self.window.open() {
+            return None;
+        }
         if self.own.is_some() && (!self.takes(now, far) || Some(offer.dest) == self.own) {
             return None;
         }
@@ -527,17 +538,14 @@
     /// One set-up less out to an exchange. The window on such set-ups keeps a pressed processor, the far one
     /// or the own, from being sent more than it works off: its queue would make every set-up late, and what
     /// is given up is worked on all the same. It could hold back calls where a far way is long by itself.
-    fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool) {
-        let Some(far) = self.exchanges.get_mut(&exchange) else {
-            return;
-        };
-        far.out = (far.out - 1.0).max(0.0);
-        if promptly {
-            far.fulls = 0;
-            far.window = (far.window + 1.0 / far.window).min(2.0 * far.out + WINDOW_AT_START).max(far.window);
-        } else if now >= far.shut_at + self.prompt {
-            far.window = (far.window * SHUT_BY).max(1.0);
-            far.shut_at = now;
+    fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool, silence: bool) {
+        // Silence says nothing of the own processor: a cut region must not shut the way to all others.
+        self.window.answered(now, self.prompt, promptly, !promptly && !silence);
+        if let Some(far) = self.exchanges.get_mut(&exchange) {
+            far.window.answered(now, self.prompt, promptly, !promptly);
+            if promptly {
+                far.fulls = 0;
+            }
         }
     }
 
@@ -565,6 +573,26 @@
     }
 }
 
+impl Window {
+    fn new(size: f64) -> Self {
+        Self { out: 0.0, size, shut_at: Duration::ZERO }
+    }
+
+    fn open(&self) -> bool {
+        self.out < self.size.floor()
+    }
+
+    fn answered(&mut self, now: Duration, prompt: Duration, opens: bool, shuts: bool) {
+        self.out = (self.out - 1.0).max(0.0);
+        if opens {
+            self.size = (self.size + 1.0 / self.size).min(2.0 * self.out + WINDOW_AT_START).max(self.size);
+        } else if shuts && now >= self.shut_at + prompt {
+            self.size = (self.size * SHUT_BY).max(1.0);
+            self.shut_at = now;
+        }
+    }
+}
+
 impl Exchange {
     fn has_room(&self, circuits: f64) -> bool {
         self.free.is_none_or(|free| free >= circuits)
@@ -574,7 +602,7 @@
     fn answers(&self, now: Duration) -> bool {
         self.standing == Standing::Ready
             && now >= self.full_until
-            && self.out < self.window.floor()
+            && self.window.open()
             && (self.unanswered < SILENT_AFTER || now >= self.trial_at)
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -216,3 +216,26 @@
     desk.ended(1, 0, 1, Cause::TimedOut);
     assert_eq!(desk.did(), [Seized(1, 1), Released(1)]);
 }
+
+#[test]
+fn a_pressed_own_processor_is_spared_but_silence_is_not_its_fault() {
+    let out = |cause: Option<Cause>| {
+        let mut desk = Desk::new(&office(), 99.0);
+        for call in 0..30 {
+            let to = 1 + call as u32 % 3;
+            desk.pass(ms(700));
+            desk.calls(call, to as u16);
+            match cause {
+                None => desk.stands(call, 0, to, ms(1900)),
+                Some(cause) => desk.ended(call, 0, to, cause),
+            }
+            desk.withdrawn(call);
+        }
+        desk.did();
+        desk.pass(ms(5000));
+        (100..130).for_each(|call| desk.calls(call, 1 + call as u16 % 3));
+        desk.did().len()
+    };
+    assert_eq!(out(None), 1, "all late: one at a time");
+    assert_eq!(out(Some(Cause::TimedOut)), 3, "all silent: one trial of each");
+}
