The last direct circuit is left to call types that earn far more for theirs

It should also help in surges; where circuits never run short it does nothing, where the dear type is rare it idles a circuit a group.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,9 @@
 const WINDOW_AT_START: f64 = 4.0;
 /// A number that comes again within this time is its caller dialling again.
 const REDIALS_WITHIN: Duration = Duration::from_secs(4);
+/// Circuits of the direct group left to other types by those that earn less than this share of the best.
+const LEFT: f64 = 1.0;
+const FAR_LESS: f64 = 0.5;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
 /// Memory of the rates of seizures.
@@ -70,6 +73,8 @@
     repeats: Repeats,
     /// How many types of call earn more.
     rank: usize,
+    /// Circuits that it leaves to types that earn far more for theirs.
+    leaves: f64,
     pools: Vec<OfficeNo>,
 }
 
@@ -135,9 +140,14 @@
 
 impl Controller {
     pub fn new(data: &OfficeData, seed: u64) -> Self {
+        let density = |of: &CallTypeData| {
+            of.revenue / (f64::from(of.width.max(1)) * of.mean_hold.as_secs_f64().max(f64::EPSILON))
+        };
+        let best = data.call_types.iter().map(density).fold(0.0, f64::max);
         let kind = |of: &CallTypeData| CallKind {
             target: of.setup_target.min(of.guard_time),
             repeats: of.repeats,
+            leaves: if density(of) < FAR_LESS * best { LEFT } else { 0.0 },
             rank: data.call_types.iter().filter(|other| other.revenue > of.revenue).count(),
             pools: of.pools.clone(),
         };
@@ -489,13 +499,17 @@
         }
         // What earns little for its circuits leaves the last ones to others.
         let late = now >= call.arrived + self.kind(call).0;
-        let spare = if offer.transit || late { RESERVED } else { 0.0 };
+        let leaves = kind.map_or(0.0, |kind| kind.leaves);
+        let spare = if offer.transit || late { RESERVED } else { leaves };
         if far.has_room(width + spare) && self.takes(now, far) {
             return Some(dest);
         }
         if offer.transit {
             return None;
         }
+        if far.has_room(width) && !late {
+            return None;
+        }
         let own = self.own;
         self.exchanges
             .iter()
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -84,7 +84,7 @@
     desk.calls(2, 1);
     assert_eq!(desk.did(), []);
     desk.pass(ms(400));
-    desk.free(1, 1.0);
+    desk.free(1, 2.0);
     assert_eq!(desk.did(), [Seized(1, 1)]);
     desk.pass(ms(2000));
     assert_eq!(desk.did(), [Rejected(2)]);
@@ -239,3 +239,14 @@
     assert_eq!(out(None), 1, "all late: one at a time");
     assert_eq!(out(Some(Cause::TimedOut)), 3, "all silent: one trial of each");
 }
+
+#[test]
+fn the_last_direct_circuit_is_left_to_calls_that_earn_far_more() {
+    let mut desk = Desk::new(&office(), 9.0);
+    desk.free(1, 1.0);
+    desk.calls(1, 1);
+    assert_eq!(desk.did(), [], "held, and not sent over a tandem");
+    let dear = mintstall::host::CallType(1);
+    desk.offered(mintstall::host::Offer { call_type: dear, ..desk.offer(2, 1) });
+    assert_eq!(desk.did(), [Seized(2, 1)]);
+}
