--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,7 @@
 /// The balance counts tenths of a further attempt.
 const FURTHER: u32 = 10;
 const CREDIT_AT_START: u32 = 2 * FURTHER;
-const CREDIT_CAP: u32 = 4 * FURTHER;
+const CREDIT_CAP: u32 = 10 * FURTHER;
 const SEIZURES: u8 = 3;
 const FIRST_CEILING: Duration = Duration::from_millis(100);
 const LAST_CEILING: Duration = Duration::from_millis(800);
