--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,7 +15,7 @@
 const FURTHER: u32 = 10;
 const CREDIT_AT_START: u32 = 2 * FURTHER;
 const CREDIT_CAP: u32 = 10 * FURTHER;
-const SEIZURES: u8 = 3;
+const SEIZURES: u8 = 4;
 const FIRST_CEILING: Duration = Duration::from_millis(100);
 const LAST_CEILING: Duration = Duration::from_millis(800);
 /// The least time in which a seizure is worth sending, and what is kept for the final answer.
