A cold exchange is allowed half as much again

Cause, from three incidents with releases and stops: calls to an exchange that had just started were refused long after it could take them. No exchange is sent all it can take when warm, so its share of that was too little.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,8 @@
 const FAR_LESS: f64 = 0.5;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
+/// Exchanges are sent less than they could take: a cold one is allowed this much of its share.
+const AMPLE: f64 = 1.5;
 /// Memory of the rates of seizures.
 const RATE_MEMORY: f64 = 10.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -540,7 +542,7 @@
         let mean = self.faded_rate(now) / self.exchanges.len().saturating_sub(1).max(1) as f64;
         let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
         let present = self.cold_share + (1.0 - self.cold_share) * warmth;
-        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean).min(1.0)
+        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean * AMPLE).min(1.0)
     }
 
     fn faded_rate(&self, now: Duration) -> f64 {
