--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,8 +45,8 @@
 const FAR_LESS: f64 = 0.5;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
-/// Exchanges are sent less than they could take: a cold one is allowed this much of its share.
-const AMPLE: f64 = 1.5;
+/// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
+const MARGIN: f64 = 0.8;
 /// Memory of the rates of seizures.
 const RATE_MEMORY: f64 = 10.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -120,6 +120,7 @@
     release_wait: Duration,
     warm_up: Duration,
     cold_share: f64,
+    ample: f64,
     /// A set-up that takes longer met a pressed processor.
     prompt: Duration,
     must_subscribe: bool,
@@ -164,6 +165,7 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
+            ample: data.fall_multiple.max(0.0) * MARGIN,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
             chance: Chance::new(seed),
@@ -531,9 +533,9 @@
         far.answers(now) && self.allowance(now, far) >= 1.0
     }
 
-    /// Set-ups that a cold exchange may be sent now: it gets its present share of what an exchange is
-    /// sent when warm, so that all controllers together stay below what it can do. Guards against
-    /// pushing it over, and against set-ups that would only wait there. Warm ones are not bounded.
+    /// Set-ups that a cold exchange may be sent now: its present share of what an exchange is sent when
+    /// warm, times a little less than the multiple that would push it over, so that all controllers
+    /// together stay below that even when warm ones are sent all they can do. Warm ones are not bounded.
     fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
         let age = now.saturating_sub(far.started);
         if far.started.is_zero() || age >= self.warm_up {
@@ -542,7 +544,8 @@
         let mean = self.faded_rate(now) / self.exchanges.len().saturating_sub(1).max(1) as f64;
         let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
         let present = self.cold_share + (1.0 - self.cold_share) * warmth;
-        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean * AMPLE).min(1.0)
+        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean * self.ample)
+            .min(1.0)
     }
 
     fn faded_rate(&self, now: Duration) -> f64 {
