Calls to a place that is not there are refused at once

They were held for half their setup target although nobody could take them. Kept for the caller's sake: an answer that is known is given.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -371,7 +371,8 @@
     fn hold(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         let (target, _) = self.kind(&call);
         let until = call.arrived.saturating_add(target.mul_f64(HELD)).min(call.offer.until);
-        if call.offer.transit || until <= now {
+        // Where nobody is there to take it, waiting serves nobody.
+        if call.offer.transit || until <= now || self.own.is_some() && self.dest(&call.offer).is_none() {
             return self.give_up(now, host, call);
         }
         self.line.insert(self.place_in_line(&call));
@@ -484,40 +485,44 @@
 
     // Routes.
 
+    /// Where the call is for, if it is there: not the own exchange, for which calls come while another
+    /// exchange's controller is down.
+    fn dest(&self, offer: &Offer) -> Option<(ExchangeId, &Exchange)> {
+        let there = |far: &&Exchange| far.standing == Standing::Ready && Some(far.office) != self.own;
+        let mut all = self.exchanges.iter().filter(|(_, far)| far.office == offer.dest && there(far));
+        all.next().map(|(id, far)| (*id, far))
+    }
+
     /// Direct while its group has room, else the tandem whose first leg has most room.
     fn route(&self, now: Duration, call: &Call) -> Option<ExchangeId> {
         let offer = &call.offer;
         let width = f64::from(offer.width);
         let kind = self.kinds.get(usize::from(offer.call_type.0));
         let pools = kind.map_or(&[][..], |kind| &kind.pools);
-        let dest = self.exchanges.iter().filter(|(_, far)| far.office == offer.dest);
-        let (dest, far) = dest.max_by_key(|(_, far)| (far.standing == Standing::Ready, far.started))?;
-        let dest = *dest;
-        // A destination that is no longer there, or answers nobody, is not reached over a tandem either.
-        // Nor is the own exchange, for which calls come while another's controller is down.
         if !offer.transit && !self.window.open() {
             return None;
         }
-        if self.own.is_some() && (!self.takes(now, far) || Some(offer.dest) == self.own) {
+        // A destination that is not there, or answers nobody, is not reached over a tandem either.
+        let dest = self.dest(offer);
+        if self.own.is_some() && !dest.is_some_and(|(_, far)| self.takes(now, far)) {
             return None;
         }
         // What earns little for its circuits leaves the last ones to others.
         let late = now >= call.arrived + self.kind(call).0;
         let leaves = kind.map_or(0.0, |kind| kind.leaves);
         let spare = if offer.transit || late { RESERVED } else { leaves };
-        if far.has_room(width + spare) && self.takes(now, far) {
-            return Some(dest);
-        }
-        if offer.transit {
-            return None;
-        }
-        if far.has_room(width) && !late {
-            return None;
+        if let Some((id, far)) = dest {
+            if far.has_room(width + spare) && self.takes(now, far) {
+                return Some(id);
+            }
+            if offer.transit || self.own.is_some() && far.has_room(width) && !late {
+                return None;
+            }
         }
         let own = self.own;
         self.exchanges
             .iter()
-            .filter(|(id, far)| **id != dest && Some(far.office) != own)
+            .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
             .filter(|(_, far)| {
                 !far.blocked
                     .get(&offer.dest)
