--- a/src/choice.rs
+++ b/src/choice.rs
@@ -515,7 +515,7 @@
             if far.has_room(width + spare) && self.takes(now, far) {
                 return Some(id);
             }
-            if offer.transit || self.own.is_some() && far.has_room(width) && !late {
+            if offer.transit || self.own.is_some() && far.has_room(width) {
                 return None;
             }
         }
