--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,9 @@
 const HELD: f64 = 0.5;
 /// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
 const MARGIN: f64 = 0.8;
+/// How long a told rate counts, and how much more than an even share of it a sender takes, as few take theirs.
+const FRESH: Duration = Duration::from_secs(3);
+const UNEVEN: f64 = 1e9;
 /// Memory of the rates of seizures.
 const RATE_MEMORY: f64 = 10.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -100,6 +103,8 @@
     fulls: u32,
     /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
     allowance: f64,
+    /// Set-ups a second that it said it can take from all, and when.
+    told: (f64, Duration),
     reckoned: Duration,
 }
 
@@ -121,6 +126,8 @@
     warm_up: Duration,
     cold_share: f64,
     ample: f64,
+    /// This controller's share of what an exchange can take from all.
+    share: f64,
     /// A set-up that takes longer met a pressed processor.
     prompt: Duration,
     must_subscribe: bool,
@@ -165,6 +172,7 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
+            share: UNEVEN / f64::from(data.controllers.max(1)),
             ample: data.fall_multiple.max(0.0) * MARGIN,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
@@ -207,6 +215,7 @@
                 full_until: Duration::ZERO,
                 fulls: 0,
                 allowance: 1.0,
+                told: (f64::INFINITY, Duration::ZERO),
                 reckoned: now,
             });
             if exchange.standing != line.standing || exchange.started != line.started {
@@ -329,9 +338,10 @@
     }
 
     /// A report that came with an outcome.
-    pub fn reported(&mut self, _now: Duration, _host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
+    pub fn reported(&mut self, now: Duration, _host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
+            far.told = report.rate.map_or(far.told, |rate| (rate, now));
         }
     }
 
@@ -409,11 +419,12 @@
         let Some(left) = call.offer.until.checked_sub(now + RESERVE).filter(|left| *left >= USEFUL) else {
             return self.give_up(now, host, call);
         };
-        let Some(far) = self.exchanges.get_mut(&to) else {
+        let allowance = self.exchanges.get(&to).map(|far| self.allowance(now, far));
+        let (Some(allowance), Some(far)) = (allowance, self.exchanges.get_mut(&to)) else {
             return self.give_up(now, host, call);
         };
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
-        far.allowance -= 1.0;
+        (far.allowance, far.reckoned) = (allowance - 1.0, now);
         far.trial_at = now + TRIAL_EVERY;
         far.window.out += 1.0;
         self.window.out += 1.0;
@@ -538,19 +549,32 @@
         far.answers(now) && self.allowance(now, far) >= 1.0
     }
 
-    /// Set-ups that a cold exchange may be sent now: its present share of what an exchange is sent when
-    /// warm, times a little less than the multiple that would push it over, so that all controllers
-    /// together stay below that even when warm ones are sent all they can do. Warm ones are not bounded.
+    /// Set-ups that an exchange may be sent now, by the lower of two rates. One that tells what it can take
+    /// from all is sent a fair share of that while the word is fresh: it guards against a line kept long by
+    /// set-ups that are given up in it, and could starve the senders of one that counts too low.
     fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
+        let (told, at) = far.told;
+        let told = if now <= at + FRESH { told * self.share } else { f64::INFINITY };
+        let cold = self.cold_rate(now, far);
+        let rate = told.min(cold);
+        if rate.is_infinite() {
+            return rate;
+        }
+        let most = if cold.is_finite() { 1.0 } else { rate.max(1.0) };
+        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * rate).min(most)
+    }
+
+    /// A cold exchange's present share of what an exchange is sent when warm, times a little less than the
+    /// multiple that would push it over, so that all controllers together stay below that even when warm
+    /// ones are sent all they can do. Warm ones are not bounded.
+    fn cold_rate(&self, now: Duration, far: &Exchange) -> f64 {
         let age = now.saturating_sub(far.started);
         if far.started.is_zero() || age >= self.warm_up {
             return f64::INFINITY;
         }
         let mean = self.faded_rate(now) / self.exchanges.len().saturating_sub(1).max(1) as f64;
         let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
-        let present = self.cold_share + (1.0 - self.cold_share) * warmth;
-        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * present * mean * self.ample)
-            .min(1.0)
+        (self.cold_share + (1.0 - self.cold_share) * warmth) * mean * self.ample
     }
 
     fn faded_rate(&self, now: Duration) -> f64 {
