A pressed exchange that tells what it can take is sent an even share of that

It should also help with surges and cold processors; it could starve a sender who needs more than its share.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,9 +47,9 @@
 const HELD: f64 = 0.5;
 /// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
 const MARGIN: f64 = 0.8;
-/// How long a told rate counts, and how much more than an even share of it a sender takes, as few take theirs.
+/// How long the rate that an exchange told counts, and at which size of its window.
 const FRESH: Duration = Duration::from_secs(3);
-const UNEVEN: f64 = 1e9;
+const NEARLY_SHUT: f64 = 2.0;
 /// Memory of the rates of seizures.
 const RATE_MEMORY: f64 = 10.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -172,7 +172,7 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
-            share: UNEVEN / f64::from(data.controllers.max(1)),
+            share: 1.0 / f64::from(data.controllers.max(1)),
             ample: data.fall_multiple.max(0.0) * MARGIN,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
@@ -549,12 +549,13 @@
         far.answers(now) && self.allowance(now, far) >= 1.0
     }
 
-    /// Set-ups that an exchange may be sent now, by the lower of two rates. One that tells what it can take
-    /// from all is sent a fair share of that while the word is fresh: it guards against a line kept long by
-    /// set-ups that are given up in it, and could starve the senders of one that counts too low.
+    /// Set-ups that an exchange may be sent now, by the lower of two rates. One whose window is nearly shut
+    /// and that tells what it can take from all is sent an even share of that while the word is fresh. It
+    /// guards against a line kept long by set-ups given up in it, and could starve those who need more.
     fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
         let (told, at) = far.told;
-        let told = if now <= at + FRESH { told * self.share } else { f64::INFINITY };
+        let heeded = now <= at + FRESH && far.window.size < NEARLY_SHUT;
+        let told = if heeded { told * self.share } else { f64::INFINITY };
         let cold = self.cold_rate(now, far);
         let rate = told.min(cold);
         if rate.is_infinite() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -128,6 +128,11 @@
         self.controller.probed(now, &mut self.notes, ExchangeId(exchange), true, Duration::ZERO, &report);
     }
 
+    pub fn takes(&mut self, exchange: u32, rate: f64) {
+        let report = Report { rate: Some(rate), ..Report::default() };
+        self.controller.reported(self.notes.now, &mut self.notes, ExchangeId(exchange), &report);
+    }
+
     pub fn listed(&mut self, lines: &[RosterLine]) {
         self.controller.roster_changes(self.notes.now, &mut self.notes, lines);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -250,3 +250,31 @@
     desk.offered(mintstall::host::Offer { call_type: dear, ..desk.offer(2, 1) });
     assert_eq!(desk.did(), [Seized(2, 1)]);
 }
+
+#[test]
+fn a_pressed_exchange_that_says_what_it_can_take_is_sent_an_even_share() {
+    let sent = |rate: f64| {
+        let mut desk = Desk::new(&office(), 99.0);
+        for call in 0..60 {
+            desk.calls(call, 1);
+            if desk.did().contains(&Seized(call, 1)) {
+                desk.takes(1, rate);
+                desk.stands(call, 0, 1, ms(1900));
+            }
+            desk.withdrawn(call);
+            desk.pass(ms(100));
+        }
+        (100..160)
+            .filter(|call| {
+                desk.calls(*call, 1);
+                let sent = desk.did().contains(&Seized(*call, 1));
+                desk.takes(1, rate);
+                desk.stands(*call, 0, 1, ms(1900));
+                desk.pass(ms(100));
+                sent
+            })
+            .count()
+    };
+    assert!(sent(100.0) > 30);
+    assert!(sent(2.0) <= 4, "half a call a second for six seconds, one of four senders");
+}
