A cold exchange's allowance goes by what this controller sent that place before

A replaced machine takes over the rate of its place; one never sent to is reckoned by the mean; entries of gone machines are dropped once replaced. It should help after any restart; a place that was silent for long before its start was sent little and starts slower.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -103,6 +103,8 @@
     fulls: u32,
     /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
     allowance: f64,
+    /// Seizures a second while there was no bound on them, fading.
+    usual: f64,
     /// Set-ups a second that it said it can take from all, and when.
     told: (f64, Duration),
     reckoned: Duration,
@@ -133,9 +135,6 @@
     must_subscribe: bool,
     chance: Chance,
     credit: u32,
-    /// Seizures a second, over all exchanges, fading.
-    rate: f64,
-    rated: Duration,
     /// Over all exchanges: what the own processor works off.
     window: Window,
     /// Emptied by the roster: what it no longer names is dropped.
@@ -178,8 +177,6 @@
             must_subscribe: data.must_subscribe,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
-            rate: 0.0,
-            rated: Duration::ZERO,
             window: Window::new(4.0 * WINDOW_AT_START),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -203,6 +200,9 @@
     /// Changed lines of the roster only.
     pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         for line in lines {
+            // A machine that replaces another is sent what that one was.
+            let before = self.exchanges.values().filter(|far| far.office == line.office);
+            let usual = before.map(|far| far.usual).fold(0.0, f64::max);
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
@@ -215,6 +215,7 @@
                 full_until: Duration::ZERO,
                 fulls: 0,
                 allowance: 1.0,
+                usual,
                 told: (f64::INFINITY, Duration::ZERO),
                 reckoned: now,
             });
@@ -230,6 +231,9 @@
             (exchange.office, exchange.standing, exchange.started) =
                 (line.office, line.standing, line.started);
         }
+        let ready = |far: &&Exchange| far.standing == Standing::Ready;
+        let served: BTreeSet<_> = self.exchanges.values().filter(ready).map(|far| far.office).collect();
+        self.exchanges.retain(|_, far| far.standing != Standing::Gone || !served.contains(&far.office));
     }
 
     /// A subscription failed or broke: asked for again after a jittered while.
@@ -424,6 +428,10 @@
             return self.give_up(now, host, call);
         };
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
+        if allowance.is_infinite() {
+            let idle = now.saturating_sub(far.reckoned).as_secs_f64();
+            far.usual = far.usual * (-idle / RATE_MEMORY).exp() + 1.0 / RATE_MEMORY;
+        }
         (far.allowance, far.reckoned) = (allowance - 1.0, now);
         far.trial_at = now + TRIAL_EVERY;
         far.window.out += 1.0;
@@ -431,8 +439,6 @@
         if call.seizures == 0 && !call.offer.transit {
             self.credit = (self.credit + 1).min(CREDIT_CAP);
         }
-        self.rate = self.faded_rate(now) + 1.0 / RATE_MEMORY;
-        self.rated = now;
         call.seizures += 1;
         // What takes longer than the setup target is worth little, and holds circuits on its way.
         let (target, _) = self.kind(&call);
@@ -565,21 +571,19 @@
         (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * rate).min(most)
     }
 
-    /// A cold exchange's present share of what an exchange is sent when warm, times a little less than the
-    /// multiple that would push it over, so that all controllers together stay below that even when warm
-    /// ones are sent all they can do. Warm ones are not bounded.
+    /// A cold exchange's present share of what it was sent when warm, times a little less than the multiple
+    /// that would push it over, so that all controllers together stay below that even when it was sent all
+    /// it could do. Warm ones are not bounded.
     fn cold_rate(&self, now: Duration, far: &Exchange) -> f64 {
         let age = now.saturating_sub(far.started);
         if far.started.is_zero() || age >= self.warm_up {
             return f64::INFINITY;
         }
-        let mean = self.faded_rate(now) / self.exchanges.len().saturating_sub(1).max(1) as f64;
+        // One never sent to is reckoned like the others: this controller may itself have just started.
+        let mean = || self.exchanges.values().map(|far| far.usual).sum::<f64>() / self.exchanges.len() as f64;
+        let usual = if far.usual > 0.0 { far.usual } else { mean() };
         let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
-        (self.cold_share + (1.0 - self.cold_share) * warmth) * mean * self.ample
-    }
-
-    fn faded_rate(&self, now: Duration) -> f64 {
-        self.rate * (-now.saturating_sub(self.rated).as_secs_f64() / RATE_MEMORY).exp()
+        (self.cold_share + (1.0 - self.cold_share) * warmth) * usual * self.ample
     }
 
     // Signs of life.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{Desk, Did::*, line, ms, office};
-use mintstall::host::{Cause, Repeats, Standing};
+use mintstall::host::{Cause, ExchangeId, Repeats, RosterLine, Standing};
 
 #[test]
 fn direct_first_then_the_tandem_with_most_room() {
@@ -278,3 +278,34 @@
     assert!(sent(100.0) > 30);
     assert!(sent(2.0) <= 4, "half a call a second for six seconds, one of four senders");
 }
+
+#[test]
+fn a_cold_machine_is_sent_a_share_of_what_the_one_before_it_was() {
+    let sent_cold = |every: u64| {
+        let mut desk = Desk::new(&office(), 99.0);
+        for call in 0..40_000 / every {
+            desk.calls(call, 1);
+            desk.stands(call, 0, 1, ms(50));
+            desk.pass(ms(every));
+        }
+        let now = ms(40_000);
+        desk.listed(&[
+            line(1, Standing::Gone, Duration::ZERO),
+            RosterLine { exchange: ExchangeId(9), ..line(1, Standing::Ready, now) },
+        ]);
+        desk.free(9, 99.0);
+        desk.did();
+        let sent = |call: &u64| {
+            desk.calls(*call, 1);
+            desk.pass(ms(20));
+            let sent = desk.did().contains(&Seized(*call, 9));
+            desk.stands(*call, 0, 9, ms(20));
+            desk.withdrawn(*call);
+            sent
+        };
+        (1_000_000..1_000_150).filter(sent).count()
+    };
+    let (seldom, often) = (sent_cold(1000), sent_cold(100));
+    assert!((1..=4).contains(&seldom), "{seldom} in three seconds, one a second when warm");
+    assert!((10..=30).contains(&often), "{often} in three seconds, ten a second when warm");
+}
