The end of a standing call is no sign of life of its exchange

Cause, found in review: a hung exchange still tells the ends of old calls, so it never counted as silent for long. It should also help with slow exchanges.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -285,7 +285,8 @@
     ) {
         match cause {
             Cause::TimedOut | Cause::Unreachable => self.unanswered(now, host, exchange),
-            Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut => {}
+            // That a call has ended says nothing of the processor that set it up long ago.
+            Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
             _ => self.alive(now, host, exchange),
         }
         if let Cause::ProcessorFull { wait } = cause {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -309,3 +309,19 @@
     assert!((1..=4).contains(&seldom), "{seldom} in three seconds, one a second when warm");
     assert!((10..=30).contains(&often), "{often} in three seconds, ten a second when warm");
 }
+
+#[test]
+fn the_end_of_an_old_call_is_no_sign_of_life() {
+    let mut desk = Desk::new(&office(), 99.0);
+    desk.calls(9, 1);
+    desk.stands(9, 0, 1, ms(50));
+    for call in 0..2 {
+        desk.calls(call, 1);
+        desk.ended(call, 0, 1, Cause::TimedOut);
+        desk.withdrawn(call);
+        desk.ended(9, 0, 1, Cause::Done);
+    }
+    desk.did();
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), [], "silent all the same");
+}
