--- a/crates/benchlink/src/switchroom.rs
+++ b/crates/benchlink/src/switchroom.rs
@@ -7,8 +7,8 @@
 
 use mintstall::Controller;
 use mintstall::host::{
-    AlarmId, CallId, CallType, Cause, CustomerNo, Dialled, ExchangeId, Host, Offer, OfficeNo, PeerNo, Report,
-    RosterLine, SeizureNo, Standing, Zone,
+    AlarmId, CallId, CallType, Cause, CustomerNo, Dialled, Ended, ExchangeId, Host, Offer, OfficeNo, PeerNo,
+    Report, RosterLine, SeizureNo, Standing, Stood, Zone,
 };
 
 use crate::frames::{Fields, Read, Record, bad};
@@ -256,7 +256,7 @@
         3 => {
             let (call, seizure) = (CallId(f.u64()?), SeizureNo(f.u8()?));
             let exchange = ExchangeId(f.u32()?);
-            controller.stands(now, host, call, seizure, exchange, f.time()?);
+            controller.stands(now, host, &Stood { call, seizure, exchange, after: f.time()? });
         }
         4 => {
             let (call, seizure) = (CallId(f.u64()?), SeizureNo(f.u8()?));
@@ -266,15 +266,14 @@
             let closed = f.u8()? != 0;
             let cause = cause(code, f.u32()?)?;
             controller.reported(now, host, exchange, &report(f, layout)?);
-            controller.ended(now, host, call, seizure, exchange, cause, after, closed);
+            controller.ended(now, host, &Ended { call, seizure, exchange, cause, after, closed });
         }
         5 => controller.withdrawn(now, host, CallId(f.u64()?)),
         6 => controller.rings(now, host, AlarmId(f.u64()?)),
         7 => {
             let exchange = ExchangeId(f.u32()?);
-            let answered = f.u16()? == 10;
-            let after = f.time()?;
-            controller.probed(now, host, exchange, answered, after, &report(f, layout)?);
+            let (_code, _after) = (f.u16()?, f.time()?);
+            controller.reported(now, host, exchange, &report(f, layout)?);
         }
         8 => {
             let peer = PeerNo(f.u16()?);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! next: a closure that is handed the end of its seizure, or the end of its wait.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound;
 use std::time::Duration;
 
 use crate::chance::Chance;
@@ -66,6 +67,8 @@
 /// A call for which this controller owes a final answer.
 struct Call {
     offer: Offer,
+    /// Its place in `kinds`.
+    kind: usize,
     arrived: Duration,
     seizures: u8,
     /// Set where a set-up that must not be repeated may have been carried out.
@@ -101,13 +104,13 @@
     /// A full processor is left alone until then; how often in a row it was full.
     full_until: Duration,
     fulls: u32,
-    /// Set-ups that it may still be sent while it is cold, and when that was reckoned.
+    /// Set-ups that it may still be sent where there is a bound on them, and when that was reckoned.
     allowance: f64,
+    reckoned: Duration,
     /// Seizures a second while there was no bound on them, fading.
     usual: f64,
     /// Set-ups a second that it said it can take from all, and when.
     told: (f64, Duration),
-    reckoned: Duration,
 }
 
 /// How many set-ups may be out at a time, how many are, and when it was last cut.
@@ -249,61 +252,46 @@
         let first =
             self.given_up.iter().rev().find(|(_, dialled, _)| *dialled == offer.dialled && dialled.0 != 0);
         let arrived = first.map_or(now, |(_, _, arrived)| *arrived);
-        let call = Call { offer, arrived, seizures: 0, spent: false };
-        self.set_up(now, host, call);
+        let kind = usize::from(offer.call_type.0);
+        match kind < self.kinds.len() {
+            true => self.set_up(now, host, Call { offer, kind, arrived, seizures: 0, spent: false }),
+            false => host.reject(offer.call, Duration::ZERO),
+        }
     }
 
     /// The call stands; all that is left of it is its end, which needs no answer.
-    pub fn stands(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        call: CallId,
-        _seizure: SeizureNo,
-        exchange: ExchangeId,
-        after: Duration,
-    ) {
-        if let Some((_, Next::Seized(_))) = self.calls.remove(&call) {
-            self.answered(now, exchange, after <= self.prompt, false);
+    pub fn stands(&mut self, now: Duration, host: &mut dyn Host, stood: &Stood) {
+        if let Some((_, Next::Seized(_))) = self.calls.remove(&stood.call) {
+            self.answered(now, stood.exchange, stood.after <= self.prompt, false);
         }
-        self.alive(now, host, exchange);
+        self.alive(host, stood.exchange);
         self.serve_line(now, host);
     }
 
-    /// A seizure has ended; `closed` where the call has its final answer.
-    #[allow(clippy::too_many_arguments)]
-    pub fn ended(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        call: CallId,
-        seizure: SeizureNo,
-        exchange: ExchangeId,
-        cause: Cause,
-        after: Duration,
-        closed: bool,
-    ) {
+    /// A seizure has ended.
+    pub fn ended(&mut self, now: Duration, host: &mut dyn Host, end: &Ended) {
+        let Ended { call, exchange, cause, .. } = *end;
         match cause {
             Cause::TimedOut | Cause::Unreachable => self.unanswered(now, host, exchange),
             // That a call has ended says nothing of the processor that set it up long ago.
             Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
-            _ => self.alive(now, host, exchange),
+            _ => self.alive(host, exchange),
         }
         if let Cause::ProcessorFull { wait } = cause {
             // A line that is full is seconds long: guards against asking it again and again while it drains,
             // or while its processor hangs. It could keep calls off one that was full by chance.
             if let Some(far) = self.exchanges.get_mut(&exchange) {
                 let wait = wait.max(FULL_FOR * 2u32.pow(far.fulls.min(FULL_DOUBLINGS)));
-                far.fulls += 1;
+                far.fulls = far.fulls.saturating_add(1);
                 far.full_until = far.full_until.max(now + wait);
             }
         }
         match self.calls.remove(&call) {
-            Some((call, Next::Seized(next))) if call.seizures == seizure.0 + 1 => {
+            Some((call, Next::Seized(next))) if call.seizures.checked_sub(1) == Some(end.seizure.0) => {
                 let silence = matches!(cause, Cause::TimedOut | Cause::Unreachable);
                 let pressed = silence || matches!(cause, Cause::ProcessorFull { .. });
-                self.answered(now, exchange, !pressed && after <= self.prompt, silence);
-                if !closed {
+                self.answered(now, exchange, !pressed && end.after <= self.prompt, silence);
+                if !end.closed {
                     next(self, now, host, call, cause);
                 }
             }
@@ -342,25 +330,12 @@
         }
     }
 
-    /// A report that came with an outcome.
-    pub fn reported(&mut self, now: Duration, _host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
+    /// A report, asked for or not: it came with an outcome or a probe, or tells of a change in the own group.
+    pub fn reported(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
             far.told = report.rate.map_or(far.told, |rate| (rate, now));
         }
-    }
-
-    /// A probe's answer, or word of a change in the own group.
-    pub fn probed(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        exchange: ExchangeId,
-        _answered: bool,
-        _after: Duration,
-        report: &Report,
-    ) {
-        self.reported(now, host, exchange, report);
         self.serve_line(now, host);
     }
 
@@ -369,11 +344,6 @@
 
     // What becomes of a call.
 
-    fn kind(&self, call: &Call) -> (Duration, Repeats) {
-        let kind = self.kinds.get(usize::from(call.offer.call_type.0));
-        kind.map_or((Duration::MAX, Repeats::Never), |kind| (kind.target, kind.repeats))
-    }
-
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         match self.route(now, &call) {
             Some(to) => self.seize(now, host, call, to),
@@ -384,8 +354,8 @@
     /// Holds a call without a way for part of its setup target, in case circuits or a processor free up.
     /// Guards against answering a passing shortage by rejecting, and against the redials that follow.
     fn hold(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
-        let (target, _) = self.kind(&call);
-        let until = call.arrived.saturating_add(target.mul_f64(HELD)).min(call.offer.until);
+        let held = self.kinds[call.kind].target.mul_f64(HELD);
+        let until = call.arrived.saturating_add(held).min(call.offer.until);
         // Where nobody is there to take it, waiting serves nobody.
         if call.offer.transit || until <= now || self.own.is_some() && self.dest(&call.offer).is_none() {
             return self.give_up(now, host, call);
@@ -400,15 +370,14 @@
     }
 
     fn place_in_line(&self, call: &Call) -> (usize, Duration, CallId) {
-        let kind = self.kinds.get(usize::from(call.offer.call_type.0));
-        (kind.map_or(usize::MAX, |kind| kind.rank), call.arrived, call.offer.call)
+        (self.kinds[call.kind].rank, call.arrived, call.offer.call)
     }
 
     /// Sends on what now finds a way, highest revenue first.
     fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
-        let mut from = (0, Duration::ZERO, CallId(0));
-        while let Some(place) = self.line.range(from..).next().copied() {
-            from = (place.0, place.1, CallId(place.2.0 + 1));
+        let mut after = Bound::Unbounded;
+        while let Some(place) = self.line.range((after, Bound::Unbounded)).next().copied() {
+            after = Bound::Excluded(place);
             let to = self.calls.get(&place.2).and_then(|(call, _)| self.route(now, call));
             if let Some(to) = to {
                 self.line.remove(&place);
@@ -442,9 +411,8 @@
         }
         call.seizures += 1;
         // What takes longer than the setup target is worth little, and holds circuits on its way.
-        let (target, _) = self.kind(&call);
-        let limit =
-            (call.arrived + target).checked_sub(now).filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
+        let target = call.arrived.saturating_add(self.kinds[call.kind].target);
+        let limit = target.checked_sub(now).filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
         host.seize(call.offer.call, to, limit);
         let next: AfterSeizure =
             Box::new(move |me, now, host, call, cause| me.failed(now, host, call, to, cause));
@@ -453,10 +421,9 @@
 
     /// A seizure came to nothing: only what a further attempt may mend pays for one.
     fn failed(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId, cause: Cause) {
-        let (_, repeats) = self.kind(&call);
         let told = match cause {
             Cause::TimedOut | Cause::Cut | Cause::Cancelled => {
-                call.spent |= repeats != Repeats::Freely;
+                call.spent |= self.kinds[call.kind].repeats != Repeats::Freely;
                 self.release_wait
             }
             Cause::ProcessorFull { wait } => wait,
@@ -515,8 +482,7 @@
     fn route(&self, now: Duration, call: &Call) -> Option<ExchangeId> {
         let offer = &call.offer;
         let width = f64::from(offer.width);
-        let kind = self.kinds.get(usize::from(offer.call_type.0));
-        let pools = kind.map_or(&[][..], |kind| &kind.pools);
+        let kind = &self.kinds[call.kind];
         if !offer.transit && !self.window.open() {
             return None;
         }
@@ -526,9 +492,8 @@
             return None;
         }
         // What earns little for its circuits leaves the last ones to others.
-        let late = now >= call.arrived + self.kind(call).0;
-        let leaves = kind.map_or(0.0, |kind| kind.leaves);
-        let spare = if offer.transit || late { RESERVED } else { leaves };
+        let late = now >= call.arrived.saturating_add(kind.target);
+        let spare = if offer.transit || late { RESERVED } else { kind.leaves };
         if let Some((id, far)) = dest {
             if far.has_room(width + spare) && self.takes(now, far) {
                 return Some(id);
@@ -541,12 +506,8 @@
         self.exchanges
             .iter()
             .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
-            .filter(|(_, far)| {
-                !far.blocked
-                    .get(&offer.dest)
-                    .is_some_and(|(until, from)| now < *until && offer.width >= *from)
-            })
-            .filter(|(_, far)| own.is_some() || pools.contains(&far.office))
+            .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
+            .filter(|(_, far)| far.leads_on(now, offer))
             .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far))
             .max_by(|(_, a), (_, b)| a.free.unwrap_or(0.0).total_cmp(&b.free.unwrap_or(0.0)))
             .map(|(id, _)| *id)
@@ -603,13 +564,11 @@
         }
     }
 
-    fn alive(&mut self, _now: Duration, host: &mut dyn Host, exchange: ExchangeId) {
+    fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             if far.unanswered >= SILENT_AFTER {
-                host.log(&format!(
-                    "exchange {} answers again after {} time-outs",
-                    far.office.0, far.unanswered
-                ));
+                let (office, count) = (far.office.0, far.unanswered);
+                host.log(&format!("exchange {office} answers again after {count} time-outs"));
             }
             far.unanswered = 0;
         }
@@ -652,6 +611,11 @@
         self.free.is_none_or(|free| free >= circuits)
     }
 
+    /// Whether it has not lately turned back a call like this one.
+    fn leads_on(&self, now: Duration, offer: &Offer) -> bool {
+        self.blocked.get(&offer.dest).is_none_or(|(until, from)| now >= *until || offer.width < *from)
+    }
+
     /// Whether a set-up sent there now is likely to be answered.
     fn answers(&self, now: Duration) -> bool {
         self.standing == Standing::Ready
--- a/src/host.rs
+++ b/src/host.rs
@@ -160,6 +160,29 @@
     pub redial: bool,
 }
 
+/// A seizure that led to a standing call.
+#[derive(Clone, Copy, Debug)]
+pub struct Stood {
+    pub call: CallId,
+    pub seizure: SeizureNo,
+    pub exchange: ExchangeId,
+    /// Time since it went out.
+    pub after: Duration,
+}
+
+/// A seizure that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub call: CallId,
+    pub seizure: SeizureNo,
+    pub exchange: ExchangeId,
+    pub cause: Cause,
+    /// Time since it went out.
+    pub after: Duration,
+    /// Whether the call has its final answer, by this or before.
+    pub closed: bool,
+}
+
 /// How a seizure ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -124,8 +124,7 @@
 
     pub fn free(&mut self, exchange: u32, free: f64) {
         let report = Report { free: Some(free), size: Some(20.0), ..Report::default() };
-        let now = self.notes.now;
-        self.controller.probed(now, &mut self.notes, ExchangeId(exchange), true, Duration::ZERO, &report);
+        self.controller.reported(self.notes.now, &mut self.notes, ExchangeId(exchange), &report);
     }
 
     pub fn takes(&mut self, exchange: u32, rate: f64) {
@@ -164,13 +163,14 @@
     pub fn stands(&mut self, call: u64, seizure: u8, exchange: u32, after: Duration) {
         let now = self.notes.now;
         let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
-        self.controller.stands(now, &mut self.notes, call, seizure, exchange, after);
+        self.controller.stands(now, &mut self.notes, &Stood { call, seizure, exchange, after });
     }
 
     pub fn ended(&mut self, call: u64, seizure: u8, exchange: u32, cause: Cause) {
         let now = self.notes.now;
         let (call, seizure, exchange) = (CallId(call), SeizureNo(seizure), ExchangeId(exchange));
-        self.controller.ended(now, &mut self.notes, call, seizure, exchange, cause, ms(10), false);
+        let end = Ended { call, seizure, exchange, cause, after: ms(10), closed: false };
+        self.controller.ended(now, &mut self.notes, &end);
     }
 
     pub fn withdrawn(&mut self, call: u64) {
