Silence and full lines folded into one: left alone for doubling spans, then one trial at a time

Two defences against the same symptom, seizures without use, had a counter and a clock each. It should also cover whatever else keeps answers away; it could keep calls off an exchange full or silent by chance.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,12 +24,12 @@
 const RESERVE: Duration = Duration::from_millis(50);
 /// Circuits beyond its width that a call leaves free on a group that is not its direct one.
 const RESERVED: f64 = 2.0;
-/// Time-outs in a row without a sign of life that make an exchange silent, and how often one is tried then.
+/// How long an exchange is left alone after a seizure that its full processor refused, or after a second one in
+/// a row that it did not answer; how often that doubles.
+const ALONE: Duration = Duration::from_millis(300);
+const ALONE_DOUBLINGS: u32 = 3;
+/// Seizures in a row without use that make an exchange silent.
 const SILENT_AFTER: u32 = 2;
-const TRIAL_EVERY: Duration = Duration::from_secs(1);
-/// How long a processor that was full without saying for how long is left alone.
-const FULL_FOR: Duration = Duration::from_millis(300);
-const FULL_DOUBLINGS: u32 = 3;
 /// How long a tandem that turned a call back is not tried again for the same destination.
 const BLOCKED_FOR: Duration = Duration::from_secs(2);
 /// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
@@ -94,16 +94,13 @@
     started: Duration,
     /// Free circuits (or agents) towards it; not known until told.
     free: Option<f64>,
-    /// Time-outs in a row without a sign of life, and when it may be tried again once silent.
-    unanswered: u32,
-    trial_at: Duration,
+    /// Seizures in a row that it left unanswered or refused as full, and until when it is left alone.
+    fruitless: u32,
+    alone_until: Duration,
     window: Window,
     /// Where it turned calls back from: until when, and from which width on, it is no tandem to there.
     /// One entry a destination at the most; gone with the exchange.
     blocked: BTreeMap<OfficeNo, (Duration, u16)>,
-    /// A full processor is left alone until then; how often in a row it was full.
-    full_until: Duration,
-    fulls: u32,
     /// Set-ups that it may still be sent where there is a bound on them, and when that was reckoned.
     allowance: f64,
     reckoned: Duration,
@@ -211,12 +208,10 @@
                 standing: line.standing,
                 started: line.started,
                 free: None,
-                unanswered: 0,
-                trial_at: Duration::ZERO,
+                fruitless: 0,
+                alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
                 blocked: BTreeMap::new(),
-                full_until: Duration::ZERO,
-                fulls: 0,
                 allowance: 1.0,
                 usual,
                 told: (f64::INFINITY, Duration::ZERO),
@@ -228,7 +223,7 @@
                     line.office.0, line.standing, exchange.standing, line.started, exchange.started
                 ));
                 // A new processor knows nothing of what the old one left unanswered.
-                (exchange.unanswered, exchange.full_until) = (0, Duration::ZERO);
+                (exchange.fruitless, exchange.alone_until) = (0, Duration::ZERO);
                 (exchange.allowance, exchange.reckoned) = (1.0, now);
             }
             (exchange.office, exchange.standing, exchange.started) =
@@ -272,20 +267,12 @@
     pub fn ended(&mut self, now: Duration, host: &mut dyn Host, end: &Ended) {
         let Ended { call, exchange, cause, .. } = *end;
         match cause {
-            Cause::TimedOut | Cause::Unreachable => self.unanswered(now, host, exchange),
+            Cause::TimedOut | Cause::Unreachable => self.fruitless(now, host, exchange, None),
+            Cause::ProcessorFull { wait } => self.fruitless(now, host, exchange, Some(wait)),
             // That a call has ended says nothing of the processor that set it up long ago.
             Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
             _ => self.alive(host, exchange),
         }
-        if let Cause::ProcessorFull { wait } = cause {
-            // A line that is full is seconds long: guards against asking it again and again while it drains,
-            // or while its processor hangs. It could keep calls off one that was full by chance.
-            if let Some(far) = self.exchanges.get_mut(&exchange) {
-                let wait = wait.max(FULL_FOR * 2u32.pow(far.fulls.min(FULL_DOUBLINGS)));
-                far.fulls = far.fulls.saturating_add(1);
-                far.full_until = far.full_until.max(now + wait);
-            }
-        }
         match self.calls.remove(&call) {
             Some((call, Next::Seized(next))) if call.seizures.checked_sub(1) == Some(end.seizure.0) => {
                 let silence = matches!(cause, Cause::TimedOut | Cause::Unreachable);
@@ -403,7 +390,6 @@
             far.usual = far.usual * (-idle / RATE_MEMORY).exp() + 1.0 / RATE_MEMORY;
         }
         (far.allowance, far.reckoned) = (allowance - 1.0, now);
-        far.trial_at = now + TRIAL_EVERY;
         far.window.out += 1.0;
         self.window.out += 1.0;
         if call.seizures == 0 && !call.offer.transit {
@@ -558,30 +544,40 @@
         self.window.answered(now, self.prompt, promptly, !promptly && !silence);
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.window.answered(now, self.prompt, promptly, !promptly);
-            if promptly {
-                far.fulls = 0;
-            }
         }
     }
 
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
-            if far.unanswered >= SILENT_AFTER {
-                let (office, count) = (far.office.0, far.unanswered);
-                host.log(&format!("exchange {office} answers again after {count} time-outs"));
+            if far.fruitless >= SILENT_AFTER {
+                let (office, count) = (far.office.0, far.fruitless);
+                host.log(&format!("exchange {office} of use again after {count} seizures"));
             }
-            far.unanswered = 0;
+            far.fruitless = 0;
         }
     }
 
-    /// Guards against sending call after call into silence, whatever keeps the exchange from answering.
-    fn unanswered(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId) {
-        if let Some(far) = self.exchanges.get_mut(&exchange) {
-            far.unanswered = far.unanswered.saturating_add(1);
-            far.trial_at = now + TRIAL_EVERY;
-            if far.unanswered == SILENT_AFTER {
-                host.log(&format!("exchange {} silent: {} time-outs in a row", far.office.0, far.unanswered));
-            }
+    /// Guards against sending call after call into silence, whatever keeps the exchange from answering, and
+    /// against asking a line that is full, and so seconds long, again and again while it drains. It could
+    /// keep calls off one that was full, or silent twice, by chance.
+    fn fruitless(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        exchange: ExchangeId,
+        full: Option<Duration>,
+    ) {
+        let Some(far) = self.exchanges.get_mut(&exchange) else { return };
+        far.fruitless = far.fruitless.saturating_add(1);
+        if full.is_some() || far.fruitless >= SILENT_AFTER {
+            let alone = ALONE * 2u32.pow((far.fruitless - 1).min(ALONE_DOUBLINGS));
+            far.alone_until = far.alone_until.max(now + alone.max(full.unwrap_or_default()));
+        }
+        if far.fruitless == SILENT_AFTER {
+            host.log(&format!(
+                "exchange {} silent or full: {} seizures in a row",
+                far.office.0, far.fruitless
+            ));
         }
     }
 }
@@ -618,9 +614,7 @@
 
     /// Whether a set-up sent there now is likely to be answered.
     fn answers(&self, now: Duration) -> bool {
-        self.standing == Standing::Ready
-            && now >= self.full_until
-            && self.window.open()
-            && (self.unanswered < SILENT_AFTER || now >= self.trial_at)
+        let trial = self.fruitless < SILENT_AFTER || self.window.out < 1.0;
+        self.standing == Standing::Ready && now >= self.alone_until && self.window.open() && trial
     }
 }
