--- a/src/choice.rs
+++ b/src/choice.rs
@@ -479,7 +479,7 @@
         }
         // What earns little for its circuits leaves the last ones to others.
         let late = now >= call.arrived.saturating_add(kind.target);
-        let spare = if offer.transit || late { RESERVED } else { kind.leaves };
+        let spare = if offer.transit || late { RESERVED } else { kind.leaves.max(self.kept_for(call)) };
         if let Some((id, far)) = dest {
             if far.has_room(width + spare) && self.takes(now, far) {
                 return Some(id);
@@ -499,6 +499,15 @@
             .map(|(id, _)| *id)
     }
 
+    /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide calls
+    /// starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
+    fn kept_for(&self, call: &Call) -> f64 {
+        let ahead = self.line.range(..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0)));
+        let ahead = ahead.filter_map(|place| self.calls.get(&place.2)).map(|(other, _)| &other.offer);
+        let widths = ahead.filter(|other| other.dest == call.offer.dest).map(|other| other.width);
+        f64::from(widths.max().unwrap_or(0))
+    }
+
     fn takes(&self, now: Duration, far: &Exchange) -> bool {
         far.answers(now) && self.allowance(now, far) >= 1.0
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -325,3 +325,18 @@
     desk.calls(2, 1);
     assert_eq!(desk.did(), [], "silent all the same");
 }
+
+#[test]
+fn a_wide_call_in_the_line_is_not_starved_by_narrow_ones() {
+    let mut data = office();
+    data.call_types.push(common::call_type(2.0, 4));
+    let mut desk = Desk::new(&data, 0.0);
+    desk.free(1, 2.0);
+    let wide =
+        mintstall::host::Offer { call_type: mintstall::host::CallType(2), width: 4, ..desk.offer(1, 1) };
+    desk.offered(wide);
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), [], "the narrow one waits behind it");
+    desk.free(1, 5.0);
+    assert_eq!(desk.did(), [Seized(1, 1)]);
+}
