--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,8 @@
 const WINDOW_AT_START: f64 = 4.0;
 /// A number that comes again within this time is its caller dialling again.
 const REDIALS_WITHIN: Duration = Duration::from_secs(4);
+/// How long a number that was busy is not tried.
+const BUSY_FOR: Duration = Duration::from_secs(2);
 /// Circuits of the direct group left to other types by those that earn less than this share of the best.
 const LEFT: f64 = 1.0;
 const FAR_LESS: f64 = 0.5;
@@ -143,6 +145,8 @@
     calls: BTreeMap<CallId, (Call, Next)>,
     /// Numbers whose calls were given up lately, and when they were first offered; emptied by time.
     given_up: VecDeque<(Duration, Dialled, Duration)>,
+    /// Numbers found busy lately; emptied by time.
+    busy: VecDeque<(Duration, Dialled)>,
     /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
     line: BTreeSet<(usize, Duration, CallId)>,
 }
@@ -181,6 +185,7 @@
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
+            busy: VecDeque::new(),
             line: BTreeSet::new(),
         }
     }
@@ -332,6 +337,13 @@
     // What becomes of a call.
 
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+        while self.busy.front().is_some_and(|(at, _)| *at + BUSY_FOR < now) {
+            self.busy.pop_front();
+        }
+        // Guards against set-ups for a number whose lines are all busy; it could miss one that frees meanwhile.
+        if call.offer.dialled.0 != 0 && self.busy.iter().any(|(_, dialled)| *dialled == call.offer.dialled) {
+            return self.give_up(now, host, call);
+        }
         match self.route(now, &call) {
             Some(to) => self.seize(now, host, call, to),
             None => self.hold(now, host, call),
@@ -413,9 +425,11 @@
                 self.release_wait
             }
             Cause::ProcessorFull { wait } => wait,
-            Cause::Done | Cause::Busy | Cause::NotSent { own_down: true } => {
+            Cause::Busy => {
+                self.busy.push_back((now, call.offer.dialled));
                 return self.give_up(now, host, call);
             }
+            Cause::Done | Cause::NotSent { own_down: true } => return self.give_up(now, host, call),
             _ => Duration::ZERO,
         };
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -340,3 +340,19 @@
     desk.free(1, 5.0);
     assert_eq!(desk.did(), [Seized(1, 1)]);
 }
+
+#[test]
+fn a_busy_number_is_not_tried_again_at_once() {
+    let mut desk = Desk::new(&office(), 99.0);
+    let same = |desk: &Desk, call| mintstall::host::Offer {
+        dialled: mintstall::host::Dialled(7),
+        ..desk.offer(call, 1)
+    };
+    desk.offered(same(&desk, 1));
+    desk.ended(1, 0, 1, Cause::Busy);
+    desk.offered(same(&desk, 2));
+    assert_eq!(desk.did(), [Seized(1, 1), Rejected(1), Rejected(2)]);
+    desk.pass(ms(2100));
+    desk.offered(same(&desk, 3));
+    assert_eq!(desk.did(), [Seized(3, 1)]);
+}
