--- a/src/choice.rs
+++ b/src/choice.rs
@@ -492,10 +492,12 @@
             return None;
         }
         // What earns little for its circuits leaves the last ones to others.
-        let late = now >= call.arrived.saturating_add(kind.target);
-        let spare = if offer.transit || late { RESERVED } else { kind.leaves.max(self.kept_for(call)) };
+        let spare = if offer.transit { RESERVED } else { kind.leaves };
         if let Some((id, far)) = dest {
-            if far.has_room(width + spare) && self.takes(now, far) {
+            if far.has_room(width + spare)
+                && self.takes(now, far)
+                && (offer.transit || far.has_room(width + self.kept_for(call)))
+            {
                 return Some(id);
             }
             if offer.transit || self.own.is_some() && far.has_room(width) {
