--- a/src/choice.rs
+++ b/src/choice.rs
@@ -419,11 +419,10 @@
 
     /// A seizure came to nothing: only what a further attempt may mend pays for one.
     fn failed(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId, cause: Cause) {
+        let maybe = matches!(cause, Cause::TimedOut | Cause::Cut | Cause::Cancelled | Cause::Busy);
+        call.spent |= maybe && self.kinds[call.kind].repeats != Repeats::Freely;
         let told = match cause {
-            Cause::TimedOut | Cause::Cut | Cause::Cancelled => {
-                call.spent |= self.kinds[call.kind].repeats != Repeats::Freely;
-                self.release_wait
-            }
+            Cause::TimedOut | Cause::Cut | Cause::Cancelled => self.release_wait,
             Cause::ProcessorFull { wait } => wait,
             Cause::Busy => {
                 self.busy.push_back((now, call.offer.dialled));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,6 +14,7 @@
     Rejected(u64),
     Released(u64),
     Probed(u32),
+    Subscribed,
 }
 
 #[derive(Default)]
@@ -44,7 +45,9 @@
         self.did.push(Did::Probed(exchange.0));
     }
     fn tell(&mut self, _: Option<PeerNo>, _: &[u8]) {}
-    fn subscribe(&mut self) {}
+    fn subscribe(&mut self) {
+        self.did.push(Did::Subscribed);
+    }
     fn log(&mut self, _: &str) {}
 }
 
@@ -132,6 +135,10 @@
         self.controller.reported(self.notes.now, &mut self.notes, ExchangeId(exchange), &report);
     }
 
+    pub fn list_failed(&mut self) {
+        self.controller.roster_failed(self.notes.now, &mut self.notes);
+    }
+
     pub fn listed(&mut self, lines: &[RosterLine]) {
         self.controller.roster_changes(self.notes.now, &mut self.notes, lines);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -215,6 +215,9 @@
     desk.calls(1, 1);
     desk.ended(1, 0, 1, Cause::TimedOut);
     assert_eq!(desk.did(), [Seized(1, 1), Released(1)]);
+    desk.calls(2, 2);
+    desk.ended(2, 0, 2, Cause::Busy);
+    assert_eq!(desk.did(), [Seized(2, 2), Released(2)], "nor called rejected");
 }
 
 #[test]
@@ -356,3 +359,25 @@
     desk.offered(same(&desk, 3));
     assert_eq!(desk.did(), [Seized(3, 1)]);
 }
+
+#[test]
+fn pools_take_only_the_types_they_serve() {
+    let mut data = office();
+    data.own = None;
+    data.call_types[0].pools = vec![mintstall::host::OfficeNo(1), mintstall::host::OfficeNo(2)];
+    let mut desk = Desk::new(&data, 9.0);
+    desk.free(3, 50.0);
+    desk.calls(1, 1);
+    desk.free(1, 0.0);
+    desk.calls(2, 1);
+    assert_eq!(desk.did(), [Seized(1, 1), Seized(2, 2)]);
+}
+
+#[test]
+fn a_failed_subscription_is_asked_for_again() {
+    let mut desk = Desk::new(&mintstall::host::OfficeData { must_subscribe: true, ..office() }, 9.0);
+    assert_eq!(desk.did(), [Subscribed]);
+    desk.list_failed();
+    desk.pass(ms(2000));
+    assert_eq!(desk.did(), [Subscribed]);
+}
