--- a/src/host.rs
+++ b/src/host.rs
@@ -72,8 +72,6 @@
     pub setup_target: Duration,
     pub guard_time: Duration,
     pub revenue: f64,
-    /// Share of the revenue that a call standing after the setup target earns.
-    pub late_share: f64,
     pub width: u16,
     pub mean_hold: Duration,
     pub repeats: Repeats,
@@ -81,38 +79,20 @@
     pub pools: Vec<OfficeNo>,
 }
 
-#[derive(Clone, Debug)]
-pub struct CustomerData {
-    /// Calls a second, over all controllers, within the customer's share.
-    pub quota: f64,
-}
-
 /// Everything an exchange's controller reads at start.
 #[derive(Clone, Debug)]
 pub struct OfficeData {
     /// The own exchange's number; none where agents stand in pools.
     pub own: Option<OfficeNo>,
-    pub zone: Zone,
     pub controllers: u16,
     pub call_types: Vec<CallTypeData>,
-    pub customers: Vec<CustomerData>,
-    /// Worth of a call beyond its customer's quota, as a share of its revenue.
-    pub over_quota_worth: f64,
     pub seizure_limit: u8,
     pub may_cancel: bool,
-    pub may_probe: bool,
-    pub may_tell: bool,
     /// The longest wait that callers follow when they are told one; zero where they can't be told.
     pub longest_come_back: Duration,
     pub must_subscribe: bool,
-    /// Whether far exchanges report with each answer, not only when probed.
-    pub reports_unasked: bool,
-    pub probe_price: f64,
-    pub drain_grace: Duration,
-    /// A cold exchange sent more than this many times its capacity ...
+    /// A cold exchange sent more than this many times what it can do for a while falls over.
     pub fall_multiple: f64,
-    /// ... for this long falls over.
-    pub fall_span: Duration,
     /// Share of its capacity that an exchange has when it starts.
     pub cold_share: f64,
     /// How long it takes to warm up at most.
