--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,8 +53,9 @@
 /// How long the rate that an exchange told counts, and at which size of its window.
 const FRESH: Duration = Duration::from_secs(3);
 const NEARLY_SHUT: f64 = 2.0;
-/// Memory of the rates of seizures.
+/// Memory of the rates of seizures in seconds, and the shortest that one may rest on.
 const RATE_MEMORY: f64 = 10.0;
+const SHORT_MEMORY: f64 = 3.0;
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
 
 type AfterSeizure = Box<dyn FnOnce(&mut Controller, Duration, &mut dyn Host, Call, Cause)>;
@@ -137,6 +138,8 @@
     must_subscribe: bool,
     chance: Chance,
     credit: u32,
+    /// When it first sent anything.
+    begun: Option<Duration>,
     /// Over all exchanges: what the own processor works off.
     window: Window,
     /// Emptied by the roster: what it no longer names is dropped.
@@ -181,6 +184,7 @@
             must_subscribe: data.must_subscribe,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
+            begun: None,
             window: Window::new(4.0 * WINDOW_AT_START),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -399,7 +403,10 @@
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         if allowance.is_infinite() {
             let idle = now.saturating_sub(far.reckoned).as_secs_f64();
-            far.usual = far.usual * (-idle / RATE_MEMORY).exp() + 1.0 / RATE_MEMORY;
+            // Soon after the start there is less to remember, or the rate would seem low.
+            let begun = *self.begun.get_or_insert(now);
+            let memory = now.saturating_sub(begun).as_secs_f64().clamp(SHORT_MEMORY, RATE_MEMORY);
+            far.usual = far.usual * (-idle / memory).exp() + 1.0 / memory;
         }
         (far.allowance, far.reckoned) = (allowance - 1.0, now);
         far.window.out += 1.0;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -261,14 +261,14 @@
 
 #[test]
 fn a_cold_machine_is_sent_a_share_of_what_the_one_before_it_was() {
-    let sent_cold = |every: u64| {
+    let sent_cold = |every: u64, warm: u64| {
         let mut desk = Desk::new(&office(), 99.0);
-        for call in 0..40_000 / every {
+        for call in 0..warm / every {
             desk.calls(call, 1);
             desk.stands(call, 0, 1, ms(50));
             desk.pass(ms(every));
         }
-        let now = ms(40_000);
+        let now = ms(warm);
         desk.listed(&[
             line(1, Standing::Gone, Duration::ZERO),
             RosterLine { exchange: ExchangeId(9), ..line(1, Standing::Ready, now) },
@@ -283,9 +283,10 @@
         };
         (1_000_000..1_000_150).filter(sends).count()
     };
-    let (seldom, often) = (sent_cold(1000), sent_cold(100));
+    let (seldom, often) = (sent_cold(1000, 40_000), sent_cold(100, 40_000));
     assert!((1..=4).contains(&seldom), "{seldom} in three seconds, one a second when warm");
     assert!((10..=30).contains(&often), "{often} in three seconds, ten a second when warm");
+    assert!(sent_cold(100, 2_000) >= 8, "also right after this controller's start");
 }
 
 #[test]
