--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,8 +24,8 @@
 const RESERVE: Duration = Duration::from_millis(50);
 /// Circuits beyond its width that a call leaves free on a group that is not its direct one.
 const RESERVED: f64 = 2.0;
-/// How long an exchange is left alone after a seizure that its full processor refused, or after a second one in
-/// a row that it did not answer; how often that doubles.
+/// How long an exchange is left alone after a seizure that its full processor refused, or after a second
+/// one in a row that it did not answer; how often that doubles.
 const ALONE: Duration = Duration::from_millis(300);
 const ALONE_DOUBLINGS: u32 = 3;
 /// Seizures in a row without use that make an exchange silent.
@@ -89,7 +89,7 @@
     pools: Vec<OfficeNo>,
 }
 
-/// What is known of one exchange. Entries come from the roster and leave with it, bar the own group's figures.
+/// What is known of one exchange. Entries come from the roster and leave with it, or once replaced.
 #[derive(Clone, Debug)]
 struct Exchange {
     office: OfficeNo,
@@ -344,7 +344,7 @@
         while self.busy.front().is_some_and(|(at, _)| *at + BUSY_FOR < now) {
             self.busy.pop_front();
         }
-        // Guards against set-ups for a number whose lines are all busy; it could miss one that frees meanwhile.
+        // Guards against set-ups for a number whose lines are all busy; it could miss one that frees.
         if call.offer.dialled.0 != 0 && self.busy.iter().any(|(_, dialled)| *dialled == call.offer.dialled) {
             return self.give_up(now, host, call);
         }
@@ -439,7 +439,7 @@
             _ => Duration::ZERO,
         };
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
-            // Guards against turn-backs piling up on tandems that have no room beyond; this call skips it too.
+            // Guards against turn-backs piling up on tandems without room beyond; this call skips it too.
             let (until, width) = tandem.blocked.entry(call.offer.dest).or_insert((now, u16::MAX));
             *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
             *until = now + BLOCKED_FOR;
@@ -521,8 +521,8 @@
             .map(|(id, _)| *id)
     }
 
-    /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide calls
-    /// starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
+    /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
+    /// calls starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
     fn kept_for(&self, call: &Call) -> f64 {
         let ahead = self.line.range(..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0)));
         let ahead = ahead.filter_map(|place| self.calls.get(&place.2)).map(|(other, _)| &other.offer);
