Every wait rounded at one place; redials forgotten in time, not at the next refusal

Found in review. The fake host's clock counts in microseconds, as real ones do: before, the story of the first fix could not fail. Numbers given up were only forgotten when the next call was given up, so after a quiet minute a caller still counted as dialling again and was not held. Both new stories failed before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,7 +147,7 @@
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
     calls: BTreeMap<CallId, (Call, Next)>,
     /// Numbers whose calls were given up lately, and when they were first offered; emptied by time.
-    given_up: VecDeque<(Duration, Dialled, Duration)>,
+    given_up: VecDeque<(Duration, (Dialled, Duration))>,
     /// Numbers found busy lately; emptied by time.
     busy: VecDeque<(Duration, Dialled)>,
     /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
@@ -253,9 +253,10 @@
     /// A call is offered, by a subscriber or in transit.
     pub fn offered(&mut self, now: Duration, host: &mut dyn Host, offer: Offer) {
         // A caller who dials again waits since the first try: what is late already earns little.
-        let first =
-            self.given_up.iter().rev().find(|(_, dialled, _)| *dialled == offer.dialled && dialled.0 != 0);
-        let arrived = first.map_or(now, |(_, _, arrived)| *arrived);
+        forget(&mut self.given_up, REDIALS_WITHIN, now);
+        let mut before = self.given_up.iter().rev().filter(|_| offer.dialled.0 != 0);
+        let first = before.find(|(_, (dialled, _))| *dialled == offer.dialled);
+        let arrived = first.map_or(now, |(_, (_, arrived))| *arrived);
         let kind = usize::from(offer.call_type.0);
         match kind < self.kinds.len() {
             true => self.set_up(now, host, Call { offer, kind, arrived, seizures: 0, spent: false }),
@@ -341,9 +342,7 @@
     // What becomes of a call.
 
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
-        while self.busy.front().is_some_and(|(at, _)| *at + BUSY_FOR < now) {
-            self.busy.pop_front();
-        }
+        forget(&mut self.busy, BUSY_FOR, now);
         // Guards against set-ups for a number whose lines are all busy; it could miss one that frees.
         if call.offer.dialled.0 != 0 && self.busy.iter().any(|(_, dialled)| *dialled == call.offer.dialled) {
             return self.give_up(now, host, call);
@@ -364,12 +363,19 @@
             return self.give_up(now, host, call);
         }
         self.line.insert(self.place_in_line(&call));
-        host.alarm(until - now, AlarmId(call.offer.call.0));
         let then: AfterWait = Box::new(|me, now, host, call| {
             me.line.remove(&me.place_in_line(&call));
             me.give_up(now, host, call);
         });
-        self.calls.insert(call.offer.call, (call, Next::Waiting { until, then }));
+        self.wait(now, host, call, until - now, then);
+    }
+
+    /// The one way to wait. To the microsecond, as clocks count, and no less than asked: guards against an
+    /// alarm that rings a shade early, finds the wait not over and leaves its call without an answer.
+    fn wait(&mut self, now: Duration, host: &mut dyn Host, call: Call, span: Duration, then: AfterWait) {
+        let span = Duration::from_micros(span.as_nanos().div_ceil(1000) as u64);
+        host.alarm(span, AlarmId(call.offer.call.0));
+        self.calls.insert(call.offer.call, (call, Next::Waiting { until: now + span, then }));
     }
 
     fn place_in_line(&self, call: &Call) -> (usize, Duration, CallId) {
@@ -446,27 +452,20 @@
         }
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
         let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
-        // To the microsecond, as clocks count: an alarm that rang a shade early would find the wait not over.
         let wait = told.max(ceiling.mul_f64(self.chance.below_one()));
-        let wait = Duration::from_micros(wait.as_micros() as u64);
         let fits = now + wait + USEFUL + RESERVE <= call.offer.until;
         let may = !call.offer.transit && !call.spent && call.seizures < self.seizure_limit;
         if !may || !fits || self.credit < FURTHER {
             return self.give_up(now, host, call);
         }
         self.credit -= FURTHER;
-        host.alarm(wait, AlarmId(call.offer.call.0));
-        let then: AfterWait = Box::new(|me, now, host, call| me.set_up(now, host, call));
-        self.calls.insert(call.offer.call, (call, Next::Waiting { until: now + wait, then }));
+        self.wait(now, host, call, wait, Box::new(|me, now, host, call| me.set_up(now, host, call)));
     }
 
     /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
     fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         if !call.offer.transit {
-            self.given_up.push_back((now, call.offer.dialled, call.arrived));
-            while self.given_up.front().is_some_and(|(at, ..)| *at + REDIALS_WITHIN < now) {
-                self.given_up.pop_front();
-            }
+            self.given_up.push_back((now, (call.offer.dialled, call.arrived)));
         }
         match call.spent {
             true => host.release(call.offer.call),
@@ -613,6 +612,13 @@
     }
 }
 
+/// Drops from a memory, oldest first, what is older than `span`.
+fn forget<T>(memory: &mut VecDeque<(Duration, T)>, span: Duration, now: Duration) {
+    while memory.front().is_some_and(|(at, _)| *at + span < now) {
+        memory.pop_front();
+    }
+}
+
 impl Window {
     fn new(size: f64) -> Self {
         Self { out: 0.0, size, shut_at: Duration::ZERO }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -38,7 +38,8 @@
         self.did.push(Did::Released(call.0));
     }
     fn alarm(&mut self, after: Duration, alarm: AlarmId) {
-        self.alarms.push((self.now + after, alarm));
+        // The machine's clock counts in microseconds.
+        self.alarms.push((self.now + Duration::from_micros(after.as_micros() as u64), alarm));
     }
     fn probe(&mut self, _: ExchangeId) {}
     fn tell(&mut self, _: Option<PeerNo>, _: &[u8]) {}
@@ -50,7 +51,7 @@
 
 /// One controller at office 0 among exchanges 1, 2, ... whose ids are their office numbers.
 pub struct Desk {
-    pub controller: Controller,
+    controller: Controller,
     notes: Notes,
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -72,6 +72,12 @@
         desk.pass(ms(2900));
         assert_eq!(desk.did().len(), 2, "seized twice");
     }
+    let mut data = office();
+    data.call_types[0].setup_target = Duration::from_nanos(1_333_333_331);
+    let mut desk = Desk::new(&data, 0.0);
+    desk.calls(1, 1);
+    desk.pass(ms(2900));
+    assert_eq!(desk.did(), [Rejected(1)], "held no longer than half its target");
 }
 
 #[test]
@@ -95,6 +101,9 @@
     assert_eq!(desk.did(), [Rejected(1)]);
     desk.calls_as(2, 1, |offer| offer.dialled = Dialled(1));
     assert_eq!(desk.did(), [Rejected(2)], "not held: it is late already");
+    desk.pass(ms(60_000));
+    desk.calls_as(3, 1, |offer| offer.dialled = Dialled(1));
+    assert_eq!(desk.did(), [], "a minute later it is a call of its own, and held");
 }
 
 #[test]
