Review: the route asks once what the destination takes; settings have one parser

Decisions as before: the destination was weighed twice on each route, and two conditions kept calls off a tandem where one serves. Settings were parsed in four places with the same complaint. A comment pointed at data no longer read.

--- a/crates/benchlink/src/office.rs
+++ b/crates/benchlink/src/office.rs
@@ -65,6 +65,10 @@
     }
 }
 
+fn parse<T: FromStr>(path: &str, text: &str) -> Read<T> {
+    text.parse().or_else(|_| bad(format!("settings: {path}={text} makes no sense")))
+}
+
 /// The lines of the settings by their path.
 struct Paths<'a>(HashMap<&'a str, &'a str>);
 
@@ -77,7 +81,7 @@
     fn or<T: FromStr>(&self, path: &str, missing: T) -> Read<T> {
         match self.text(path) {
             "" => Ok(missing),
-            text => text.parse().or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
+            text => parse(path, text),
         }
     }
 
@@ -85,7 +89,7 @@
     fn must<T: FromStr>(&self, path: &str) -> Read<T> {
         match self.text(path) {
             "" => bad(format!("settings: {path} is missing")),
-            text => text.parse().or_else(|_| bad(format!("settings: {path}={text} makes no sense"))),
+            text => parse(path, text),
         }
     }
 
@@ -104,13 +108,8 @@
 
     /// One item of a comma-separated list, if the list is that long.
     fn item<T: FromStr>(&self, path: &str, at: usize) -> Read<Option<T>> {
-        match self.text(path).split(',').nth(at) {
-            None | Some("") => Ok(None),
-            Some(text) => match text.parse() {
-                Ok(value) => Ok(Some(value)),
-                Err(_) => bad(format!("settings: {path} holds {text}, which makes no sense")),
-            },
-        }
+        let item = self.text(path).split(',').nth(at).filter(|text| !text.is_empty());
+        item.map(|text| parse(path, text)).transpose()
     }
 }
 
@@ -134,9 +133,7 @@
             .text(&pools_path)
             .split(',')
             .filter(|pool| !pool.is_empty())
-            .map(|pool| {
-                pool.parse().map(OfficeNo).or_else(|_| bad(format!("settings: {pools_path} holds {pool}")))
-            })
+            .map(|pool| parse(&pools_path, pool).map(OfficeNo))
             .collect::<Read<_>>()?,
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -491,25 +491,20 @@
         if !offer.transit && !self.window.open() {
             return None;
         }
-        // A destination that is not there, or answers nobody, is not reached over a tandem either.
-        let dest = self.dest(offer);
-        if self.own.is_some() && !dest.is_some_and(|(_, far)| self.takes(now, far)) {
-            return None;
-        }
-        // What earns little for its circuits leaves the last ones to others.
-        let spare = if offer.transit { RESERVED } else { kind.leaves };
+        let own = self.own;
+        let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far));
         if let Some((id, far)) = dest {
-            if far.has_room(width + spare)
-                && self.takes(now, far)
-                && (offer.transit || far.has_room(width + self.kept_for(call)))
-            {
+            // What earns little for its circuits leaves the last ones to others.
+            let spare = if offer.transit { RESERVED } else { kind.leaves };
+            if far.has_room(width + spare) && (offer.transit || far.has_room(width + self.kept_for(call))) {
                 return Some(id);
             }
-            if offer.transit || self.own.is_some() && far.has_room(width) {
-                return None;
-            }
         }
-        let own = self.own;
+        // One that is not there, or takes nothing, is not reached over a tandem either.
+        let no_detour = dest.is_none_or(|(_, far)| far.has_room(width));
+        if offer.transit || own.is_some() && no_detour {
+            return None;
+        }
         self.exchanges
             .iter()
             .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
--- a/src/host.rs
+++ b/src/host.rs
@@ -22,7 +22,7 @@
     OfficeNo(u16);
     /// Position in [`OfficeData::call_types`].
     CallType(u8);
-    /// Position in [`OfficeData::customers`].
+    /// The customer whose subscriber calls; 0 where there are none.
     CustomerNo(u16);
     /// The number dialled; 0 where none was.
     Dialled(u64);
