--- a/src/choice.rs
+++ b/src/choice.rs
@@ -101,9 +101,8 @@
     fruitless: u32,
     alone_until: Duration,
     window: Window,
-    /// Where it turned calls back from: until when, and from which width on, it is no tandem to there.
-    /// One entry a destination at the most; gone with the exchange.
-    blocked: BTreeMap<OfficeNo, (Duration, u16)>,
+    /// What is known of the ways beyond it. One entry a destination at the most; gone with the exchange.
+    beyond: BTreeMap<OfficeNo, Beyond>,
     /// Set-ups that it may still be sent where there is a bound on them, and when that was reckoned.
     allowance: f64,
     reckoned: Duration,
@@ -113,6 +112,15 @@
     told: (f64, Duration),
 }
 
+/// What is known of the way from a tandem to one destination.
+#[derive(Clone, Debug, Default)]
+struct Beyond {
+    /// A call stood that way, or it was advised: a group leads there.
+    known: bool,
+    /// It turned a call back: until when, and from which width on, it is not tried.
+    blocked: (Duration, u16),
+}
+
 /// How many set-ups may be out at a time, how many are, and when it was last cut.
 #[derive(Clone, Debug)]
 struct Window {
@@ -220,7 +228,7 @@
                 fruitless: 0,
                 alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
-                blocked: BTreeMap::new(),
+                beyond: BTreeMap::new(),
                 allowance: 1.0,
                 usual,
                 told: (f64::INFINITY, Duration::ZERO),
@@ -257,6 +265,12 @@
         let mut before = self.given_up.iter().rev().filter(|_| offer.dialled.0 != 0);
         let first = before.find(|(_, (dialled, _))| *dialled == offer.dialled);
         let arrived = first.map_or(now, |(_, (_, arrived))| *arrived);
+        if let Some(advised) = offer.advised.filter(|_| !offer.transit) {
+            let mut all = self.exchanges.values_mut();
+            if let Some(far) = all.find(|far| far.office == advised) {
+                far.beyond.entry(offer.dest).or_default().known = true;
+            }
+        }
         let kind = usize::from(offer.call_type.0);
         match kind < self.kinds.len() {
             true => self.set_up(now, host, Call { offer, kind, arrived, seizures: 0, spent: false }),
@@ -266,8 +280,11 @@
 
     /// The call stands; all that is left of it is its end, which needs no answer.
     pub fn stands(&mut self, now: Duration, host: &mut dyn Host, stood: &Stood) {
-        if let Some((_, Next::Seized(_))) = self.calls.remove(&stood.call) {
+        if let Some((call, Next::Seized(_))) = self.calls.remove(&stood.call) {
             self.answered(now, stood.exchange, stood.after <= self.prompt, false);
+            if let Some(far) = self.exchanges.get_mut(&stood.exchange) {
+                far.beyond.entry(call.offer.dest).or_default().known = true;
+            }
         }
         self.alive(host, stood.exchange);
         self.serve_line(now, host);
@@ -446,7 +463,7 @@
         };
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
             // Guards against turn-backs piling up on tandems without room beyond; this call skips it too.
-            let (until, width) = tandem.blocked.entry(call.offer.dest).or_insert((now, u16::MAX));
+            let (until, width) = &mut tandem.beyond.entry(call.offer.dest).or_default().blocked;
             *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
             *until = now + BLOCKED_FOR;
         }
@@ -511,8 +528,9 @@
             .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
             .filter(|(_, far)| far.leads_on(now, offer))
             .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far))
-            .max_by(|(_, a), (_, b)| a.free.unwrap_or(0.0).total_cmp(&b.free.unwrap_or(0.0)))
-            .map(|(id, _)| *id)
+            .map(|(id, far)| (far.beyond.get(&offer.dest).is_some_and(|way| way.known), far.free, id))
+            .max_by(|a, b| a.0.cmp(&b.0).then(a.1.unwrap_or(0.0).total_cmp(&b.1.unwrap_or(0.0))))
+            .map(|(_, _, id)| *id)
     }
 
     /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
@@ -641,7 +659,8 @@
 
     /// Whether it has not lately turned back a call like this one.
     fn leads_on(&self, now: Duration, offer: &Offer) -> bool {
-        self.blocked.get(&offer.dest).is_none_or(|(until, from)| now >= *until || offer.width < *from)
+        let way = self.beyond.get(&offer.dest);
+        way.is_none_or(|Beyond { blocked: (until, from), .. }| now >= *until || offer.width < *from)
     }
 
     /// Whether a set-up sent there now is likely to be answered.
