--- a/crates/benchlink/src/office.rs
+++ b/crates/benchlink/src/office.rs
@@ -161,6 +161,7 @@
         may_cancel: paths.or("limits.cancelling", false)?,
         longest_come_back: if paths.or("limits.retry_after", false)? { come_back } else { Duration::ZERO },
         must_subscribe: paths.text("membership_mode") == "subscribe",
+        may_tell: paths.or("limits.peers", false)?,
         fall_multiple: paths.or("rules.fall_multiple", 1.0)?,
         cold_share: paths.or("rules.cold_from", 1.0)?,
         warm_up: paths.span_or_none("rules.ramp_time_s")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,7 +56,15 @@
 /// Memory of the rates of seizures in seconds, and the shortest that one may rest on.
 const RATE_MEMORY: f64 = 10.0;
 const SHORT_MEMORY: f64 = 3.0;
+/// Within this time after the first roster a controller tells its peers which groups it has.
+const INTRODUCED: Duration = Duration::from_secs(1);
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
+const INTRODUCTION: AlarmId = AlarmId(HOUSEKEEPING.0 + 1);
+/// First byte of a message: a controller that has just started, and the answer to it.
+const HELLO: u8 = 1;
+const WELCOME: u8 = 2;
+/// Bytes that a message has for groups.
+const LONGEST: u16 = 250;
 
 type AfterSeizure = Box<dyn FnOnce(&mut Controller, Duration, &mut dyn Host, Call, Cause)>;
 type AfterWait = Box<dyn FnOnce(&mut Controller, Duration, &mut dyn Host, Call)>;
@@ -95,8 +103,9 @@
     office: OfficeNo,
     standing: Standing,
     started: Duration,
-    /// Free circuits (or agents) towards it; not known until told.
+    /// Free circuits (or agents) towards it, and whether there are any at all; not known until told.
     free: Option<f64>,
+    linked: bool,
     /// Seizures in a row that it left unanswered or refused as full, and until when it is left alone.
     fruitless: u32,
     alone_until: Duration,
@@ -115,8 +124,8 @@
 /// What is known of the way from a tandem to one destination.
 #[derive(Clone, Debug, Default)]
 struct Beyond {
-    /// A call stood that way, or it was advised: a group leads there.
-    known: bool,
+    /// Whether a group leads there, as a peer said, an advice implied or a standing call showed.
+    leads: Option<bool>,
     /// It turned a call back: until when, and from which width on, it is not tried.
     blocked: (Duration, u16),
 }
@@ -144,6 +153,9 @@
     /// A set-up that takes longer met a pressed processor.
     prompt: Duration,
     must_subscribe: bool,
+    may_tell: bool,
+    /// When it told its peers which groups it has.
+    introduced: Option<Duration>,
     chance: Chance,
     credit: u32,
     /// When it first sent anything.
@@ -190,6 +202,8 @@
             ample: data.fall_multiple.max(0.0) * MARGIN,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
+            may_tell: data.may_tell && data.own.is_some(),
+            introduced: None,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
             begun: None,
@@ -207,28 +221,33 @@
     /// The whole roster, as last held or as it is now.
     pub fn roster(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         let first = self.exchanges.is_empty();
-        self.exchanges.retain(|id, _| lines.iter().any(|line| line.exchange == *id));
         self.roster_changes(now, host, lines);
+        self.exchanges.retain(|id, _| lines.iter().any(|line| line.exchange == *id));
         if first && self.must_subscribe {
             host.subscribe();
         }
+        if first && self.may_tell {
+            host.alarm(INTRODUCED.mul_f64(self.chance.below_one()), INTRODUCTION);
+        }
     }
 
     /// Changed lines of the roster only.
     pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         for line in lines {
             // A machine that replaces another is sent what that one was.
-            let before = self.exchanges.values().filter(|far| far.office == line.office);
-            let usual = before.map(|far| far.usual).fold(0.0, f64::max);
+            let mut before = self.exchanges.values().filter(|far| far.office == line.office);
+            let latest = before.next_back().map(|far| (far.usual, far.beyond.clone()));
+            let (usual, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
                 started: line.started,
                 free: None,
+                linked: false,
                 fruitless: 0,
                 alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
-                beyond: BTreeMap::new(),
+                beyond,
                 allowance: 1.0,
                 usual,
                 told: (f64::INFINITY, Duration::ZERO),
@@ -268,7 +287,7 @@
         if let Some(advised) = offer.advised.filter(|_| !offer.transit) {
             let mut all = self.exchanges.values_mut();
             if let Some(far) = all.find(|far| far.office == advised) {
-                far.beyond.entry(offer.dest).or_default().known = true;
+                far.beyond.entry(offer.dest).or_default().leads = Some(true);
             }
         }
         let kind = usize::from(offer.call_type.0);
@@ -283,7 +302,7 @@
         if let Some((call, Next::Seized(_))) = self.calls.remove(&stood.call) {
             self.answered(now, stood.exchange, stood.after <= self.prompt, false);
             if let Some(far) = self.exchanges.get_mut(&stood.exchange) {
-                far.beyond.entry(call.offer.dest).or_default().known = true;
+                far.beyond.entry(call.offer.dest).or_default().leads = Some(true);
             }
         }
         self.alive(host, stood.exchange);
@@ -333,8 +352,11 @@
     /// An alarm set earlier; stale ones find no call that waits for them.
     pub fn rings(&mut self, now: Duration, host: &mut dyn Host, alarm: AlarmId) {
         if alarm == HOUSEKEEPING {
-            host.subscribe();
-            return;
+            return host.subscribe();
+        }
+        if alarm == INTRODUCTION {
+            self.introduced = Some(now);
+            return host.tell(None, &self.groups(HELLO));
         }
         let id = CallId(alarm.0);
         match self.calls.remove(&id) {
@@ -348,13 +370,43 @@
     pub fn reported(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
+            far.linked = report.size.map_or(far.linked, |size| size > 0.0);
             far.told = report.rate.map_or(far.told, |rate| (rate, now));
         }
         self.serve_line(now, host);
     }
 
-    /// A message from another controller: none are sent yet.
-    pub fn heard(&mut self, _now: Duration, _host: &mut dyn Host, _peer: PeerNo, _message: &[u8]) {}
+    /// A message from another controller: which groups its exchange has. One that started later than this one
+    /// is answered in kind, those that start together need no answer.
+    pub fn heard(&mut self, now: Duration, host: &mut dyn Host, peer: PeerNo, message: &[u8]) {
+        let [kind @ (HELLO | WELCOME), high, low, groups @ ..] = message else { return };
+        let office = OfficeNo(u16::from_be_bytes([*high, *low]));
+        let offices: Vec<_> = self.exchanges.values().map(|far| far.office).collect();
+        if let Some(far) = self.exchanges.values_mut().find(|far| far.office == office) {
+            for dest in offices {
+                let byte = groups.get(usize::from(dest.0 / 8));
+                let leads = byte.map(|byte| byte >> (dest.0 % 8) & 1 == 1);
+                let way = far.beyond.entry(dest).or_default();
+                way.leads = leads.or(way.leads);
+            }
+        }
+        if *kind == HELLO && self.introduced.is_some_and(|at| now > at + INTRODUCED) {
+            host.tell(Some(peer), &self.groups(WELCOME));
+        }
+    }
+
+    /// The own number and a bit for each exchange to which the own one has a group.
+    fn groups(&self, kind: u8) -> Vec<u8> {
+        let own = self.own.map_or(0, |own| own.0);
+        let mut message = vec![kind];
+        message.extend(own.to_be_bytes());
+        for far in self.exchanges.values().filter(|far| far.linked && far.office.0 / 8 < LONGEST) {
+            let byte = message.len().max(4 + usize::from(far.office.0 / 8));
+            message.resize(byte, 0);
+            message[3 + usize::from(far.office.0 / 8)] |= 1 << (far.office.0 % 8);
+        }
+        message
+    }
 
     // What becomes of a call.
 
@@ -528,7 +580,7 @@
             .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
             .filter(|(_, far)| far.leads_on(now, offer))
             .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far))
-            .map(|(id, far)| (far.beyond.get(&offer.dest).is_some_and(|way| way.known), far.free, id))
+            .map(|(id, far)| (far.leads_to(offer.dest), far.free, id))
             .max_by(|a, b| a.0.cmp(&b.0).then(a.1.unwrap_or(0.0).total_cmp(&b.1.unwrap_or(0.0))))
             .map(|(_, _, id)| *id)
     }
@@ -660,7 +712,14 @@
     /// Whether it has not lately turned back a call like this one.
     fn leads_on(&self, now: Duration, offer: &Offer) -> bool {
         let way = self.beyond.get(&offer.dest);
-        way.is_none_or(|Beyond { blocked: (until, from), .. }| now >= *until || offer.width < *from)
+        way.is_none_or(|way| {
+            let (until, from) = way.blocked;
+            way.leads != Some(false) && (now >= until || offer.width < from)
+        })
+    }
+
+    fn leads_to(&self, dest: OfficeNo) -> Option<bool> {
+        self.beyond.get(&dest).and_then(|way| way.leads)
     }
 
     /// Whether a set-up sent there now is likely to be answered.
--- a/src/host.rs
+++ b/src/host.rs
@@ -91,6 +91,8 @@
     /// The longest wait that callers follow when they are told one; zero where they can't be told.
     pub longest_come_back: Duration,
     pub must_subscribe: bool,
+    /// Whether controllers may send each other messages.
+    pub may_tell: bool,
     /// A cold exchange sent more than this many times what it can do for a while falls over.
     pub fall_multiple: f64,
     /// Share of its capacity that an exchange has when it starts.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -80,6 +80,7 @@
         may_cancel: true,
         longest_come_back: ms(2000),
         must_subscribe: false,
+        may_tell: false,
         fall_multiple: 2.0,
         cold_share: 0.3,
         warm_up: ms(10_000),
