--- a/src/choice.rs
+++ b/src/choice.rs
@@ -234,16 +234,16 @@
     /// Changed lines of the roster only.
     pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         for line in lines {
-            // A machine that replaces another is sent what that one was.
+            // A machine that replaces another is sent what that one was, over the same groups.
             let mut before = self.exchanges.values().filter(|far| far.office == line.office);
-            let latest = before.next_back().map(|far| (far.usual, far.beyond.clone()));
-            let (usual, beyond) = latest.unwrap_or_default();
+            let latest = before.next_back().map(|far| (far.usual, far.free, far.linked, far.beyond.clone()));
+            let (usual, free, linked, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
                 started: line.started,
-                free: None,
-                linked: false,
+                free,
+                linked,
                 fruitless: 0,
                 alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
@@ -313,6 +313,12 @@
     pub fn ended(&mut self, now: Duration, host: &mut dyn Host, end: &Ended) {
         let Ended { call, exchange, cause, .. } = *end;
         match cause {
+            // Guards against finding a group without a free circuit, or none at all, once a call.
+            Cause::NotSent { own_down: false } => {
+                if let Some(far) = self.exchanges.get_mut(&exchange) {
+                    far.free = Some(0.0);
+                }
+            }
             Cause::TimedOut | Cause::Unreachable => self.fruitless(now, host, exchange, None),
             Cause::ProcessorFull { wait } => self.fruitless(now, host, exchange, Some(wait)),
             // That a call has ended says nothing of the processor that set it up long ago.
