--- a/src/choice.rs
+++ b/src/choice.rs
@@ -570,7 +570,7 @@
         let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far));
         if let Some((id, far)) = dest {
             // What earns little for its circuits leaves the last ones to others.
-            let spare = if offer.transit { RESERVED } else { kind.leaves };
+            let spare = if offer.transit { self.kept_from_transit(offer) } else { kind.leaves };
             if far.has_room(width + spare) && (offer.transit || far.has_room(width + self.kept_for(call))) {
                 return Some(id);
             }
@@ -591,6 +591,15 @@
             .map(|(_, _, id)| *id)
     }
 
+    /// A call in transit leaves a reserve to direct ones, but not where it has no direct way at all.
+    fn kept_from_transit(&self, offer: &Offer) -> f64 {
+        let from = self.exchanges.values().find(|far| Some(far.office) == offer.advised);
+        match from.and_then(|far| far.leads_to(offer.dest)) {
+            Some(false) => 0.0,
+            _ => RESERVED,
+        }
+    }
+
     /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
     /// calls starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
     fn kept_for(&self, call: &Call) -> f64 {
