--- a/src/choice.rs
+++ b/src/choice.rs
@@ -595,8 +595,8 @@
     fn kept_from_transit(&self, offer: &Offer) -> f64 {
         let from = self.exchanges.values().find(|far| Some(far.office) == offer.advised);
         match from.and_then(|far| far.leads_to(offer.dest)) {
-            Some(false) => 0.0,
-            _ => RESERVED,
+            Some(true) => RESERVED,
+            _ => 0.0,
         }
     }
 
