--- a/src/choice.rs
+++ b/src/choice.rs
@@ -122,7 +122,7 @@
 }
 
 /// What is known of the way from a tandem to one destination.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Beyond {
     /// Whether a group leads there, as a peer said, an advice implied or a standing call showed.
     leads: Option<bool>,
@@ -315,9 +315,7 @@
         match cause {
             // Guards against finding a group without a free circuit, or none at all, once a call.
             Cause::NotSent { own_down: false } => {
-                if let Some(far) = self.exchanges.get_mut(&exchange) {
-                    far.free = Some(0.0);
-                }
+                self.exchanges.get_mut(&exchange).into_iter().for_each(|far| far.free = Some(0.0));
             }
             Cause::TimedOut | Cause::Unreachable => self.fruitless(now, host, exchange, None),
             Cause::ProcessorFull { wait } => self.fruitless(now, host, exchange, Some(wait)),
@@ -387,13 +385,10 @@
     pub fn heard(&mut self, now: Duration, host: &mut dyn Host, peer: PeerNo, message: &[u8]) {
         let [kind @ (HELLO | WELCOME), high, low, groups @ ..] = message else { return };
         let office = OfficeNo(u16::from_be_bytes([*high, *low]));
-        let offices: Vec<_> = self.exchanges.values().map(|far| far.office).collect();
         if let Some(far) = self.exchanges.values_mut().find(|far| far.office == office) {
-            for dest in offices {
-                let byte = groups.get(usize::from(dest.0 / 8));
-                let leads = byte.map(|byte| byte >> (dest.0 % 8) & 1 == 1);
-                let way = far.beyond.entry(dest).or_default();
-                way.leads = leads.or(way.leads);
+            let bits = groups.iter().flat_map(|byte| (0..8).map(move |bit| byte >> bit & 1));
+            for (dest, bit) in (0..=u16::MAX).zip(bits) {
+                far.beyond.entry(OfficeNo(dest)).or_default().leads = Some(bit == 1);
             }
         }
         if *kind == HELLO && self.introduced.is_some_and(|at| now > at + INTRODUCED) {
@@ -401,15 +396,14 @@
         }
     }
 
-    /// The own number and a bit for each exchange to which the own one has a group.
+    /// The own number and a bit for each exchange to which the own one has a group, as far as a message goes.
     fn groups(&self, kind: u8) -> Vec<u8> {
-        let own = self.own.map_or(0, |own| own.0);
-        let mut message = vec![kind];
-        message.extend(own.to_be_bytes());
+        let [high, low] = self.own.map_or(0, |own| own.0).to_be_bytes();
+        let mut message = vec![kind, high, low];
         for far in self.exchanges.values().filter(|far| far.linked && far.office.0 / 8 < LONGEST) {
-            let byte = message.len().max(4 + usize::from(far.office.0 / 8));
-            message.resize(byte, 0);
-            message[3 + usize::from(far.office.0 / 8)] |= 1 << (far.office.0 % 8);
+            let at = 3 + usize::from(far.office.0 / 8);
+            message.resize(message.len().max(at + 1), 0);
+            message[at] |= 1 << (far.office.0 % 8);
         }
         message
     }
@@ -569,9 +563,10 @@
         let own = self.own;
         let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far));
         if let Some((id, far)) = dest {
-            // What earns little for its circuits leaves the last ones to others.
-            let spare = if offer.transit { self.kept_from_transit(offer) } else { kind.leaves };
-            if far.has_room(width + spare) && (offer.transit || far.has_room(width + self.kept_for(call))) {
+            // What earns little for its circuits leaves the last ones to others. A call in transit leaves none:
+            // it holds circuits already, and most come from where no group leads here.
+            let left = if offer.transit { 0.0 } else { kind.leaves.max(self.kept_for(call)) };
+            if far.has_room(width + left) {
                 return Some(id);
             }
         }
@@ -591,15 +586,6 @@
             .map(|(_, _, id)| *id)
     }
 
-    /// A call in transit leaves a reserve to direct ones, but not where it has no direct way at all.
-    fn kept_from_transit(&self, offer: &Offer) -> f64 {
-        let from = self.exchanges.values().find(|far| Some(far.office) == offer.advised);
-        match from.and_then(|far| far.leads_to(offer.dest)) {
-            Some(true) => RESERVED,
-            _ => 0.0,
-        }
-    }
-
     /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
     /// calls starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
     fn kept_for(&self, call: &Call) -> f64 {
@@ -726,11 +712,8 @@
 
     /// Whether it has not lately turned back a call like this one.
     fn leads_on(&self, now: Duration, offer: &Offer) -> bool {
-        let way = self.beyond.get(&offer.dest);
-        way.is_none_or(|way| {
-            let (until, from) = way.blocked;
-            way.leads != Some(false) && (now >= until || offer.width < from)
-        })
+        let way = self.beyond.get(&offer.dest).copied().unwrap_or_default();
+        way.leads != Some(false) && (now >= way.blocked.0 || offer.width < way.blocked.1)
     }
 
     fn leads_to(&self, dest: OfficeNo) -> Option<bool> {
