--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,9 +43,11 @@
 const REDIALS_WITHIN: Duration = Duration::from_secs(4);
 /// How long a number that was busy is not tried.
 const BUSY_FOR: Duration = Duration::from_secs(2);
-/// Circuits of the direct group left to other types by those that earn less than this share of the best.
+/// Circuits of the direct group left to other types by those that earn less than this share of the best, and
+/// how many times as many the group must have: few calls need the last circuit of a thin one.
 const LEFT: f64 = 1.0;
 const FAR_LESS: f64 = 0.5;
+const THIN: f64 = 7.0;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
 /// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
@@ -103,9 +105,9 @@
     office: OfficeNo,
     standing: Standing,
     started: Duration,
-    /// Free circuits (or agents) towards it, and whether there are any at all; not known until told.
+    /// Free circuits (or agents) towards it, not known until told, and how many there are in all.
     free: Option<f64>,
-    linked: bool,
+    size: f64,
     /// Seizures in a row that it left unanswered or refused as full, and until when it is left alone.
     fruitless: u32,
     alone_until: Duration,
@@ -236,14 +238,14 @@
         for line in lines {
             // A machine that replaces another is sent what that one was, over the same groups.
             let mut before = self.exchanges.values().filter(|far| far.office == line.office);
-            let latest = before.next_back().map(|far| (far.usual, far.free, far.linked, far.beyond.clone()));
-            let (usual, free, linked, beyond) = latest.unwrap_or_default();
+            let latest = before.next_back().map(|far| (far.usual, far.free, far.size, far.beyond.clone()));
+            let (usual, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
                 started: line.started,
                 free,
-                linked,
+                size,
                 fruitless: 0,
                 alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
@@ -374,7 +376,7 @@
     pub fn reported(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
-            far.linked = report.size.map_or(far.linked, |size| size > 0.0);
+            far.size = report.size.unwrap_or(far.size);
             far.told = report.rate.map_or(far.told, |rate| (rate, now));
         }
         self.serve_line(now, host);
@@ -400,7 +402,7 @@
     fn groups(&self, kind: u8) -> Vec<u8> {
         let [high, low] = self.own.map_or(0, |own| own.0).to_be_bytes();
         let mut message = vec![kind, high, low];
-        for far in self.exchanges.values().filter(|far| far.linked && far.office.0 / 8 < LONGEST) {
+        for far in self.exchanges.values().filter(|far| far.size > 0.0 && far.office.0 / 8 < LONGEST) {
             let at = 3 + usize::from(far.office.0 / 8);
             message.resize(message.len().max(at + 1), 0);
             message[at] |= 1 << (far.office.0 % 8);
@@ -565,7 +567,8 @@
         if let Some((id, far)) = dest {
             // What earns little for its circuits leaves the last ones to others. A call in transit leaves none:
             // it holds circuits already, and most come from where no group leads here.
-            let left = if offer.transit { 0.0 } else { kind.leaves.max(self.kept_for(call)) };
+            let left = if far.size > THIN * kind.leaves { kind.leaves } else { 0.0 };
+            let left = if offer.transit { 0.0 } else { left.max(self.kept_for(call)) };
             if far.has_room(width + left) {
                 return Some(id);
             }
