--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -276,6 +276,7 @@
     desk.free(1, 1.0);
     desk.calls(1, 1);
     assert_eq!(desk.did(), [], "held, and not sent over a tandem");
+    desk.withdrawn(1);
     desk.calls_as(2, 1, |offer| offer.call_type = CallType(1));
     desk.has(2, 1.0, 3.0);
     desk.calls(3, 2);
