--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,9 +52,10 @@
 const HELD: f64 = 0.5;
 /// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
 const MARGIN: f64 = 0.8;
-/// How long the rate that an exchange told counts, and at which size of its window.
-const FRESH: Duration = Duration::from_secs(3);
-const NEARLY_SHUT: f64 = 2.0;
+/// An exchange that can take less than this share of the most it ever told is pressed; how long until its
+/// word counts no more.
+const EASY: f64 = 0.7;
+const WORD_FADES: f64 = 20.0;
 /// Memory of the rates of seizures in seconds, and the shortest that one may rest on.
 const RATE_MEMORY: f64 = 10.0;
 const SHORT_MEMORY: f64 = 3.0;
@@ -83,6 +84,8 @@
     /// Its place in `kinds`.
     kind: usize,
     arrived: Duration,
+    /// Drawn below one: which share of the calls it belongs to where only some are sent.
+    lot: f64,
     seizures: u8,
     /// Set where a set-up that must not be repeated may have been carried out.
     spent: bool,
@@ -119,8 +122,9 @@
     reckoned: Duration,
     /// Seizures a second while there was no bound on them, fading.
     usual: f64,
-    /// Set-ups a second that it said it can take from all, and when.
-    told: (f64, Duration),
+    /// The share of the usual set-ups that it last said it can take, when, and the most a second it ever told.
+    eased: (f64, Duration),
+    most: f64,
 }
 
 /// What is known of the way from a tandem to one destination.
@@ -150,8 +154,6 @@
     warm_up: Duration,
     cold_share: f64,
     ample: f64,
-    /// This controller's share of what an exchange can take from all.
-    share: f64,
     /// A set-up that takes longer met a pressed processor.
     prompt: Duration,
     must_subscribe: bool,
@@ -168,8 +170,8 @@
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
     calls: BTreeMap<CallId, (Call, Next)>,
-    /// Numbers whose calls were given up lately, and when they were first offered; emptied by time.
-    given_up: VecDeque<(Duration, (Dialled, Duration))>,
+    /// Numbers whose calls were given up lately, when they were first offered, their lots; emptied by time.
+    given_up: VecDeque<(Duration, (Dialled, Duration, f64))>,
     /// Numbers found busy lately; emptied by time.
     busy: VecDeque<(Duration, Dialled)>,
     /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
@@ -200,7 +202,6 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
-            share: 1.0 / f64::from(data.controllers.max(1)),
             ample: data.fall_multiple.max(0.0) * MARGIN,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
@@ -238,8 +239,9 @@
         for line in lines {
             // A machine that replaces another is sent what that one was, over the same groups.
             let mut before = self.exchanges.values().filter(|far| far.office == line.office);
-            let latest = before.next_back().map(|far| (far.usual, far.free, far.size, far.beyond.clone()));
-            let (usual, free, size, beyond) = latest.unwrap_or_default();
+            let latest =
+                before.next_back().map(|far| (far.usual, far.most, far.free, far.size, far.beyond.clone()));
+            let (usual, most, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
@@ -252,7 +254,8 @@
                 beyond,
                 allowance: 1.0,
                 usual,
-                told: (f64::INFINITY, Duration::ZERO),
+                eased: (1.0, now),
+                most,
                 reckoned: now,
             });
             if exchange.standing != line.standing || exchange.started != line.started {
@@ -284,8 +287,8 @@
         // A caller who dials again waits since the first try: what is late already earns little.
         forget(&mut self.given_up, REDIALS_WITHIN, now);
         let mut before = self.given_up.iter().rev().filter(|_| offer.dialled.0 != 0);
-        let first = before.find(|(_, (dialled, _))| *dialled == offer.dialled);
-        let arrived = first.map_or(now, |(_, (_, arrived))| *arrived);
+        let first = before.find(|(_, (dialled, ..))| *dialled == offer.dialled).map(|(_, first)| *first);
+        let (_, arrived, lot) = first.unwrap_or_else(|| (offer.dialled, now, self.chance.below_one()));
         if let Some(advised) = offer.advised.filter(|_| !offer.transit) {
             let mut all = self.exchanges.values_mut();
             if let Some(far) = all.find(|far| far.office == advised) {
@@ -294,7 +297,7 @@
         }
         let kind = usize::from(offer.call_type.0);
         match kind < self.kinds.len() {
-            true => self.set_up(now, host, Call { offer, kind, arrived, seizures: 0, spent: false }),
+            true => self.set_up(now, host, Call { offer, kind, arrived, lot, seizures: 0, spent: false }),
             false => host.reject(offer.call, Duration::ZERO),
         }
     }
@@ -377,7 +380,10 @@
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
             far.size = report.size.unwrap_or(far.size);
-            far.told = report.rate.map_or(far.told, |rate| (rate, now));
+            if let Some(rate) = report.rate {
+                far.most = far.most.max(rate);
+                far.eased = ((rate / (EASY * far.most)).min(1.0), now);
+            }
         }
         self.serve_line(now, host);
     }
@@ -536,7 +542,7 @@
     /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
     fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         if !call.offer.transit {
-            self.given_up.push_back((now, (call.offer.dialled, call.arrived)));
+            self.given_up.push_back((now, (call.offer.dialled, call.arrived, call.lot)));
         }
         match call.spent {
             true => host.release(call.offer.call),
@@ -563,7 +569,7 @@
             return None;
         }
         let own = self.own;
-        let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far));
+        let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far, call.lot));
         if let Some((id, far)) = dest {
             // What earns little for its circuits leaves the last ones to others. A call in transit leaves none:
             // it holds circuits already, and most come from where no group leads here.
@@ -583,7 +589,7 @@
             .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
             .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
             .filter(|(_, far)| far.leads_on(now, offer))
-            .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far))
+            .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far, call.lot))
             .map(|(id, far)| (far.leads_to(offer.dest), far.free, id))
             .max_by(|a, b| a.0.cmp(&b.0).then(a.1.unwrap_or(0.0).total_cmp(&b.1.unwrap_or(0.0))))
             .map(|(_, _, id)| *id)
@@ -598,24 +604,22 @@
         f64::from(widths.max().unwrap_or(0))
     }
 
-    fn takes(&self, now: Duration, far: &Exchange) -> bool {
-        far.answers(now) && self.allowance(now, far) >= 1.0
+    /// Whether an exchange may be sent a call of this lot. Guards against a pressed processor being sent more
+    /// than it works off, when each of many senders sees little of it: each leaves out the same share of its
+    /// calls. It could hold back calls for a while after the pressure has gone.
+    fn takes(&self, now: Duration, far: &Exchange, lot: f64) -> bool {
+        let (eased, at) = far.eased;
+        let faded = now.saturating_sub(at).as_secs_f64() / WORD_FADES;
+        far.answers(now) && lot < eased + faded && self.allowance(now, far) >= 1.0
     }
 
-    /// Set-ups that an exchange may be sent now, by the lower of two rates. One whose window is nearly shut
-    /// and that tells what it can take from all is sent an even share of that while the word is fresh. It
-    /// guards against a line kept long by set-ups given up in it, and could starve those who need more.
+    /// Set-ups that an exchange may be sent now: without bound unless it is cold.
     fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
-        let (told, at) = far.told;
-        let heeded = now <= at + FRESH && far.window.size < NEARLY_SHUT;
-        let told = if heeded { told * self.share } else { f64::INFINITY };
-        let cold = self.cold_rate(now, far);
-        let rate = told.min(cold);
-        if rate.is_infinite() {
-            return rate;
+        let rate = self.cold_rate(now, far);
+        match rate.is_infinite() {
+            true => rate,
+            false => (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * rate).min(1.0),
         }
-        let most = if cold.is_finite() { 1.0 } else { rate.max(1.0) };
-        (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * rate).min(most)
     }
 
     /// A cold exchange's present share of what it was sent when warm, times a little less than the multiple
@@ -649,8 +653,7 @@
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             if far.fruitless >= SILENT_AFTER {
-                let (office, count) = (far.office.0, far.fruitless);
-                host.log(&format!("exchange {office} of use again after {count} seizures"));
+                host.log(&format!("exchange {} of use again after {} seizures", far.office.0, far.fruitless));
             }
             far.fruitless = 0;
         }
@@ -673,10 +676,7 @@
             far.alone_until = far.alone_until.max(now + alone.max(full.unwrap_or_default()));
         }
         if far.fruitless == SILENT_AFTER {
-            host.log(&format!(
-                "exchange {} silent or full: {} seizures in a row",
-                far.office.0, far.fruitless
-            ));
+            host.log(&format!("exchange {} silent or full: {SILENT_AFTER} seizures in a row", far.office.0));
         }
     }
 }
