--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,15 +50,13 @@
 const THIN: f64 = 7.0;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
-/// A cold exchange is allowed its share of the usual rate times what would push it over, less this margin.
-const MARGIN: f64 = 0.8;
+/// A cold exchange is sent its share of the calls times what would push it over, divided by the surge that is
+/// reckoned with, in twice the calls offered and a margin.
+const SURGE: f64 = 1.6;
 /// An exchange that can take less than this share of the most it ever told is pressed; how long until its
 /// word counts no more.
 const EASY: f64 = 0.7;
 const WORD_FADES: f64 = 20.0;
-/// Memory of the rates of seizures in seconds, and the shortest that one may rest on.
-const RATE_MEMORY: f64 = 10.0;
-const SHORT_MEMORY: f64 = 3.0;
 /// Within this time after the first roster a controller tells its peers which groups it has.
 const INTRODUCED: Duration = Duration::from_secs(1);
 const HOUSEKEEPING: AlarmId = AlarmId(1 << 63);
@@ -117,11 +115,6 @@
     window: Window,
     /// What is known of the ways beyond it. One entry a destination at the most; gone with the exchange.
     beyond: BTreeMap<OfficeNo, Beyond>,
-    /// Set-ups that it may still be sent where there is a bound on them, and when that was reckoned.
-    allowance: f64,
-    reckoned: Duration,
-    /// Seizures a second while there was no bound on them, fading.
-    usual: f64,
     /// The share of the usual set-ups that it last said it can take, when, and the most a second it ever told.
     eased: (f64, Duration),
     most: f64,
@@ -162,8 +155,6 @@
     introduced: Option<Duration>,
     chance: Chance,
     credit: u32,
-    /// When it first sent anything.
-    begun: Option<Duration>,
     /// Over all exchanges: what the own processor works off.
     window: Window,
     /// Emptied by the roster: what it no longer names is dropped.
@@ -202,14 +193,13 @@
             release_wait: data.release_wait,
             warm_up: data.warm_up,
             cold_share: data.cold_share.clamp(0.0, 1.0),
-            ample: data.fall_multiple.max(0.0) * MARGIN,
+            ample: data.fall_multiple.max(0.0) / SURGE,
             prompt: shortest.mul_f64(PROMPT).min(repeated.mul_f64(BEFORE_REPEAT)),
             must_subscribe: data.must_subscribe,
             may_tell: data.may_tell && data.own.is_some(),
             introduced: None,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
-            begun: None,
             window: Window::new(4.0 * WINDOW_AT_START),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -239,9 +229,8 @@
         for line in lines {
             // A machine that replaces another is sent what that one was, over the same groups.
             let mut before = self.exchanges.values().filter(|far| far.office == line.office);
-            let latest =
-                before.next_back().map(|far| (far.usual, far.most, far.free, far.size, far.beyond.clone()));
-            let (usual, most, free, size, beyond) = latest.unwrap_or_default();
+            let latest = before.next_back().map(|far| (far.most, far.free, far.size, far.beyond.clone()));
+            let (most, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 standing: line.standing,
@@ -252,11 +241,8 @@
                 alone_until: Duration::ZERO,
                 window: Window::new(WINDOW_AT_START),
                 beyond,
-                allowance: 1.0,
-                usual,
                 eased: (1.0, now),
                 most,
-                reckoned: now,
             });
             if exchange.standing != line.standing || exchange.started != line.started {
                 host.log(&format!(
@@ -265,7 +251,6 @@
                 ));
                 // A new processor knows nothing of what the old one left unanswered.
                 (exchange.fruitless, exchange.alone_until) = (0, Duration::ZERO);
-                (exchange.allowance, exchange.reckoned) = (1.0, now);
             }
             (exchange.office, exchange.standing, exchange.started) =
                 (line.office, line.standing, line.started);
@@ -479,19 +464,8 @@
         let Some(left) = call.offer.until.checked_sub(now + RESERVE).filter(|left| *left >= USEFUL) else {
             return self.give_up(now, host, call);
         };
-        let allowance = self.exchanges.get(&to).map(|far| self.allowance(now, far));
-        let (Some(allowance), Some(far)) = (allowance, self.exchanges.get_mut(&to)) else {
-            return self.give_up(now, host, call);
-        };
+        let Some(far) = self.exchanges.get_mut(&to) else { return self.give_up(now, host, call) };
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
-        if allowance.is_infinite() {
-            let idle = now.saturating_sub(far.reckoned).as_secs_f64();
-            // Soon after the start there is less to remember, or the rate would seem low.
-            let begun = *self.begun.get_or_insert(now);
-            let memory = now.saturating_sub(begun).as_secs_f64().clamp(SHORT_MEMORY, RATE_MEMORY);
-            far.usual = far.usual * (-idle / memory).exp() + 1.0 / memory;
-        }
-        (far.allowance, far.reckoned) = (allowance - 1.0, now);
         far.window.out += 1.0;
         self.window.out += 1.0;
         if call.seizures == 0 && !call.offer.transit {
@@ -588,7 +562,7 @@
             .iter()
             .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
             .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
-            .filter(|(_, far)| far.leads_on(now, offer))
+            .filter(|(_, far)| far.leads_on(now, offer) && self.cold_share(now, far).is_none())
             .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far, call.lot))
             .map(|(id, far)| (far.leads_to(offer.dest), far.free, id))
             .max_by(|a, b| a.0.cmp(&b.0).then(a.1.unwrap_or(0.0).total_cmp(&b.1.unwrap_or(0.0))))
@@ -610,31 +584,19 @@
     fn takes(&self, now: Duration, far: &Exchange, lot: f64) -> bool {
         let (eased, at) = far.eased;
         let faded = now.saturating_sub(at).as_secs_f64() / WORD_FADES;
-        far.answers(now) && lot < eased + faded && self.allowance(now, far) >= 1.0
-    }
-
-    /// Set-ups that an exchange may be sent now: without bound unless it is cold.
-    fn allowance(&self, now: Duration, far: &Exchange) -> f64 {
-        let rate = self.cold_rate(now, far);
-        match rate.is_infinite() {
-            true => rate,
-            false => (far.allowance + now.saturating_sub(far.reckoned).as_secs_f64() * rate).min(1.0),
-        }
+        let cold = self.cold_share(now, far).unwrap_or(1.0);
+        far.answers(now) && lot < cold.min(eased + faded)
     }
 
-    /// A cold exchange's present share of what it was sent when warm, times a little less than the multiple
-    /// that would push it over, so that all controllers together stay below that even when it was sent all
-    /// it could do. Warm ones are not bounded.
-    fn cold_rate(&self, now: Duration, far: &Exchange) -> f64 {
+    /// A cold exchange takes no more than its share of the calls, so that all controllers together stay below
+    /// what would push it over even if twice as much is offered as it can do when warm. None: it is warm.
+    fn cold_share(&self, now: Duration, far: &Exchange) -> Option<f64> {
         let age = now.saturating_sub(far.started);
-        if far.started.is_zero() || age >= self.warm_up {
-            return f64::INFINITY;
-        }
-        // One never sent to is reckoned like the others: this controller may itself have just started.
-        let mean = || self.exchanges.values().map(|far| far.usual).sum::<f64>() / self.exchanges.len() as f64;
-        let usual = if far.usual > 0.0 { far.usual } else { mean() };
-        let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
-        (self.cold_share + (1.0 - self.cold_share) * warmth) * usual * self.ample
+        let cold = !far.started.is_zero() && age < self.warm_up;
+        cold.then(|| {
+            let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
+            (self.cold_share + (1.0 - self.cold_share) * warmth) * self.ample
+        })
     }
 
     // Signs of life.
