--- a/src/choice.rs
+++ b/src/choice.rs
@@ -155,8 +155,9 @@
     introduced: Option<Duration>,
     chance: Chance,
     credit: u32,
-    /// Over all exchanges: what the own processor works off.
+    /// Over all exchanges: what the own processor works off, and whether the last answer was late.
     window: Window,
+    late: bool,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
@@ -201,6 +202,7 @@
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
             window: Window::new(4.0 * WINDOW_AT_START),
+            late: false,
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -605,8 +607,11 @@
     /// or the own, from being sent more than it works off: its queue would make every set-up late, and what
     /// is given up is worked on all the same. It could hold back calls where a far way is long by itself.
     fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool, silence: bool) {
-        // Silence says nothing of the own processor: a cut region must not shut the way to all others.
-        self.window.answered(now, self.prompt, promptly, !promptly && !silence);
+        // Silence says nothing of the own processor, nor do some late far ends among many: neither must shut the
+        // way to all others. One that is late itself makes all answers late.
+        let late = !promptly && !silence;
+        self.window.answered(now, self.prompt, promptly, late && self.late);
+        self.late = late || self.late && silence;
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.window.answered(now, self.prompt, promptly, !promptly);
         }
