--- a/src/choice.rs
+++ b/src/choice.rs
@@ -331,17 +331,17 @@
     }
 
     /// The caller is gone; nothing is owed any more.
-    pub fn withdrawn(&mut self, _now: Duration, host: &mut dyn Host, call: CallId) {
-        match self.calls.remove(&call) {
-            Some((entry, Next::Seized(_))) => {
-                // The seizure is still out, and its window with it, until its end is told.
-                if self.may_cancel {
-                    host.cancel(call, SeizureNo(entry.seizures - 1));
-                }
-                self.calls.insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
+    pub fn withdrawn(&mut self, now: Duration, host: &mut dyn Host, call: CallId) {
+        let Some((entry, next)) = self.calls.remove(&call) else { return };
+        self.remember(now, &entry);
+        if let Next::Seized(_) = next {
+            // The seizure is still out, and its window with it, until its end is told.
+            if self.may_cancel {
+                host.cancel(call, SeizureNo(entry.seizures - 1));
             }
-            Some((entry, _)) => drop(self.line.remove(&self.place_in_line(&entry))),
-            None => {}
+            self.calls.insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
+        } else {
+            self.line.remove(&self.place_in_line(&entry));
         }
     }
 
@@ -515,11 +515,16 @@
         self.wait(now, host, call, wait, Box::new(|me, now, host, call| me.set_up(now, host, call)));
     }
 
-    /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
-    fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+    /// Guards against callers who dial again and again being taken for as many new ones.
+    fn remember(&mut self, now: Duration, call: &Call) {
         if !call.offer.transit {
             self.given_up.push_back((now, (call.offer.dialled, call.arrived, call.lot)));
         }
+    }
+
+    /// The final answer of a call that is not set up. What may have been carried out is not called rejected.
+    fn give_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
+        self.remember(now, &call);
         match call.spent {
             true => host.release(call.offer.call),
             false => host.reject(call.offer.call, self.come_back),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -106,6 +106,17 @@
     assert_eq!(desk.did(), [], "a minute later it is a call of its own, and held");
 }
 
+#[test]
+fn a_caller_who_hangs_up_and_dials_again_is_known() {
+    let mut desk = Desk::new(&office(), 0.0);
+    for call in 1..=3 {
+        desk.calls_as(call, 1, |offer| offer.dialled = Dialled(1));
+        desk.pass(ms(600));
+        desk.withdrawn(call);
+    }
+    assert_eq!(desk.did(), [Rejected(2), Rejected(3)], "held for half the target from the first try on");
+}
+
 #[test]
 fn nothing_is_sent_after_the_caller_has_gone() {
     let mut desk = Desk::new(&office(), 0.0);
