--- a/src/choice.rs
+++ b/src/choice.rs
@@ -109,9 +109,7 @@
     /// Free circuits (or agents) towards it, not known until told, and how many there are in all.
     free: Option<f64>,
     size: f64,
-    /// Seizures in a row that it left unanswered or refused as full, and until when it is left alone.
-    fruitless: u32,
-    alone_until: Duration,
+    respite: Respite,
     window: Window,
     /// What is known of the ways beyond it. One entry a destination at the most; gone with the exchange.
     beyond: BTreeMap<OfficeNo, Beyond>,
@@ -129,6 +127,16 @@
     blocked: (Duration, u16),
 }
 
+/// Seizures in a row that got no answer, or found a processor full, and until when it is left alone. Guards
+/// against sending call after call into silence, whatever keeps the exchange from answering, and against
+/// asking a line that is full, and so seconds long, again and again while it drains. It could keep calls off
+/// one that was full, or silent twice, by chance.
+#[derive(Clone, Debug, Default)]
+struct Respite {
+    fruitless: u32,
+    until: Duration,
+}
+
 /// How many set-ups may be out at a time, how many are, and when it was last cut.
 #[derive(Clone, Debug)]
 struct Window {
@@ -158,6 +166,9 @@
     /// Over all exchanges: what the own processor works off, and whether the last answer was late.
     window: Window,
     late: bool,
+    /// Of the own processor, and where the last seizure found one full.
+    respite: Respite,
+    full_at: Option<ExchangeId>,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
@@ -203,6 +214,8 @@
             credit: CREDIT_AT_START,
             window: Window::new(4.0 * WINDOW_AT_START),
             late: false,
+            respite: Respite::default(),
+            full_at: None,
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -239,8 +252,7 @@
                 started: line.started,
                 free,
                 size,
-                fruitless: 0,
-                alone_until: Duration::ZERO,
+                respite: Respite::default(),
                 window: Window::new(WINDOW_AT_START),
                 beyond,
                 eased: (1.0, now),
@@ -252,7 +264,7 @@
                     line.office.0, line.standing, exchange.standing, line.started, exchange.started
                 ));
                 // A new processor knows nothing of what the old one left unanswered.
-                (exchange.fruitless, exchange.alone_until) = (0, Duration::ZERO);
+                exchange.respite = Respite::default();
             }
             (exchange.office, exchange.standing, exchange.started) =
                 (line.office, line.standing, line.started);
@@ -310,6 +322,17 @@
                 self.exchanges.get_mut(&exchange).into_iter().for_each(|far| far.free = Some(0.0));
             }
             Cause::TimedOut | Cause::Unreachable => self.fruitless(now, host, exchange, None),
+            // Full answers of one exchange after the other are those of the own processor, which all calls pass.
+            Cause::ProcessorFull { wait }
+                if self.full_at.replace(exchange).is_some_and(|at| at != exchange) =>
+            {
+                if self.respite.again(now, None) {
+                    host.log(&format!("own processor full: {SILENT_AFTER} more exchanges in a row"));
+                }
+                if self.respite.fruitless < SILENT_AFTER {
+                    self.fruitless(now, host, exchange, Some(wait));
+                }
+            }
             Cause::ProcessorFull { wait } => self.fruitless(now, host, exchange, Some(wait)),
             // That a call has ended says nothing of the processor that set it up long ago.
             Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
@@ -546,7 +569,7 @@
         let offer = &call.offer;
         let width = f64::from(offer.width);
         let kind = &self.kinds[call.kind];
-        if !offer.transit && !self.window.open() {
+        if now < self.respite.until || !offer.transit && !self.window.open() {
             return None;
         }
         let own = self.own;
@@ -623,31 +646,19 @@
     }
 
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
+        (self.full_at, self.respite) = (None, Respite::default());
         if let Some(far) = self.exchanges.get_mut(&exchange) {
-            if far.fruitless >= SILENT_AFTER {
-                host.log(&format!("exchange {} of use again after {} seizures", far.office.0, far.fruitless));
+            let count = std::mem::take(&mut far.respite).fruitless;
+            if count >= SILENT_AFTER {
+                host.log(&format!("exchange {} of use again after {count} seizures", far.office.0));
             }
-            far.fruitless = 0;
-        }
-    }
-
-    /// Guards against sending call after call into silence, whatever keeps the exchange from answering, and
-    /// against asking a line that is full, and so seconds long, again and again while it drains. It could
-    /// keep calls off one that was full, or silent twice, by chance.
-    fn fruitless(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        exchange: ExchangeId,
-        full: Option<Duration>,
-    ) {
-        let Some(far) = self.exchanges.get_mut(&exchange) else { return };
-        far.fruitless = far.fruitless.saturating_add(1);
-        if full.is_some() || far.fruitless >= SILENT_AFTER {
-            let alone = ALONE * 2u32.pow((far.fruitless - 1).min(ALONE_DOUBLINGS));
-            far.alone_until = far.alone_until.max(now + alone.max(full.unwrap_or_default()));
-        }
-        if far.fruitless == SILENT_AFTER {
+        }
+    }
+
+    fn fruitless(&mut self, now: Duration, host: &mut dyn Host, at: ExchangeId, full: Option<Duration>) {
+        if let Some(far) = self.exchanges.get_mut(&at)
+            && far.respite.again(now, full)
+        {
             host.log(&format!("exchange {} silent or full: {SILENT_AFTER} seizures in a row", far.office.0));
         }
     }
@@ -660,6 +671,18 @@
     }
 }
 
+impl Respite {
+    /// Once more without use; whether that makes it silent or full.
+    fn again(&mut self, now: Duration, full: Option<Duration>) -> bool {
+        self.fruitless = self.fruitless.saturating_add(1);
+        if full.is_some() || self.fruitless >= SILENT_AFTER {
+            let alone = ALONE * 2u32.pow((self.fruitless - 1).min(ALONE_DOUBLINGS));
+            self.until = self.until.max(now + alone.max(full.unwrap_or_default()));
+        }
+        self.fruitless == SILENT_AFTER
+    }
+}
+
 impl Window {
     fn new(size: f64) -> Self {
         Self { out: 0.0, size, shut_at: Duration::ZERO }
@@ -697,7 +720,7 @@
 
     /// Whether a set-up sent there now is likely to be answered.
     fn answers(&self, now: Duration) -> bool {
-        let trial = self.fruitless < SILENT_AFTER || self.window.out < 1.0;
-        self.standing == Standing::Ready && now >= self.alone_until && self.window.open() && trial
+        let trial = self.respite.fruitless < SILENT_AFTER || self.window.out < 1.0;
+        self.standing == Standing::Ready && now >= self.respite.until && self.window.open() && trial
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -249,6 +249,23 @@
     assert!(sent <= 4, "sent {sent} in four seconds");
 }
 
+#[test]
+fn full_answers_from_one_exchange_after_the_other_are_the_own_processors() {
+    let sent_after = |to: [u32; 4]| {
+        let mut desk = Desk::new(&office(), 99.0);
+        for (call, to) in (0..).zip(to) {
+            desk.calls(call, to as u16);
+            desk.ended(call, 0, to, Cause::ProcessorFull { wait: Duration::ZERO });
+            desk.withdrawn(call);
+        }
+        desk.pass(ms(310));
+        desk.did();
+        (10..13).filter(|call| desk.sends(*call, 3, 3)).count()
+    };
+    assert_eq!(sent_after([1, 2, 1, 2]), 0, "3 was not asked, but all calls pass the own one");
+    assert_eq!(sent_after([1, 1, 1, 1]), 3);
+}
+
 #[test]
 fn a_silent_exchange_is_tried_only_now_and_then() {
     let mut desk = Desk::new(&office(), 99.0);
