--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,9 +43,8 @@
 const REDIALS_WITHIN: Duration = Duration::from_secs(4);
 /// How long a number that was busy is not tried.
 const BUSY_FOR: Duration = Duration::from_secs(2);
-/// Circuits of the direct group left to other types by those that earn less than this share of the best, and
-/// how many times as many the group must have: few calls need the last circuit of a thin one.
-const LEFT: f64 = 1.0;
+/// The last circuit of the direct group is left to other types by those that earn less than this share of the
+/// best, if it has more circuits than these: few calls need the last one of a thin group.
 const FAR_LESS: f64 = 0.5;
 const THIN: f64 = 7.0;
 /// Share of the setup target for which a call without a way is held.
@@ -95,8 +94,8 @@
     repeats: Repeats,
     /// How many types of call earn more.
     rank: usize,
-    /// Circuits that it leaves to types that earn far more for theirs.
-    leaves: f64,
+    /// Whether it leaves the last circuit to types that earn far more for theirs.
+    leaves: bool,
     pools: Vec<OfficeNo>,
 }
 
@@ -104,6 +103,7 @@
 #[derive(Clone, Debug)]
 struct Exchange {
     office: OfficeNo,
+    zone: Zone,
     standing: Standing,
     started: Duration,
     /// Free circuits (or agents) towards it, not known until told, and how many there are in all.
@@ -147,6 +147,8 @@
 
 pub struct Controller {
     own: Option<OfficeNo>,
+    /// Where it is, once the roster names it.
+    zone: Option<Zone>,
     kinds: Vec<CallKind>,
     seizure_limit: u8,
     come_back: Duration,
@@ -166,9 +168,9 @@
     /// Over all exchanges: what the own processor works off, and whether the last answer was late.
     window: Window,
     late: bool,
-    /// Of the own processor, and where the last seizure found one full.
+    /// Of the own processor, and where the last seizure was in vain.
     respite: Respite,
-    full_at: Option<ExchangeId>,
+    vain_at: Option<ExchangeId>,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
@@ -190,14 +192,15 @@
         let kind = |of: &CallTypeData| CallKind {
             target: of.setup_target.min(of.guard_time),
             repeats: of.repeats,
-            leaves: if density(of) < FAR_LESS * best { LEFT } else { 0.0 },
+            leaves: density(of) < FAR_LESS * best,
             rank: data.call_types.iter().filter(|other| other.revenue > of.revenue).count(),
             pools: of.pools.clone(),
         };
         let shortest = data.call_types.iter().map(|of| of.setup_target).min().unwrap_or(Duration::MAX / 2);
-        let repeated = if data.repeat_after.is_zero() { Duration::MAX / 2 } else { data.repeat_after };
+        let repeated = Some(data.repeat_after).filter(|after| !after.is_zero()).unwrap_or(Duration::MAX / 2);
         Self {
             own: data.own,
+            zone: None,
             kinds: data.call_types.iter().map(kind).collect(),
             seizure_limit: SEIZURES.min(data.seizure_limit),
             come_back: data.longest_come_back,
@@ -215,7 +218,7 @@
             window: Window::new(4.0 * WINDOW_AT_START),
             late: false,
             respite: Respite::default(),
-            full_at: None,
+            vain_at: None,
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -248,6 +251,7 @@
             let (most, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
+                zone: line.zone,
                 standing: line.standing,
                 started: line.started,
                 free,
@@ -266,9 +270,11 @@
                 // A new processor knows nothing of what the old one left unanswered.
                 exchange.respite = Respite::default();
             }
-            (exchange.office, exchange.standing, exchange.started) =
-                (line.office, line.standing, line.started);
+            (exchange.office, exchange.zone) = (line.office, line.zone);
+            (exchange.standing, exchange.started) = (line.standing, line.started);
         }
+        let mut here = lines.iter().filter(|line| Some(line.office) == self.own);
+        self.zone = here.next().map(|line| line.zone).or(self.zone);
         let ready = |far: &&Exchange| far.standing == Standing::Ready;
         let served: BTreeSet<_> = self.exchanges.values().filter(ready).map(|far| far.office).collect();
         self.exchanges.retain(|_, far| far.standing != Standing::Gone || !served.contains(&far.office));
@@ -321,19 +327,9 @@
             Cause::NotSent { own_down: false } => {
                 self.exchanges.get_mut(&exchange).into_iter().for_each(|far| far.free = Some(0.0));
             }
-            Cause::TimedOut | Cause::Unreachable => self.fruitless(now, host, exchange, None),
-            // Full answers of one exchange after the other are those of the own processor, which all calls pass.
-            Cause::ProcessorFull { wait }
-                if self.full_at.replace(exchange).is_some_and(|at| at != exchange) =>
-            {
-                if self.respite.again(now, None) {
-                    host.log(&format!("own processor full: {SILENT_AFTER} more exchanges in a row"));
-                }
-                if self.respite.fruitless < SILENT_AFTER {
-                    self.fruitless(now, host, exchange, Some(wait));
-                }
+            Cause::TimedOut | Cause::Unreachable | Cause::ProcessorFull { .. } => {
+                self.in_vain(now, host, end)
             }
-            Cause::ProcessorFull { wait } => self.fruitless(now, host, exchange, Some(wait)),
             // That a call has ended says nothing of the processor that set it up long ago.
             Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
             _ => self.alive(host, exchange),
@@ -498,8 +494,8 @@
         }
         call.seizures += 1;
         // What takes longer than the setup target is worth little, and holds circuits on its way.
-        let target = call.arrived.saturating_add(self.kinds[call.kind].target);
-        let limit = target.checked_sub(now).filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
+        let rest = (call.arrived.saturating_add(self.kinds[call.kind].target)).checked_sub(now);
+        let limit = rest.filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
         host.seize(call.offer.call, to, limit);
         let next: AfterSeizure =
             Box::new(move |me, now, host, call, cause| me.failed(now, host, call, to, cause));
@@ -577,7 +573,7 @@
         if let Some((id, far)) = dest {
             // What earns little for its circuits leaves the last ones to others. A call in transit leaves none:
             // it holds circuits already, and most come from where no group leads here.
-            let left = if far.size > THIN * kind.leaves { kind.leaves } else { 0.0 };
+            let left = f64::from(u8::from(kind.leaves && far.size > THIN));
             let left = if offer.transit { 0.0 } else { left.max(self.kept_for(call)) };
             if far.has_room(width + left) {
                 return Some(id);
@@ -646,7 +642,7 @@
     }
 
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
-        (self.full_at, self.respite) = (None, Respite::default());
+        (self.vain_at, self.respite) = (None, Respite::default());
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             let count = std::mem::take(&mut far.respite).fruitless;
             if count >= SILENT_AFTER {
@@ -655,10 +651,19 @@
         }
     }
 
-    fn fruitless(&mut self, now: Duration, host: &mut dyn Host, at: ExchangeId, full: Option<Duration>) {
-        if let Some(far) = self.exchanges.get_mut(&at)
-            && far.respite.again(now, full)
-        {
+    /// Full or no answers from one exchange after the other are those of the own processor, which all calls pass;
+    /// but silence from another region may be a cut between them.
+    fn in_vain(&mut self, now: Duration, host: &mut dyn Host, end: &Ended) {
+        let Some(far) = self.exchanges.get_mut(&end.exchange) else { return };
+        let (full, own) = match end.cause {
+            Cause::ProcessorFull { wait } => (Some(wait), true),
+            _ => (None, end.cause == Cause::TimedOut && Some(far.zone) == self.zone),
+        };
+        let next = own && self.vain_at.replace(end.exchange).is_some_and(|last| last != end.exchange);
+        if next && self.respite.again(now, None) {
+            host.log(&format!("own processor silent or full: {SILENT_AFTER} more exchanges in a row"));
+        }
+        if self.respite.fruitless < SILENT_AFTER && far.respite.again(now, full) {
             host.log(&format!("exchange {} silent or full: {SILENT_AFTER} seizures in a row", far.office.0));
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,6 +144,12 @@
         self.controller.roster_changes(self.notes.now, &mut self.notes, lines);
     }
 
+    /// Moves the far exchanges to a region, the own one stays in 0.
+    pub fn in_region(&mut self, zone: u8) {
+        let far = |no| RosterLine { zone: Zone(zone), ..line(no, Standing::Ready, Duration::ZERO) };
+        self.listed(&[far(1), far(2), far(3)]);
+    }
+
     fn offer(&self, call: u64, dest: u16) -> Offer {
         Offer {
             call: CallId(call),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -250,20 +250,24 @@
 }
 
 #[test]
-fn full_answers_from_one_exchange_after_the_other_are_the_own_processors() {
-    let sent_after = |to: [u32; 4]| {
+fn failures_at_one_exchange_after_the_other_are_the_own_processors() {
+    let sent_after = |cause: Cause, zone: u8, to: [u32; 4]| {
         let mut desk = Desk::new(&office(), 99.0);
+        desk.in_region(zone);
         for (call, to) in (0..).zip(to) {
             desk.calls(call, to as u16);
-            desk.ended(call, 0, to, Cause::ProcessorFull { wait: Duration::ZERO });
+            desk.ended(call, 0, to, cause);
             desk.withdrawn(call);
         }
         desk.pass(ms(310));
         desk.did();
         (10..13).filter(|call| desk.sends(*call, 3, 3)).count()
     };
-    assert_eq!(sent_after([1, 2, 1, 2]), 0, "3 was not asked, but all calls pass the own one");
-    assert_eq!(sent_after([1, 1, 1, 1]), 3);
+    let full = Cause::ProcessorFull { wait: Duration::ZERO };
+    assert_eq!(sent_after(full, 1, [1, 2, 1, 2]), 0, "3 was not asked, but all calls pass the own one");
+    assert_eq!(sent_after(full, 1, [1, 1, 1, 1]), 3);
+    assert_eq!(sent_after(Cause::TimedOut, 0, [1, 2, 1, 2]), 0);
+    assert_eq!(sent_after(Cause::TimedOut, 1, [1, 2, 1, 2]), 3, "a region cut off is none of its own");
 }
 
 #[test]
@@ -292,6 +296,7 @@
 fn a_pressed_own_processor_is_spared_but_silence_is_not_its_fault() {
     let out = |cause: Option<Cause>| {
         let mut desk = Desk::new(&office(), 99.0);
+        desk.in_region(1);
         for call in 0..30 {
             let to = 1 + call as u32 % 3;
             desk.pass(ms(700));
