--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,8 @@
 const SILENT_AFTER: u32 = 2;
 /// How long a tandem that turned a call back is not tried again for the same destination.
 const BLOCKED_FOR: Duration = Duration::from_secs(2);
+/// And one of which nothing says that it has a group onward.
+const UNKNOWN_FOR: Duration = Duration::from_secs(20);
 /// A window opens while set-ups stand within this share of the shortest setup target, and shuts by this
 /// factor when they don't.
 const PROMPT: f64 = 0.35;
@@ -518,9 +520,10 @@
         };
         if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
             // Guards against turn-backs piling up on tandems without room beyond; this call skips it too.
-            let (until, width) = &mut tandem.beyond.entry(call.offer.dest).or_default().blocked;
+            let way = tandem.beyond.entry(call.offer.dest).or_default();
+            let (until, width) = &mut way.blocked;
             *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
-            *until = now + BLOCKED_FOR;
+            *until = now + if way.leads.is_some() { BLOCKED_FOR } else { UNKNOWN_FOR };
         }
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
         let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
