--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! next: a closure that is handed the end of its seizure, or the end of its wait.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt::Arguments;
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -51,8 +52,7 @@
 const THIN: f64 = 7.0;
 /// Share of the setup target for which a call without a way is held.
 const HELD: f64 = 0.5;
-/// A cold exchange is sent its share of the calls times what would push it over, divided by the surge that is
-/// reckoned with, in twice the calls offered and a margin.
+/// A cold exchange is sent its share of the calls times what would push it over, over this surge in them.
 const SURGE: f64 = 1.6;
 /// An exchange that can take less than this share of the most it ever told is pressed; how long until its
 /// word counts no more.
@@ -115,7 +115,7 @@
     window: Window,
     /// What is known of the ways beyond it. One entry a destination at the most; gone with the exchange.
     beyond: BTreeMap<OfficeNo, Beyond>,
-    /// The share of the usual set-ups that it last said it can take, when, and the most a second it ever told.
+    /// The share of the usual set-ups that it said it takes, when, and the most a second it ever told.
     eased: (f64, Duration),
     most: f64,
 }
@@ -130,9 +130,8 @@
 }
 
 /// Seizures in a row that got no answer, or found a processor full, and until when it is left alone. Guards
-/// against sending call after call into silence, whatever keeps the exchange from answering, and against
-/// asking a line that is full, and so seconds long, again and again while it drains. It could keep calls off
-/// one that was full, or silent twice, by chance.
+/// against sending call after call into silence and asking a line that is full, and so seconds long, while it
+/// drains. It could keep calls off one that was full, or silent twice, by chance.
 #[derive(Clone, Debug, Default)]
 struct Respite {
     fruitless: u32,
@@ -140,7 +139,7 @@
 }
 
 /// How many set-ups may be out at a time, how many are, and when it was last cut.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Window {
     out: f64,
     size: f64,
@@ -170,9 +169,9 @@
     /// Over all exchanges: what the own processor works off, and whether the last answer was late.
     window: Window,
     late: bool,
-    /// Of the own processor, and where the last seizure was in vain.
-    respite: Respite,
-    vain_at: Option<ExchangeId>,
+    /// Where one exchange of a region after the other was no use, and which was last; the own region stands
+    /// for the own processor. One entry a region at the most, gone once it is of use.
+    vain: BTreeMap<Option<Zone>, (Respite, ExchangeId)>,
     /// Emptied by the roster: what it no longer names is dropped.
     exchanges: BTreeMap<ExchangeId, Exchange>,
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
@@ -217,10 +216,9 @@
             introduced: None,
             chance: Chance::new(seed),
             credit: CREDIT_AT_START,
-            window: Window::new(4.0 * WINDOW_AT_START),
+            window: Window { size: 4.0 * WINDOW_AT_START, ..Window::default() },
             late: false,
-            respite: Respite::default(),
-            vain_at: None,
+            vain: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -259,21 +257,19 @@
                 free,
                 size,
                 respite: Respite::default(),
-                window: Window::new(WINDOW_AT_START),
+                window: Window { size: WINDOW_AT_START, ..Window::default() },
                 beyond,
                 eased: (1.0, now),
                 most,
             });
-            if exchange.standing != line.standing || exchange.started != line.started {
-                host.log(&format!(
-                    "exchange {}: {:?}, was {:?}; started {:?}, was {:?}",
-                    line.office.0, line.standing, exchange.standing, line.started, exchange.started
-                ));
+            let (was, is) = ((exchange.standing, exchange.started), (line.standing, line.started));
+            if was != is {
+                host.log(&format!("exchange {}: {is:?}, was {was:?} (standing, start)", line.office.0));
                 // A new processor knows nothing of what the old one left unanswered.
                 exchange.respite = Respite::default();
             }
             (exchange.office, exchange.zone) = (line.office, line.zone);
-            (exchange.standing, exchange.started) = (line.standing, line.started);
+            (exchange.standing, exchange.started) = is;
         }
         let mut here = lines.iter().filter(|line| Some(line.office) == self.own);
         self.zone = here.next().map(|line| line.zone).or(self.zone);
@@ -568,14 +564,14 @@
         let offer = &call.offer;
         let width = f64::from(offer.width);
         let kind = &self.kinds[call.kind];
-        if now < self.respite.until || !offer.transit && !self.window.open() {
+        if self.rests(now, self.zone) || !offer.transit && !self.window.open() {
             return None;
         }
         let own = self.own;
         let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far, call.lot));
         if let Some((id, far)) = dest {
-            // What earns little for its circuits leaves the last ones to others. A call in transit leaves none:
-            // it holds circuits already, and most come from where no group leads here.
+            // What earns little leaves the last circuit to others. A call in transit leaves none: it holds
+            // circuits already, and most come from where no group leads here.
             let left = f64::from(u8::from(kind.leaves && far.size > THIN));
             let left = if offer.transit { 0.0 } else { left.max(self.kept_for(call)) };
             if far.has_room(width + left) {
@@ -607,14 +603,13 @@
         f64::from(widths.max().unwrap_or(0))
     }
 
-    /// Whether an exchange may be sent a call of this lot. Guards against a pressed processor being sent more
-    /// than it works off, when each of many senders sees little of it: each leaves out the same share of its
-    /// calls. It could hold back calls for a while after the pressure has gone.
+    /// Whether an exchange may be sent a call of this lot. Guards against pressing a processor of which each
+    /// of many senders sees little: all leave out the same share, for a while also when it is well again.
     fn takes(&self, now: Duration, far: &Exchange, lot: f64) -> bool {
         let (eased, at) = far.eased;
         let faded = now.saturating_sub(at).as_secs_f64() / WORD_FADES;
         let cold = self.cold_share(now, far).unwrap_or(1.0);
-        far.answers(now) && lot < cold.min(eased + faded)
+        far.answers(now) && !self.rests(now, Some(far.zone)) && lot < cold.min(eased + faded)
     }
 
     /// A cold exchange takes no more than its share of the calls, so that all controllers together stay below
@@ -628,14 +623,12 @@
         })
     }
 
-    // Signs of life.
-
-    /// One set-up less out to an exchange. The window on such set-ups keeps a pressed processor, the far one
-    /// or the own, from being sent more than it works off: its queue would make every set-up late, and what
-    /// is given up is worked on all the same. It could hold back calls where a far way is long by itself.
+    /// One set-up less out to an exchange. The window on them keeps a pressed processor, the far one or the
+    /// own, from being sent more than it works off: its queue would make every set-up late, and what is given
+    /// up is worked on all the same. It could hold back calls where a far way is long by itself.
     fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool, silence: bool) {
-        // Silence says nothing of the own processor, nor do some late far ends among many: neither must shut the
-        // way to all others. One that is late itself makes all answers late.
+        // Neither silence nor some late far ends among many must shut the way to all others: an own processor
+        // that is late makes all answers late.
         let late = !promptly && !silence;
         self.window.answered(now, self.prompt, promptly, late && self.late);
         self.late = late || self.late && silence;
@@ -645,8 +638,9 @@
     }
 
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
-        (self.vain_at, self.respite) = (None, Respite::default());
+        self.vain.remove(&self.zone);
         if let Some(far) = self.exchanges.get_mut(&exchange) {
+            self.vain.remove(&Some(far.zone));
             let count = std::mem::take(&mut far.respite).fruitless;
             if count >= SILENT_AFTER {
                 host.log(&format!("exchange {} of use again after {count} seizures", far.office.0));
@@ -654,22 +648,28 @@
         }
     }
 
-    /// Full or no answers from one exchange after the other are those of the own processor, which all calls pass;
-    /// but silence from another region may be a cut between them.
+    /// No answer from one exchange of a region after the other: it is cut off, on whatever way. In the own
+    /// region it is the own processor, which all calls pass, as are full answers from anywhere; the far ends
+    /// are not blamed then. It could leave a region alone where many hang.
     fn in_vain(&mut self, now: Duration, host: &mut dyn Host, end: &Ended) {
         let Some(far) = self.exchanges.get_mut(&end.exchange) else { return };
-        let (full, own) = match end.cause {
-            Cause::ProcessorFull { wait } => (Some(wait), true),
-            _ => (None, end.cause == Cause::TimedOut && Some(far.zone) == self.zone),
+        let (full, zone) = match end.cause {
+            Cause::ProcessorFull { wait } => (Some(wait), self.zone),
+            _ => (None, Some(far.zone)),
         };
-        let next = own && self.vain_at.replace(end.exchange).is_some_and(|last| last != end.exchange);
-        if next && self.respite.again(now, None) {
-            host.log(&format!("own processor silent or full: {SILENT_AFTER} more exchanges in a row"));
+        let (respite, at) = self.vain.entry(zone).or_insert((Respite::default(), end.exchange));
+        let next = std::mem::replace(at, end.exchange) != end.exchange;
+        if next && end.cause != Cause::Unreachable {
+            respite.again(now, host, format_args!("exchange after exchange of region {zone:?}"), None);
         }
-        if self.respite.fruitless < SILENT_AFTER && far.respite.again(now, full) {
-            host.log(&format!("exchange {} silent or full: {SILENT_AFTER} seizures in a row", far.office.0));
+        if self.vain.get(&self.zone).is_none_or(|(own, _)| own.fruitless < SILENT_AFTER) {
+            far.respite.again(now, host, format_args!("exchange {}", far.office.0), full);
         }
     }
+
+    fn rests(&self, now: Duration, zone: Option<Zone>) -> bool {
+        self.vain.get(&zone).is_some_and(|(respite, _)| now < respite.until)
+    }
 }
 
 /// Drops from a memory, oldest first, what is older than `span`.
@@ -680,22 +680,20 @@
 }
 
 impl Respite {
-    /// Once more without use; whether that makes it silent or full.
-    fn again(&mut self, now: Duration, full: Option<Duration>) -> bool {
+    /// Once more without use.
+    fn again(&mut self, now: Duration, host: &mut dyn Host, who: Arguments, full: Option<Duration>) {
         self.fruitless = self.fruitless.saturating_add(1);
         if full.is_some() || self.fruitless >= SILENT_AFTER {
             let alone = ALONE * 2u32.pow((self.fruitless - 1).min(ALONE_DOUBLINGS));
             self.until = self.until.max(now + alone.max(full.unwrap_or_default()));
         }
-        self.fruitless == SILENT_AFTER
+        if self.fruitless == SILENT_AFTER {
+            host.log(&format!("{who} silent or full: {SILENT_AFTER} seizures in a row"));
+        }
     }
 }
 
 impl Window {
-    fn new(size: f64) -> Self {
-        Self { out: 0.0, size, shut_at: Duration::ZERO }
-    }
-
     fn open(&self) -> bool {
         self.out < self.size.floor()
     }
