--- a/src/choice.rs
+++ b/src/choice.rs
@@ -487,7 +487,8 @@
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         far.window.out += 1.0;
         self.window.out += 1.0;
-        if call.seizures == 0 && !call.offer.transit {
+        let late = now > call.arrived + self.kinds[call.kind].target;
+        if call.seizures == 0 && !call.offer.transit && !late {
             self.credit = (self.credit + 1).min(CREDIT_CAP);
         }
         call.seizures += 1;
