--- a/src/choice.rs
+++ b/src/choice.rs
@@ -463,18 +463,18 @@
         (self.kinds[call.kind].rank, call.arrived, call.offer.call)
     }
 
-    /// Sends on what now finds a way, highest revenue first.
+    /// Sends on what now finds a way, highest revenue first; none does while the window over all is shut.
     fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
-        let mut after = Bound::Unbounded;
-        while let Some(place) = self.line.range((after, Bound::Unbounded)).next().copied() {
-            after = Bound::Excluded(place);
+        let mut next = self.line.first().copied();
+        while let Some(place) = next.filter(|_| self.window.open()) {
             let to = self.calls.get(&place.2).and_then(|(call, _)| self.route(now, call));
-            if let Some(to) = to {
+            if let Some(to) = to
+                && let Some((call, _)) = self.calls.remove(&place.2)
+            {
                 self.line.remove(&place);
-                if let Some((call, _)) = self.calls.remove(&place.2) {
-                    self.seize(now, host, call, to);
-                }
+                self.seize(now, host, call, to);
             }
+            next = self.line.range((Bound::Excluded(place), Bound::Unbounded)).next().copied();
         }
     }
 
