--- a/src/choice.rs
+++ b/src/choice.rs
@@ -487,13 +487,13 @@
         far.free = far.free.map(|free| free - f64::from(call.offer.width));
         far.window.out += 1.0;
         self.window.out += 1.0;
-        let late = now > call.arrived + self.kinds[call.kind].target;
-        if call.seizures == 0 && !call.offer.transit && !late {
+        // Guards against callers who dial again and again refilling the balance: those are late already.
+        let rest = (call.arrived.saturating_add(self.kinds[call.kind].target)).checked_sub(now);
+        if call.seizures == 0 && !call.offer.transit && rest.is_some() {
             self.credit = (self.credit + 1).min(CREDIT_CAP);
         }
         call.seizures += 1;
         // What takes longer than the setup target is worth little, and holds circuits on its way.
-        let rest = (call.arrived.saturating_add(self.kinds[call.kind].target)).checked_sub(now);
         let limit = rest.filter(|rest| *rest >= USEFUL).unwrap_or(left).min(left);
         host.seize(call.offer.call, to, limit);
         let next: AfterSeizure =
@@ -588,8 +588,8 @@
             .iter()
             .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
             .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
-            .filter(|(_, far)| far.leads_on(now, offer) && self.cold_share(now, far).is_none())
-            .filter(|(_, far)| far.has_room(width + RESERVED) && self.takes(now, far, call.lot))
+            .filter(|(_, far)| far.has_room(width + RESERVED) && far.leads_on(now, offer))
+            .filter(|(_, far)| self.cold_share(now, far).is_none() && self.takes(now, far, call.lot))
             .map(|(id, far)| (far.leads_to(offer.dest), far.free, id))
             .max_by(|a, b| a.0.cmp(&b.0).then(a.1.unwrap_or(0.0).total_cmp(&b.1.unwrap_or(0.0))))
             .map(|(_, _, id)| *id)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -33,6 +33,25 @@
     assert_eq!(did.last(), Some(&Rejected(3)));
 }
 
+#[test]
+fn late_redials_earn_no_credit() {
+    let mut desk = Desk::new(&office(), 99.0);
+    desk.calls_as(0, 1, |offer| offer.dialled = Dialled(7));
+    desk.pass(ms(2100));
+    desk.withdrawn(0);
+    for call in 1..40 {
+        desk.calls_as(call, 1, |offer| offer.dialled = Dialled(7));
+        desk.stands(call, 0, 1, ms(10));
+    }
+    desk.did();
+    for call in 100..103 {
+        desk.calls(call, 2 + call as u16 % 2);
+        desk.ended(call, 0, 2 + call as u32 % 2, Cause::Unreachable);
+    }
+    let further = 3 - desk.did().iter().filter(|did| matches!(did, Rejected(_))).count();
+    assert_eq!(further, 2, "those of the start");
+}
+
 #[test]
 fn a_told_wait_is_kept_or_the_call_answered_at_once() {
     let mut desk = Desk::new(&office(), 9.0);
