--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A tiny fake host: writes down what the controller does.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use mintstall::Controller;
@@ -182,13 +183,22 @@
         self.did().contains(&Did::Seized(call, to))
     }
 
-    /// `count` calls to exchange 1 that get no answer, and whose callers give up.
-    pub fn times_out(&mut self, count: u64) {
-        for call in 0..count {
-            self.calls(call, 1);
-            self.ended(call, 0, 1, Cause::TimedOut);
-            self.withdrawn(call);
-        }
+    /// How many of these calls are sent to exchange 1 at once; those stand.
+    pub fn served(&mut self, calls: Range<u64>) -> usize {
+        let serve = |call: &u64| {
+            let sent = self.sends(*call, 1, 1);
+            self.stands(*call, 0, 1, ms(20));
+            self.withdrawn(*call);
+            sent
+        };
+        calls.filter(serve).count()
+    }
+
+    /// A call to an exchange that comes to nothing, and whose caller gives up.
+    pub fn fails(&mut self, call: u64, to: u32, cause: Cause) {
+        self.calls(call, to as u16);
+        self.ended(call, 0, to, cause);
+        self.withdrawn(call);
         self.did();
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -168,13 +168,7 @@
         desk.free(2, 0.0);
         desk.free(3, 0.0);
         assert_eq!(desk.sends(1000, 2, 1), age >= 10_000, "a tandem only when warm");
-        let sends = |call: &u64| {
-            let sent = desk.sends(*call, 1, 1);
-            desk.stands(*call, 0, 1, ms(20));
-            desk.withdrawn(*call);
-            sent
-        };
-        (0..200).filter(sends).count()
+        desk.served(0..200)
     };
     let (cold, half, warm) = (sent_at(100), sent_at(5_000), sent_at(10_000));
     assert!((40..=110).contains(&cold) && cold < half && half < warm, "{cold}, {half}, {warm} of 200");
@@ -273,13 +267,8 @@
     let sent_after = |cause: Cause, zone: u8, to: [u32; 4]| {
         let mut desk = Desk::new(&office(), 99.0);
         desk.in_region(zone);
-        for (call, to) in (0..).zip(to) {
-            desk.calls(call, to as u16);
-            desk.ended(call, 0, to, cause);
-            desk.withdrawn(call);
-        }
+        (0..).zip(to).for_each(|(call, to)| desk.fails(call, to, cause));
         desk.pass(ms(310));
-        desk.did();
         (10..13).filter(|call| desk.sends(*call, 3, 3)).count()
     };
     let full = Cause::ProcessorFull { wait: Duration::ZERO };
@@ -290,19 +279,14 @@
     let mut desk = Desk::new(&office(), 99.0);
     desk.in_region(1);
     desk.listed(&[line(3, Standing::Ready, Duration::ZERO)]);
-    for call in 0..4 {
-        let to = 1 + call as u32 % 2;
-        desk.calls(call, to as u16);
-        desk.ended(call, 0, to, Cause::TimedOut);
-        desk.withdrawn(call);
-    }
+    (0..4).for_each(|call| desk.fails(call, 1 + call as u32 % 2, Cause::TimedOut));
     assert!(!desk.sends(20, 1, 1) && desk.sends(21, 3, 3), "is none of the own one's");
 }
 
 #[test]
 fn a_silent_exchange_is_tried_only_now_and_then() {
     let mut desk = Desk::new(&office(), 99.0);
-    desk.times_out(2);
+    (0..2).for_each(|call| desk.fails(call, 1, Cause::TimedOut));
     assert!(!desk.sends(2, 1, 1));
     desk.pass(ms(1000));
     assert!(desk.sends(3, 1, 1) && !desk.sends(4, 1, 1), "one trial");
@@ -362,22 +346,13 @@
 fn an_exchange_that_says_it_can_take_little_is_sent_that_share() {
     // Each of many senders sees little of it, so one word must do.
     let mut desk = Desk::new(&office(), 999.0);
-    let sent = |desk: &mut Desk, from: u64| {
-        let sends = |call: &u64| {
-            let sent = desk.sends(*call, 1, 1);
-            desk.stands(*call, 0, 1, ms(20));
-            desk.withdrawn(*call);
-            sent
-        };
-        (from..from + 100).filter(sends).count()
-    };
     desk.takes(1, 10.0);
-    assert_eq!(sent(&mut desk, 0), 100);
+    assert_eq!(desk.served(0..100), 100);
     desk.takes(1, 2.0);
-    let pressed = sent(&mut desk, 100);
+    let pressed = desk.served(100..200);
     assert!((15..=45).contains(&pressed), "{pressed} of a hundred, at a fifth");
     desk.pass(ms(20_000));
-    assert_eq!(sent(&mut desk, 200), 100, "the word has faded");
+    assert_eq!(desk.served(200..300), 100, "the word has faded");
 }
 
 #[test]
@@ -385,9 +360,9 @@
     let mut desk = Desk::new(&office(), 99.0);
     desk.calls(9, 1);
     desk.stands(9, 0, 1, ms(50));
-    desk.times_out(1);
+    desk.fails(0, 1, Cause::TimedOut);
     desk.ended(9, 0, 1, Cause::Done);
-    desk.times_out(1);
+    desk.fails(0, 1, Cause::TimedOut);
     assert!(!desk.sends(2, 1, 1), "silent all the same");
 }
 
