--- a/src/choice.rs
+++ b/src/choice.rs
@@ -227,8 +227,6 @@
         }
     }
 
-    // What the machine tells.
-
     /// The whole roster, as last held or as it is now.
     pub fn roster(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         let first = self.exchanges.is_empty();
@@ -420,8 +418,6 @@
         message
     }
 
-    // What becomes of a call.
-
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
         forget(&mut self.busy, BUSY_FOR, now);
         // Guards against set-ups for a number whose lines are all busy; it could miss one that frees.
@@ -550,8 +546,6 @@
         }
     }
 
-    // Routes.
-
     /// Where the call is for, if it is there: not the own exchange, for which calls come while another
     /// exchange's controller is down.
     fn dest(&self, offer: &Offer) -> Option<(ExchangeId, &Exchange)> {
@@ -568,7 +562,6 @@
         if self.rests(now, self.zone) || !offer.transit && !self.window.open() {
             return None;
         }
-        let own = self.own;
         let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far, call.lot));
         if let Some((id, far)) = dest {
             // What earns little leaves the last circuit to others. A call in transit leaves none: it holds
@@ -581,13 +574,13 @@
         }
         // One that is not there, or takes nothing, is not reached over a tandem either.
         let no_detour = dest.is_none_or(|(_, far)| far.has_room(width));
-        if offer.transit || own.is_some() && no_detour {
+        if offer.transit || self.own.is_some() && no_detour {
             return None;
         }
         self.exchanges
             .iter()
-            .filter(|(_, far)| far.office != offer.dest && Some(far.office) != own)
-            .filter(|(_, far)| own.is_some() || kind.pools.contains(&far.office))
+            .filter(|(_, far)| far.office != offer.dest && Some(far.office) != self.own)
+            .filter(|(_, far)| self.own.is_some() || kind.pools.contains(&far.office))
             .filter(|(_, far)| far.has_room(width + RESERVED) && far.leads_on(now, offer))
             .filter(|(_, far)| self.cold_share(now, far).is_none() && self.takes(now, far, call.lot))
             .map(|(id, far)| (far.leads_to(offer.dest), far.free, id))
@@ -607,10 +600,8 @@
     /// Whether an exchange may be sent a call of this lot. Guards against pressing a processor of which each
     /// of many senders sees little: all leave out the same share, for a while also when it is well again.
     fn takes(&self, now: Duration, far: &Exchange, lot: f64) -> bool {
-        let (eased, at) = far.eased;
-        let faded = now.saturating_sub(at).as_secs_f64() / WORD_FADES;
         let cold = self.cold_share(now, far).unwrap_or(1.0);
-        far.answers(now) && !self.rests(now, Some(far.zone)) && lot < cold.min(eased + faded)
+        far.answers(now) && !self.rests(now, Some(far.zone)) && lot < cold.min(far.share(now))
     }
 
     /// A cold exchange takes no more than its share of the calls, so that all controllers together stay below
@@ -628,14 +619,15 @@
     /// own, from being sent more than it works off: its queue would make every set-up late, and what is given
     /// up is worked on all the same. It could hold back calls where a far way is long by itself.
     fn answered(&mut self, now: Duration, exchange: ExchangeId, promptly: bool, silence: bool) {
+        let at_ease = self.exchanges.get_mut(&exchange).is_some_and(|far| {
+            far.window.answered(now, self.prompt, promptly, !promptly);
+            far.most > 0.0 && far.share(now) >= 1.0
+        });
         // Neither silence nor some late far ends among many must shut the way to all others: an own processor
-        // that is late makes all answers late.
+        // that is late makes all answers late, also of those that say they are at ease.
         let late = !promptly && !silence;
-        self.window.answered(now, self.prompt, promptly, late && self.late);
+        self.window.answered(now, self.prompt, promptly, late && (self.late || at_ease));
         self.late = late || self.late && silence;
-        if let Some(far) = self.exchanges.get_mut(&exchange) {
-            far.window.answered(now, self.prompt, promptly, !promptly);
-        }
     }
 
     fn alive(&mut self, host: &mut dyn Host, exchange: ExchangeId) {
@@ -715,6 +707,12 @@
         self.free.is_none_or(|free| free >= circuits)
     }
 
+    /// The share of the usual calls that it takes, by its last word.
+    fn share(&self, now: Duration) -> f64 {
+        let (eased, at) = self.eased;
+        (eased + now.saturating_sub(at).as_secs_f64() / WORD_FADES).min(1.0)
+    }
+
     /// Whether it has not lately turned back a call like this one.
     fn leads_on(&self, now: Duration, offer: &Offer) -> bool {
         let way = self.beyond.get(&offer.dest).copied().unwrap_or_default();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -307,15 +307,16 @@
 
 #[test]
 fn a_pressed_own_processor_is_spared_but_silence_is_not_its_fault() {
-    let out = |cause: Option<Cause>| {
+    let out = |cause: Option<Cause>, late: u64, told: f64| {
         let mut desk = Desk::new(&office(), 99.0);
         desk.in_region(1);
+        (1..4).for_each(|far| desk.takes(far, told));
         for call in 0..30 {
             let to = 1 + call as u32 % 3;
             desk.pass(ms(700));
             desk.calls(call, to as u16);
             match cause {
-                None => desk.stands(call, 0, to, ms(1900)),
+                None => desk.stands(call, 0, to, ms(if call % late == 0 { 1900 } else { 100 })),
                 Some(cause) => desk.ended(call, 0, to, cause),
             }
             desk.withdrawn(call);
@@ -325,8 +326,9 @@
         (100..130).for_each(|call| desk.calls(call, 1 + call as u16 % 3));
         desk.did().len()
     };
-    assert_eq!(out(None), 1, "all late: one at a time");
-    assert_eq!(out(Some(Cause::TimedOut)), 3, "all silent: one trial of each");
+    assert_eq!(out(None, 1, 0.0), 1, "all late: one at a time");
+    assert!(out(None, 2, 9.0) < out(None, 2, 0.0), "every second one, of those that say they are at ease");
+    assert_eq!(out(Some(Cause::TimedOut), 1, 0.0), 3, "all silent: one trial of each");
 }
 
 #[test]
