Review: ways are copied for new machines only; the number of controllers, read by nobody, is dropped

The table of ways beyond an exchange was cloned for every line of every roster change, also where the exchange was known; now only where a new machine takes it over. No decision reads the number of controllers since the even share went, so it leaves the interface and the adapter. The comment on the cold share named a surge that the code does not use.

--- a/crates/benchlink/src/office.rs
+++ b/crates/benchlink/src/office.rs
@@ -155,7 +155,6 @@
     let count: usize = paths.must("lanes.count")?;
     let data = OfficeData {
         own: u16::try_from(own).ok().map(OfficeNo),
-        controllers: paths.or("balancers", 1u16)?.max(1),
         call_types: (0..count).map(|at| call_type(&paths, at)).collect::<Read<_>>()?,
         seizure_limit: paths.or("limits.most_tries", u8::MAX)?,
         may_cancel: paths.or("limits.cancelling", false)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -244,7 +244,8 @@
     pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         for line in lines {
             // A machine that replaces another is sent what that one was, over the same groups.
-            let mut before = self.exchanges.values().filter(|far| far.office == line.office);
+            let new = !self.exchanges.contains_key(&line.exchange);
+            let mut before = self.exchanges.values().filter(|far| new && far.office == line.office);
             let latest = before.next_back().map(|far| (far.most, far.free, far.size, far.beyond.clone()));
             let (most, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
@@ -605,14 +606,12 @@
     }
 
     /// A cold exchange takes no more than its share of the calls, so that all controllers together stay below
-    /// what would push it over even if twice as much is offered as it can do when warm. None: it is warm.
+    /// what would push it over even in a surge. None: it is warm.
     fn cold_share(&self, now: Duration, far: &Exchange) -> Option<f64> {
         let age = now.saturating_sub(far.started);
         let cold = !far.started.is_zero() && age < self.warm_up;
-        cold.then(|| {
-            let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
-            (self.cold_share + (1.0 - self.cold_share) * warmth) * self.ample
-        })
+        let warmth = age.as_secs_f64() / self.warm_up.as_secs_f64();
+        cold.then_some((self.cold_share + (1.0 - self.cold_share) * warmth) * self.ample)
     }
 
     /// One set-up less out to an exchange. The window on them keeps a pressed processor, the far one or the
--- a/src/host.rs
+++ b/src/host.rs
@@ -84,7 +84,6 @@
 pub struct OfficeData {
     /// The own exchange's number; none where agents stand in pools.
     pub own: Option<OfficeNo>,
-    pub controllers: u16,
     pub call_types: Vec<CallTypeData>,
     pub seizure_limit: u8,
     pub may_cancel: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,7 +78,6 @@
 pub fn office() -> OfficeData {
     OfficeData {
         own: Some(HERE),
-        controllers: 4,
         call_types: vec![call_type(1.0, 1), call_type(8.0, 1)],
         seizure_limit: 5,
         may_cancel: true,
