--- /dev/null
+++ b/crates/isup/src/lib.rs
@@ -0,0 +1,20 @@
+//! ISUP (ITU-T Q.763) in M3UA frames (RFC 4666): bytes to types and back, without I/O.
+//!
+//! [`m3ua`] cuts a stream of bytes into frames and names them, [`message`] reads and writes what a DATA frame
+//! carries, [`number`], [`cause`] and [`circuit`] hold the parameters that have a meaning here, [`national`] what is
+//! ours. Whatever is read borrows from the bytes it was read from.
+
+pub mod cause;
+pub mod circuit;
+pub mod m3ua;
+pub mod message;
+pub mod national;
+pub mod number;
+mod wire;
+
+pub use cause::{CauseIndicators, Location, Q850};
+pub use circuit::{Cic, CircuitMap, CircuitState, RangeStatus};
+pub use m3ua::{Data, Deframer, Frame, FrameError};
+pub use message::{Body, Iam, IsupError, Message, Other, Rel};
+pub use national::{Identity, Report, TurnedBack};
+pub use number::Number;
--- /dev/null
+++ b/crates/isup/src/message.rs
@@ -0,0 +1,464 @@
+//! ISUP messages (Q.763 clause 2 and Annex A): the fixed, the variable and the optional part.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::cause::CauseIndicators;
+use crate::circuit::{Cic, CircuitMap, CircuitState, RangeStatus};
+use crate::national::{self, Identity, Report, TurnedBack};
+use crate::number::Number;
+use crate::wire::Octets;
+
+/// What makes octets no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum IsupError {
+    #[error("{what}: needs {needs} octets, has {has}")]
+    Short { what: &'static str, needs: usize, has: usize },
+    #[error("{what}: at most {most}, has {has}")]
+    Long { what: &'static str, most: usize, has: usize },
+    #[error("{what}: makes no sense: {value}")]
+    Value { what: &'static str, value: u32 },
+}
+
+type Read<T> = Result<T, IsupError>;
+
+/// Optional parameters that are not known here, kept as they came: code and contents.
+pub type Other<'a> = Vec<(u8, &'a [u8])>;
+
+/// Initial address (Q.763 table 32).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Iam<'a> {
+    /// Nature of connection indicators.
+    pub nature: u8,
+    /// Forward call indicators, as on the wire.
+    pub forward: [u8; 2],
+    /// Calling party's category.
+    pub category: u8,
+    /// Transmission medium requirement.
+    pub medium: u8,
+    pub called: Number,
+    pub calling: Option<Number>,
+    /// Which circuits, for a call wider than one.
+    pub map: Option<CircuitMap>,
+    /// Exchanges that it may still pass.
+    pub hops: Option<u8>,
+    pub identity: Option<Identity>,
+    pub other: Other<'a>,
+}
+
+/// Release (Q.763 table 33).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rel<'a> {
+    pub cause: CauseIndicators,
+    /// Automatic congestion level, 1 or 2.
+    pub congestion: Option<u8>,
+    /// How long a full processor asks to be left alone.
+    pub wait: Option<Duration>,
+    pub turned_back: Option<TurnedBack>,
+    pub report: Option<Report>,
+    pub other: Other<'a>,
+}
+
+impl Rel<'_> {
+    pub fn new(cause: CauseIndicators) -> Self {
+        Self { cause, congestion: None, wait: None, turned_back: None, report: None, other: Vec::new() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Body<'a> {
+    Iam(Iam<'a>),
+    /// Address complete.
+    Acm {
+        backward: [u8; 2],
+        report: Option<Report>,
+        other: Other<'a>,
+    },
+    /// Answer.
+    Anm {
+        report: Option<Report>,
+        other: Other<'a>,
+    },
+    /// Call progress.
+    Cpg {
+        event: u8,
+        other: Other<'a>,
+    },
+    Rel(Rel<'a>),
+    /// Release complete.
+    Rlc {
+        other: Other<'a>,
+    },
+    /// Reset circuit.
+    Rsc,
+    /// Blocking, unblocking, and their acknowledgements.
+    Blo,
+    Bla,
+    Ubl,
+    Uba,
+    /// Circuit group reset: this circuit and those after it.
+    Grs {
+        count: u8,
+    },
+    /// Its acknowledgement; the status tells which are blocked.
+    Gra(RangeStatus),
+    /// Circuit group blocking and unblocking, and their acknowledgements; `kind` is the supervision type.
+    Cgb {
+        kind: u8,
+        range: RangeStatus,
+    },
+    Cgba {
+        kind: u8,
+        range: RangeStatus,
+    },
+    Cgu {
+        kind: u8,
+        range: RangeStatus,
+    },
+    Cgua {
+        kind: u8,
+        range: RangeStatus,
+    },
+    /// Circuit group query, and its answer: a state for this circuit and each after it.
+    Cqm {
+        count: u8,
+    },
+    Cqr {
+        states: Vec<CircuitState>,
+    },
+    /// Ours: asks for a report.
+    Probe,
+    /// Ours: the answer.
+    Reported(Report),
+    /// Ours: a short message from controller to controller.
+    Peer(&'a [u8]),
+    /// Any other.
+    Unknown {
+        kind: u8,
+        octets: &'a [u8],
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message<'a> {
+    pub cic: Cic,
+    pub body: Body<'a>,
+}
+
+const CALLING: u8 = 0x0a;
+const MAP: u8 = 0x25;
+const CONGESTION: u8 = 0x27;
+const HOPS: u8 = 0x3d;
+
+/// Routing label of a called number: routing to an internal number allowed, ISDN numbering plan.
+const CALLED_PLAN: u8 = 0x10;
+/// Calling number: complete, presentation allowed, network provided.
+const CALLING_PLAN: u8 = 0x13;
+
+impl<'a> Message<'a> {
+    pub fn new(cic: Cic, body: Body<'a>) -> Self {
+        Self { cic, body }
+    }
+
+    /// The message type's short name, as the standard has it.
+    pub fn name(&self) -> &'static str {
+        match self.body {
+            Body::Iam(_) => "IAM",
+            Body::Acm { .. } => "ACM",
+            Body::Anm { .. } => "ANM",
+            Body::Cpg { .. } => "CPG",
+            Body::Rel(_) => "REL",
+            Body::Rlc { .. } => "RLC",
+            Body::Rsc => "RSC",
+            Body::Blo => "BLO",
+            Body::Bla => "BLA",
+            Body::Ubl => "UBL",
+            Body::Uba => "UBA",
+            Body::Grs { .. } => "GRS",
+            Body::Gra(_) => "GRA",
+            Body::Cgb { .. } => "CGB",
+            Body::Cgba { .. } => "CGBA",
+            Body::Cgu { .. } => "CGU",
+            Body::Cgua { .. } => "CGUA",
+            Body::Cqm { .. } => "CQM",
+            Body::Cqr { .. } => "CQR",
+            Body::Probe => "PROBE",
+            Body::Reported(_) => "REPORT",
+            Body::Peer(_) => "PEER",
+            Body::Unknown { .. } => "UNKNOWN",
+        }
+    }
+
+    /// Reads what a DATA frame carries; octets after the parts that are known are passed over (Q.764 clause 2.9.5).
+    pub fn read(octets: &'a [u8]) -> Read<Self> {
+        let mut fixed = Octets::new(octets, "message");
+        let [low, high] = fixed.array()?;
+        let cic = Cic(u16::from_le_bytes([low, high]) & Cic::MOST);
+        let kind = fixed.u8()?;
+        let body = match kind {
+            0x01 => Body::Iam(iam(fixed.rest())?),
+            0x06 => {
+                let backward = fixed.array()?;
+                let found = optional(fixed.rest(), 0)?;
+                Body::Acm { backward, report: found.report, other: found.other }
+            }
+            0x09 => {
+                let found = optional(fixed.rest(), 0)?;
+                Body::Anm { report: found.report, other: found.other }
+            }
+            0x2c => {
+                let event = fixed.u8()?;
+                Body::Cpg { event, other: optional(fixed.rest(), 0)?.other }
+            }
+            0x0c => {
+                let rest = fixed.rest();
+                let cause = CauseIndicators::read(variable(rest, 0)?)?;
+                let Found { congestion, wait, turned_back, report, other, .. } = optional(rest, 1)?;
+                Body::Rel(Rel { cause, congestion, wait, turned_back, report, other })
+            }
+            0x10 => Body::Rlc { other: optional(fixed.rest(), 0)?.other },
+            0x12 => Body::Rsc,
+            0x13 => Body::Blo,
+            0x14 => Body::Ubl,
+            0x15 => Body::Bla,
+            0x16 => Body::Uba,
+            0x17 => Body::Grs { count: RangeStatus::read(variable(fixed.rest(), 0)?, false)?.count },
+            0x29 => Body::Gra(RangeStatus::read(variable(fixed.rest(), 0)?, true)?),
+            0x18..=0x1b => {
+                let group = fixed.u8()? & 3;
+                let range = RangeStatus::read(variable(fixed.rest(), 0)?, true)?;
+                match kind {
+                    0x18 => Body::Cgb { kind: group, range },
+                    0x19 => Body::Cgu { kind: group, range },
+                    0x1a => Body::Cgba { kind: group, range },
+                    _ => Body::Cgua { kind: group, range },
+                }
+            }
+            0x2a => Body::Cqm { count: RangeStatus::read(variable(fixed.rest(), 0)?, false)?.count },
+            0x2b => {
+                let rest = fixed.rest();
+                let count = usize::from(RangeStatus::read(variable(rest, 0)?, false)?.count);
+                let states = variable(rest, 1)?;
+                let short = IsupError::Short { what: "circuit states", needs: count, has: states.len() };
+                let states = states.get(..count).ok_or(short)?;
+                Body::Cqr { states: states.iter().map(|octet| CircuitState::read(*octet)).collect() }
+            }
+            national::PROBE_MESSAGE => Body::Probe,
+            national::REPORT_MESSAGE => Body::Reported(Report::read(fixed.rest())?),
+            national::PEER_MESSAGE => Body::Peer(fixed.rest()),
+            kind => Body::Unknown { kind, octets: fixed.rest() },
+        };
+        Ok(Self { cic, body })
+    }
+
+    /// Appends the message to `out`.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(&(self.cic.0 & Cic::MOST).to_le_bytes());
+        match &self.body {
+            Body::Iam(iam) => {
+                out.extend_from_slice(&[
+                    0x01,
+                    iam.nature,
+                    iam.forward[0],
+                    iam.forward[1],
+                    iam.category,
+                    iam.medium,
+                ]);
+                let mut called = Vec::with_capacity(16);
+                iam.called.write(&mut called, CALLED_PLAN);
+                let mut parts = Parts::begin(out, [&called], true);
+                if let Some(calling) = &iam.calling {
+                    let mut number = Vec::with_capacity(16);
+                    calling.write(&mut number, CALLING_PLAN);
+                    parts.add(CALLING, &number);
+                }
+                iam.map.iter().for_each(|map| parts.add(MAP, &map.write()));
+                iam.hops.iter().for_each(|hops| parts.add(HOPS, &[hops & 31]));
+                iam.identity.iter().for_each(|identity| parts.add(national::IDENTITY, &identity.write()));
+                parts.end(&iam.other);
+            }
+            Body::Acm { backward, report, other } => {
+                out.extend_from_slice(&[0x06, backward[0], backward[1]]);
+                Parts::begin(out, [], true).report(report).end(other);
+            }
+            Body::Anm { report, other } => {
+                out.push(0x09);
+                Parts::begin(out, [], true).report(report).end(other);
+            }
+            Body::Cpg { event, other } => {
+                out.extend_from_slice(&[0x2c, *event]);
+                Parts::begin(out, [], true).end(other);
+            }
+            Body::Rel(rel) => {
+                out.push(0x0c);
+                let mut parts = Parts::begin(out, [&rel.cause.write()], true);
+                rel.congestion.iter().for_each(|level| parts.add(CONGESTION, &[*level]));
+                if let Some(wait) = rel.wait {
+                    let ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+                    parts.add(national::TOLD_WAIT, &ms.to_be_bytes());
+                }
+                if let Some(turned) = rel.turned_back {
+                    parts.add(national::TURNED_BACK, &[u8::from(turned.beyond)]);
+                }
+                parts.report(&rel.report).end(&rel.other);
+            }
+            Body::Rlc { other } => {
+                out.push(0x10);
+                Parts::begin(out, [], true).end(other);
+            }
+            Body::Rsc => out.push(0x12),
+            Body::Blo => out.push(0x13),
+            Body::Ubl => out.push(0x14),
+            Body::Bla => out.push(0x15),
+            Body::Uba => out.push(0x16),
+            Body::Grs { count } => range(out, &[0x17], RangeStatus { count: *count, status: 0 }, false),
+            Body::Gra(status) => range(out, &[0x29], *status, true),
+            Body::Cgb { kind, range: status } => range(out, &[0x18, *kind], *status, true),
+            Body::Cgu { kind, range: status } => range(out, &[0x19, *kind], *status, true),
+            Body::Cgba { kind, range: status } => range(out, &[0x1a, *kind], *status, true),
+            Body::Cgua { kind, range: status } => range(out, &[0x1b, *kind], *status, true),
+            Body::Cqm { count } => range(out, &[0x2a], RangeStatus { count: *count, status: 0 }, false),
+            Body::Cqr { states } => {
+                out.push(0x2b);
+                let count = states.len().clamp(1, usize::from(RangeStatus::MOST));
+                let octets: Vec<u8> = states.iter().take(count).map(|state| state.write()).collect();
+                Parts::begin(out, [&[count as u8 - 1][..], &octets], false);
+            }
+            Body::Probe => out.push(national::PROBE_MESSAGE),
+            Body::Reported(report) => {
+                out.push(national::REPORT_MESSAGE);
+                out.extend_from_slice(&report.write());
+            }
+            Body::Peer(octets) => {
+                out.push(national::PEER_MESSAGE);
+                out.extend_from_slice(octets);
+            }
+            Body::Unknown { kind, octets } => {
+                out.push(*kind);
+                out.extend_from_slice(octets);
+            }
+        }
+    }
+}
+
+fn range(out: &mut Vec<u8>, head: &[u8], status: RangeStatus, with_status: bool) {
+    out.extend_from_slice(head);
+    let mut octets = Vec::with_capacity(5);
+    status.write(&mut octets, with_status);
+    Parts::begin(out, [&octets], false);
+}
+
+fn iam(rest: &[u8]) -> Read<Iam<'_>> {
+    let mut fixed = Octets::new(rest, "IAM");
+    let (nature, forward, category, medium) = (fixed.u8()?, fixed.array()?, fixed.u8()?, fixed.u8()?);
+    let rest = fixed.rest();
+    let called = Number::read(variable(rest, 0)?)?;
+    let Found { calling, map, hops, identity, other, .. } = optional(rest, 1)?;
+    Ok(Iam { nature, forward, category, medium, called, calling, map, hops, identity, other })
+}
+
+/// The variable parameter that the pointer at a place leads to (Q.763 clause 1.5): it counts from itself.
+fn variable(rest: &[u8], pointer: usize) -> Read<&[u8]> {
+    let short = |needs| IsupError::Short { what: "variable part", needs, has: rest.len() };
+    let to = usize::from(*rest.get(pointer).ok_or(short(pointer + 1))?);
+    let at = pointer + to;
+    if to == 0 {
+        return Err(IsupError::Value { what: "variable part's pointer", value: 0 });
+    }
+    let length = usize::from(*rest.get(at).ok_or(short(at + 1))?);
+    rest.get(at + 1..at + 1 + length).ok_or(short(at + 1 + length))
+}
+
+#[derive(Default)]
+struct Found<'a> {
+    calling: Option<Number>,
+    map: Option<CircuitMap>,
+    hops: Option<u8>,
+    identity: Option<Identity>,
+    congestion: Option<u8>,
+    wait: Option<Duration>,
+    turned_back: Option<TurnedBack>,
+    report: Option<Report>,
+    other: Other<'a>,
+}
+
+/// The optional part that the pointer at a place leads to; no pointer, or one of nought: there is none.
+fn optional(rest: &[u8], pointer: usize) -> Read<Found<'_>> {
+    let mut found = Found::default();
+    let to = usize::from(rest.get(pointer).copied().unwrap_or(0));
+    if to == 0 {
+        return Ok(found);
+    }
+    let part = rest.get(pointer + to..).unwrap_or_default();
+    let mut part = Octets::new(part, "optional part");
+    loop {
+        let code = part.u8()?;
+        if code == 0 {
+            return Ok(found);
+        }
+        let length = usize::from(part.u8()?);
+        let contents = part.take(length)?;
+        let mut octets = Octets::new(contents, "optional parameter");
+        match code {
+            CALLING => found.calling = Some(Number::read(contents)?),
+            MAP => found.map = Some(CircuitMap::read(contents)?),
+            HOPS => found.hops = Some(octets.u8()? & 31),
+            CONGESTION => found.congestion = Some(octets.u8()?),
+            national::IDENTITY => found.identity = Some(Identity::read(contents)?),
+            national::TOLD_WAIT => found.wait = Some(Duration::from_millis(octets.u32()?.into())),
+            national::TURNED_BACK => found.turned_back = Some(TurnedBack { beyond: octets.u8()? != 0 }),
+            national::REPORT => found.report = Some(Report::read(contents)?),
+            _ => found.other.push((code, contents)),
+        }
+    }
+}
+
+/// Writes pointers, the variable part, then the optional part.
+struct Parts<'a> {
+    out: &'a mut Vec<u8>,
+    /// Where the pointer to the optional part stands, still nought.
+    pointer: usize,
+    any: bool,
+}
+
+impl<'a> Parts<'a> {
+    fn begin<const N: usize>(out: &'a mut Vec<u8>, variable: [&[u8]; N], optional: bool) -> Self {
+        let pointers = N + usize::from(optional);
+        let mut ahead = 0;
+        for (at, part) in variable.iter().enumerate() {
+            out.push((pointers - at + ahead) as u8);
+            ahead += 1 + part.len();
+        }
+        let pointer = out.len();
+        if optional {
+            out.push(0);
+        }
+        for part in variable {
+            out.push(part.len() as u8);
+            out.extend_from_slice(part);
+        }
+        Self { out, pointer, any: false }
+    }
+
+    fn add(&mut self, code: u8, contents: &[u8]) {
+        if !std::mem::replace(&mut self.any, true) {
+            self.out[self.pointer] = (self.out.len() - self.pointer) as u8;
+        }
+        self.out.push(code);
+        self.out.push(contents.len() as u8);
+        self.out.extend_from_slice(contents);
+    }
+
+    fn report(mut self, report: &Option<Report>) -> Self {
+        report.iter().for_each(|report| self.add(national::REPORT, &report.write()));
+        self
+    }
+
+    fn end(mut self, other: &Other) {
+        other.iter().for_each(|(code, contents)| self.add(*code, contents));
+        if self.any {
+            self.out.push(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/isup/src/national.rs
@@ -0,0 +1,113 @@
+//! What the standard has no place for, in codes that it leaves to national use: "from the highest code downwards",
+//! `1111 1111` to `1110 0000` (Q.763 clause 1.10). An exchange that does not know them passes over them.
+
+use std::time::Duration;
+
+use crate::message::IsupError;
+use crate::wire::Octets;
+
+/// Parameter: how long the full processor asks to be left alone, milliseconds.
+pub const TOLD_WAIT: u8 = 0xff;
+/// Parameter: the processor's own report, see [`Report`].
+pub const REPORT: u8 = 0xfe;
+/// Parameter: a tandem turned the call back, see [`TurnedBack`].
+pub const TURNED_BACK: u8 = 0xfd;
+/// Parameter: whose call it is, see [`Identity`].
+pub const IDENTITY: u8 = 0xfc;
+
+/// Message: asks the far processor for its report.
+pub const PROBE_MESSAGE: u8 = 0xff;
+/// Message: the answer to a probe.
+pub const REPORT_MESSAGE: u8 = 0xfe;
+/// Message: a short message from one controller to another.
+pub const PEER_MESSAGE: u8 = 0xfd;
+
+/// What a processor says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// New set-ups a second that it can take from all senders, in thousandths.
+    pub rate_milli: Option<u32>,
+    /// Share of new set-ups that it asks each sender to hold back, in thousandths.
+    pub hold_back_milli: Option<u16>,
+}
+
+impl Report {
+    pub(crate) fn read(octets: &[u8]) -> Result<Self, IsupError> {
+        let mut octets = Octets::new(octets, "processor's report");
+        let (told, rate, hold_back) = (octets.u8()?, octets.u32()?, octets.u16()?);
+        Ok(Self {
+            rate_milli: (told & 1 != 0).then_some(rate),
+            hold_back_milli: (told & 2 != 0).then_some(hold_back),
+        })
+    }
+
+    pub(crate) fn write(self) -> [u8; 7] {
+        let told = u8::from(self.rate_milli.is_some()) | u8::from(self.hold_back_milli.is_some()) << 1;
+        let [a, b, c, d] = self.rate_milli.unwrap_or(0).to_be_bytes();
+        let [e, f] = self.hold_back_milli.unwrap_or(0).to_be_bytes();
+        [told, a, b, c, d, e, f]
+    }
+}
+
+/// How a tandem turned a call back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TurnedBack {
+    /// The processor after the tandem was full.
+    pub beyond: bool,
+}
+
+/// Whose call a set-up belongs to, for the audit and for tandems. Stays the same along the way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// The exchange that took the call from its caller.
+    pub origin: u16,
+    /// The call's number there, never used twice.
+    pub call: u64,
+    /// Which seizure of the call, counted from 0.
+    pub seizure: u8,
+    pub call_type: u8,
+    pub customer: u16,
+    /// Time that the caller has left when the set-up goes out, to the millisecond.
+    pub left_ms: u32,
+    /// It stood, was cut, and comes again.
+    pub cut: bool,
+    /// Its caller dials again.
+    pub redial: bool,
+}
+
+impl Identity {
+    const LENGTH: usize = 19;
+
+    pub fn left(&self) -> Duration {
+        Duration::from_millis(self.left_ms.into())
+    }
+
+    pub(crate) fn read(octets: &[u8]) -> Result<Self, IsupError> {
+        let mut octets = Octets::new(octets, "call's identity");
+        let (origin, call, seizure) = (octets.u16()?, octets.u64()?, octets.u8()?);
+        let (call_type, customer, left_ms) = (octets.u8()?, octets.u16()?, octets.u32()?);
+        let marks = octets.u8()?;
+        Ok(Self {
+            origin,
+            call,
+            seizure,
+            call_type,
+            customer,
+            left_ms,
+            cut: marks & 1 != 0,
+            redial: marks & 2 != 0,
+        })
+    }
+
+    pub(crate) fn write(self) -> [u8; Self::LENGTH] {
+        let mut out = [0; Self::LENGTH];
+        out[..2].copy_from_slice(&self.origin.to_be_bytes());
+        out[2..10].copy_from_slice(&self.call.to_be_bytes());
+        out[10] = self.seizure;
+        out[11] = self.call_type;
+        out[12..14].copy_from_slice(&self.customer.to_be_bytes());
+        out[14..18].copy_from_slice(&self.left_ms.to_be_bytes());
+        out[18] = u8::from(self.cut) | u8::from(self.redial) << 1;
+        out
+    }
+}
--- /dev/null
+++ b/crates/isup/src/wire.rs
@@ -0,0 +1,47 @@
+//! Reading fields off a slice, each failure named by what was being read.
+
+use crate::message::IsupError;
+
+pub(crate) struct Octets<'a> {
+    rest: &'a [u8],
+    what: &'static str,
+}
+
+impl<'a> Octets<'a> {
+    pub fn new(rest: &'a [u8], what: &'static str) -> Self {
+        Self { rest, what }
+    }
+
+    pub fn take(&mut self, count: usize) -> Result<&'a [u8], IsupError> {
+        let short = IsupError::Short { what: self.what, needs: count, has: self.rest.len() };
+        let (head, rest) = self.rest.split_at_checked(count).ok_or(short)?;
+        self.rest = rest;
+        Ok(head)
+    }
+
+    pub fn array<const N: usize>(&mut self) -> Result<[u8; N], IsupError> {
+        let mut all = [0; N];
+        all.copy_from_slice(self.take(N)?);
+        Ok(all)
+    }
+
+    pub fn u8(&mut self) -> Result<u8, IsupError> {
+        Ok(self.array::<1>()?[0])
+    }
+
+    pub fn u16(&mut self) -> Result<u16, IsupError> {
+        self.array().map(u16::from_be_bytes)
+    }
+
+    pub fn u32(&mut self) -> Result<u32, IsupError> {
+        self.array().map(u32::from_be_bytes)
+    }
+
+    pub fn u64(&mut self) -> Result<u64, IsupError> {
+        self.array().map(u64::from_be_bytes)
+    }
+
+    pub fn rest(self) -> &'a [u8] {
+        self.rest
+    }
+}
