Office: one exchange's controller without I/O around the decisions

Need: the decisions had no program around them. Change: crates/office holds call legs, circuits with one state each, Q.764 timers T1, T5, T7, T16, T17, T22, dual seizure by who controls the circuit, links with M3UA states, calls in transit; it implements Host, tells the decisions each event and carries out what they answer. It takes time as an argument and acts through the trait Plant.

--- a/crates/isup/src/m3ua.rs
+++ b/crates/isup/src/m3ua.rs
@@ -229,7 +229,7 @@
         }
         let told = u32::from_be_bytes([a, b, c, d]);
         let length = told as usize;
-        if !(HEADER..=LONGEST).contains(&length) || length % 4 != 0 {
+        if !(HEADER..=LONGEST).contains(&length) || !length.is_multiple_of(4) {
             return Err(FrameError::Length(told));
         }
         if rest.len() < length {
--- /dev/null
+++ b/crates/office/src/office.rs
@@ -0,0 +1,625 @@
+//! What callers, the roster, the exchange's own plant and the clock tell an office.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use mintstall::Controller;
+use mintstall::host::{
+    CallId, CallType, Cause, CustomerNo, Dialled, Ended, ExchangeId, Offer, OfficeNo, RosterLine, SeizureNo,
+    Standing,
+};
+use mintstall_isup::{
+    Body, CauseIndicators, Cic, Frame, Identity, Location, Number, Q850, RangeStatus, Rel, Report,
+};
+
+use crate::circuits::{Group, Use};
+use crate::desk::{Desk, Working};
+use crate::legs::{Held, Leg, Out, Sink, Source};
+use crate::links::{Cleared, Link, Phase, SILENT_BEATS};
+use crate::plan::{ANSWER_WAY, OfficePlan};
+use crate::plant::{Answer, CallEnd, Plant};
+use crate::state::Tally;
+use crate::timers::{Timer, TimerQueue};
+
+/// A call as a subscriber asks for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub call_type: CallType,
+    pub customer: CustomerNo,
+    pub dest: OfficeNo,
+    pub dialled: Dialled,
+    /// How long the caller waits, from now.
+    pub left: Duration,
+    /// The tandem that a centre advises.
+    pub advised: Option<OfficeNo>,
+    /// It stood, was cut, and comes again.
+    pub cut: bool,
+    pub redial: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    Open,
+    /// No new calls; those in hand are finished.
+    Closing,
+}
+
+/// One exchange's controller.
+pub struct Office {
+    pub(crate) controller: Controller,
+    pub(crate) desk: Desk,
+    service: Service,
+}
+
+/// Digits of a called number that name the exchange; the rest is the number there.
+pub(crate) const OFFICE_DIGITS: usize = 5;
+
+pub(crate) fn normal(location: Location) -> Rel<'static> {
+    Rel::new(CauseIndicators::new(location, Q850::NormalClearing))
+}
+
+pub(crate) fn failure(cause: Q850) -> Rel<'static> {
+    Rel::new(CauseIndicators::new(Location::Local, cause))
+}
+
+impl Office {
+    /// `incarnation` sets the call numbers of this process apart from those before it: it must grow with each start.
+    pub fn new(plan: &OfficePlan, incarnation: u32, seed: u64) -> Self {
+        let group = |group: &crate::GroupPlan| (group.to, Group::new(plan.own, group.to, group.circuits));
+        let desk = Desk {
+            own: plan.own,
+            t: plan.timers,
+            most_calls: plan.most_calls,
+            widths: plan.data.call_types.iter().map(|of| of.width).collect(),
+            groups: plan.groups.iter().map(group).collect(),
+            links: plan.groups.iter().map(|group| (group.to, Link::default())).collect(),
+            legs: BTreeMap::new(),
+            timers: TimerQueue::default(),
+            exchanges: BTreeMap::new(),
+            lines: plan.numbers.iter().map(|number| (number.dialled, (number.lines, 0))).collect(),
+            report: None,
+            after: VecDeque::new(),
+            changed: BTreeSet::new(),
+            // Below 2^63, above which the decisions keep numbers of their own.
+            next_call: u64::from(incarnation >> 1) << 32,
+            owed: 0,
+            tally: Tally::default(),
+            frame: Vec::new(),
+            message: Vec::new(),
+        };
+        Self { controller: Controller::new(&plan.data, seed), desk, service: Service::Open }
+    }
+
+    pub fn own(&self) -> OfficeNo {
+        self.desk.own
+    }
+
+    /// When [`Office::ring`] is next to be called.
+    pub fn next_alarm(&self) -> Option<Duration> {
+        self.desk.timers.next()
+    }
+
+    /// Whether a final answer is owed to any subscriber.
+    pub fn owes(&self) -> bool {
+        self.desk.owed > 0
+    }
+
+    /// Runs one thing that happens, and all that follows from it.
+    pub(crate) fn happens(
+        &mut self,
+        now: Duration,
+        plant: &mut dyn Plant,
+        first: impl FnOnce(&mut Controller, &mut Working),
+    ) {
+        let w = &mut Working { desk: &mut self.desk, plant, now };
+        first(&mut self.controller, w);
+        loop {
+            if let Some(step) = w.desk.after.pop_front() {
+                step(&mut self.controller, w);
+            } else if let Some(office) = w.desk.changed.pop_first() {
+                let report = w.desk.group_report(office);
+                let there: Vec<ExchangeId> = w.desk.exchanges_at(office).collect();
+                there.into_iter().for_each(|id| self.controller.reported(now, w, id, &report));
+            } else {
+                break;
+            }
+        }
+    }
+
+    /// The whole roster. `started` is by the same clock as `now`; zero means long ago.
+    pub fn roster(&mut self, now: Duration, plant: &mut dyn Plant, lines: &[RosterLine]) {
+        self.happens(now, plant, |controller, w| {
+            w.desk.exchanges.clear();
+            w.desk.note_roster(lines);
+            controller.roster(now, w, lines);
+        });
+    }
+
+    /// Changed lines of the roster only.
+    pub fn roster_changes(&mut self, now: Duration, plant: &mut dyn Plant, lines: &[RosterLine]) {
+        self.happens(now, plant, |controller, w| {
+            w.desk.note_roster(lines);
+            controller.roster_changes(now, w, lines);
+        });
+    }
+
+    /// What the own processor says of itself; goes along with the next answers.
+    pub fn processor(&mut self, report: Report) {
+        self.desk.report = Some(report);
+    }
+
+    /// A number for the next call, never used twice.
+    pub fn next_call(&mut self) -> CallId {
+        self.desk.next_call += 1;
+        CallId(self.desk.next_call)
+    }
+
+    /// A subscriber asks for a call; it gets exactly one final answer, maybe before this returns.
+    pub fn offer(&mut self, now: Duration, plant: &mut dyn Plant, call: CallId, order: Order) {
+        let closing = self.service == Service::Closing;
+        self.happens(now, plant, |controller, w| {
+            w.desk.tally.offered += 1;
+            let full = w.desk.legs.len() >= w.desk.most_calls;
+            w.desk.tally.overflow += u64::from(full);
+            let called = Number::empty().then(order.dest.0.into(), OFFICE_DIGITS);
+            let called = called.and_then(|office| office.then(order.dialled.0, 1));
+            let width = w.desk.widths.get(usize::from(order.call_type.0)).copied();
+            let until = now.saturating_add(order.left).saturating_sub(ANSWER_WAY);
+            let (Some(called), Some(width)) = (called.filter(|_| !closing && !full && until > now), width)
+            else {
+                w.desk.tally.refused += 1;
+                return w.plant.answer(call, Answer::Refused { come_back: Duration::ZERO });
+            };
+            let identity = Identity {
+                origin: w.desk.own.0,
+                call: call.0,
+                seizure: 0,
+                call_type: order.call_type.0,
+                customer: order.customer.0,
+                left_ms: 0,
+                cut: order.cut,
+                redial: order.redial,
+            };
+            w.desk.owed += 1;
+            let guard = w.desk.timers.set(until, Timer::Guard(call));
+            w.desk.legs.insert(
+                call,
+                Leg {
+                    source: Source::Subscriber,
+                    sink: Sink::Open,
+                    identity,
+                    called,
+                    dialled: order.dialled.0,
+                    dest: order.dest,
+                    width,
+                    until,
+                    guard: Some(guard),
+                    alarm: None,
+                    seizures: 0,
+                    last: None,
+                },
+            );
+            let offer = w.desk.offer(call, order.advised);
+            offer.into_iter().for_each(|offer| controller.offered(now, w, offer));
+        });
+    }
+
+    /// The caller hangs up, or gives up. `false`: no such call is in hand.
+    pub fn hang_up(&mut self, now: Duration, plant: &mut dyn Plant, call: CallId) -> bool {
+        let leg = self.desk.legs.get(&call);
+        let known = leg.is_some_and(|leg| matches!(leg.source, Source::Subscriber));
+        if known {
+            self.happens(now, plant, |controller, w| w.caller_gone(controller, call, normal(Location::User)));
+        }
+        known
+    }
+
+    /// Circuits to an exchange, from a place in the group on, fail or come back. Calls on those that fail are cut, and
+    /// the far end is told (Q.764 clause 2.8.2.2, hardware failure).
+    pub fn circuits(&mut self, now: Duration, plant: &mut dyn Plant, to: OfficeNo, in_service: u16) {
+        self.happens(now, plant, |controller, w| {
+            let Some(group) = w.desk.groups.get(&to) else { return };
+            let change = |place: u16, here: bool| here != (place >= in_service);
+            let places: Vec<_> =
+                group.all().map(|(place, circuit)| (place, circuit.blocked.here())).collect();
+            let changed: Vec<_> = places.into_iter().filter(|(place, here)| change(*place, *here)).collect();
+            for (fails, name) in [(true, "fail"), (false, "come back")] {
+                let places: Vec<_> =
+                    changed.iter().filter(|(_, here)| *here != fails).map(|(place, _)| *place).collect();
+                if places.is_empty() {
+                    continue;
+                }
+                w.plant.note(&format!(
+                    "exchange {}: {} circuits {name}, {in_service} in service",
+                    to.0,
+                    places.len()
+                ));
+                for place in &places {
+                    if let Some(group) = w.desk.groups.get_mut(&to) {
+                        group.block(*place, Some(fails), None);
+                    }
+                    if fails {
+                        w.circuit_fails(controller, to, *place);
+                    }
+                }
+                w.desk.changed.insert(to);
+                w.tell_blocked(to, &places, fails);
+            }
+        });
+    }
+
+    /// No new calls from now on; what is in hand is finished.
+    pub fn stop(&mut self) {
+        self.service = Service::Closing;
+    }
+
+    /// Lets go of all calls that stand; those that wait for an answer fail.
+    pub fn release_all(&mut self, now: Duration, plant: &mut dyn Plant) {
+        let calls: Vec<CallId> = self.desk.legs.keys().copied().collect();
+        for call in calls {
+            self.happens(now, plant, |controller, w| {
+                let standing = w.desk.legs.get(&call).is_some_and(|leg| {
+                    matches!((&leg.source, &leg.sink), (Source::Subscriber, Sink::Standing(_)))
+                });
+                w.caller_gone(controller, call, failure(Q850::OutOfOrder));
+                if standing {
+                    w.desk.tally.cut += 1;
+                    w.plant.ended(call, CallEnd::Cut);
+                }
+            });
+        }
+    }
+
+    /// The connection to an exchange is open.
+    pub fn link_up(&mut self, now: Duration, plant: &mut dyn Plant, to: OfficeNo) {
+        self.happens(now, plant, |_, w| {
+            let Some(link) = w.desk.links.get_mut(&to) else { return };
+            link.phase = Phase::Announcing;
+            link.far = Default::default();
+            link.deframer = Default::default();
+            link.unanswered = 0;
+            w.announce(to);
+        });
+    }
+
+    /// It is gone.
+    pub fn link_down(&mut self, now: Duration, plant: &mut dyn Plant, to: OfficeNo) {
+        self.happens(now, plant, |controller, w| w.link_lost(controller, to));
+    }
+
+    /// Rings all that is due.
+    pub fn ring(&mut self, now: Duration, plant: &mut dyn Plant) {
+        while let Some(timer) = self.desk.timers.due(now) {
+            self.happens(now, plant, |controller, w| match timer {
+                Timer::Alarm(alarm) => {
+                    if let Some(leg) = w.desk.legs.get_mut(&CallId(alarm.0)) {
+                        leg.alarm = None;
+                    }
+                    controller.rings(now, w, alarm);
+                }
+                Timer::Limit(call, no) => w.limit_passed(controller, call, no),
+                Timer::Guard(call) => w.time_up(controller, call),
+                Timer::Circuit(to, place) => w.circuit_timer(to, place),
+                Timer::GroupReset(to, place) => w.reset_system(to, place, w.desk.t.t17),
+                Timer::Link(to) => w.link_timer(to),
+                Timer::LinkGrace(to) => w.link_grace(controller, to),
+            });
+        }
+    }
+
+    pub(crate) fn closing(&self) -> bool {
+        self.service == Service::Closing
+    }
+}
+
+impl Desk {
+    fn note_roster(&mut self, lines: &[RosterLine]) {
+        for line in lines {
+            self.exchanges.insert(line.exchange, line.office);
+            self.changed.insert(line.office);
+        }
+        // A machine that is gone and replaced is named no more.
+        for gone in lines.iter().filter(|line| line.standing == Standing::Gone) {
+            if self.exchanges_at(gone.office).any(|id| id != gone.exchange) {
+                self.exchanges.remove(&gone.exchange);
+            }
+        }
+    }
+
+    /// What the decisions are told of a call.
+    pub fn offer(&self, call: CallId, advised: Option<OfficeNo>) -> Option<Offer> {
+        let leg = self.legs.get(&call)?;
+        let (transit, advised) = match &leg.source {
+            Source::Trunk(held) => (true, Some(held.to)),
+            _ => (false, advised),
+        };
+        Some(Offer {
+            call,
+            call_type: CallType(leg.identity.call_type),
+            customer: CustomerNo(leg.identity.customer),
+            dialled: Dialled(leg.dialled),
+            until: leg.until,
+            dest: leg.dest,
+            width: leg.width,
+            advised,
+            transit,
+            cut: leg.identity.cut,
+            redial: leg.identity.redial,
+        })
+    }
+}
+
+impl Working<'_> {
+    /// The side a call came from is gone; `rel` goes to what it holds on the other side. A subscriber to whom an
+    /// answer is owed gets it at once.
+    pub fn caller_gone(&mut self, controller: &mut Controller, call: CallId, rel: Rel) {
+        let now = self.now;
+        let Some(leg) = self.desk.legs.get_mut(&call) else { return };
+        match std::mem::replace(&mut leg.sink, Sink::Open) {
+            Sink::Here => {
+                self.line_free(call);
+                self.let_go_source(call, &rel);
+                self.desk.drop_leg(call);
+            }
+            Sink::Standing(out) => {
+                let cut = rel.cause.cause != Q850::NormalClearing;
+                self.release_held(&out.held, rel);
+                self.let_go_source(call, &failure(Q850::OutOfOrder));
+                self.desk.drop_leg(call);
+                let cause = if cut { Cause::Cut } else { Cause::Done };
+                controller.ended(now, self, &out.ended(call, now, cause, true));
+            }
+            sink @ (Sink::Open | Sink::Seized(_)) => {
+                leg.sink = sink;
+                let source = std::mem::replace(&mut leg.source, Source::Gone);
+                leg.guard.take().into_iter().for_each(|set| self.desk.timers.stop(set));
+                match source {
+                    Source::Subscriber => {
+                        self.desk.owed -= 1;
+                        self.desk.tally.failed += 1;
+                        self.plant.answer(call, Answer::Fails);
+                    }
+                    Source::Trunk(held) => self.let_go(&held, &rel),
+                    Source::Gone => {}
+                }
+                controller.withdrawn(now, self, call);
+                self.desk.finish(call);
+            }
+        }
+    }
+
+    /// Releases circuits that are still taken by their call; those that the far end let go are left as they are.
+    pub fn let_go(&mut self, held: &Held, rel: &Rel) {
+        let group = self.desk.groups.get(&held.to);
+        let taken = group
+            .and_then(|group| group.get(held.first()))
+            .is_some_and(|circuit| circuit.used.call().is_some());
+        if taken {
+            self.release_held(held, Rel { other: Vec::new(), ..rel.clone() });
+        }
+    }
+
+    fn let_go_source(&mut self, call: CallId, rel: &Rel) {
+        if let Some(Leg { source: Source::Trunk(held), .. }) = self.desk.legs.get(&call) {
+            let held = held.clone();
+            self.let_go(&held, rel);
+        }
+    }
+
+    pub fn line_free(&mut self, call: CallId) {
+        let Some(leg) = self.desk.legs.get(&call) else { return };
+        if let Some((_, taken)) = self.desk.lines.get_mut(&leg.dialled) {
+            *taken = taken.saturating_sub(1);
+        }
+    }
+
+    /// A seizure passed its limit: its circuits stay taken until the far end has let go.
+    fn limit_passed(&mut self, controller: &mut Controller, call: CallId, no: SeizureNo) {
+        let Some(leg) = self.desk.legs.get_mut(&call) else { return };
+        match std::mem::replace(&mut leg.sink, Sink::Open) {
+            Sink::Seized(out) if out.no == no => {
+                leg.last = Some(Cause::TimedOut);
+                self.desk.tally.timed_out += 1;
+                self.release_held(&out.held, failure(Q850::RecoveryOnTimer));
+                let closed = self.desk.closed(call);
+                let now = self.now;
+                controller.ended(now, self, &out.ended(call, now, Cause::TimedOut, closed));
+                self.desk.finish(call);
+            }
+            other => leg.sink = other,
+        }
+    }
+
+    /// The caller's time is up, and the decisions have not answered: they are told that the caller is gone.
+    fn time_up(&mut self, controller: &mut Controller, call: CallId) {
+        if let Some(leg) = self.desk.legs.get_mut(&call) {
+            leg.guard = None;
+            if matches!(leg.sink, Sink::Open | Sink::Seized(_)) {
+                self.caller_gone(controller, call, failure(Q850::RecoveryOnTimer));
+            }
+        }
+    }
+
+    /// T1 and T5 of a circuit that is being let go, T16 and T17 of one being reset (Q.764 table A.1).
+    fn circuit_timer(&mut self, to: OfficeNo, place: u16) {
+        let (now, t) = (self.now, self.desk.t);
+        let Some(group) = self.desk.groups.get(&to) else { return };
+        let Some(used) = group.get(place).map(|circuit| circuit.used) else { return };
+        let held = Held { to, places: group.together(place) };
+        match used {
+            Use::Releasing { since, .. } if now >= since + t.t5 => {
+                self.plant.note(&format!(
+                    "exchange {}: circuit {} not released in {:?}, reset",
+                    to.0,
+                    Cic::at(place).0,
+                    t.t5
+                ));
+                self.reset_held(&held);
+            }
+            Use::Releasing { since, .. } => {
+                self.desk.tally.releases_repeated += 1;
+                self.send(to, Cic::at(place), Body::Rel(normal(Location::Local)));
+                let timer = self.desk.timers.set((now + t.t1).min(since + t.t5), Timer::Circuit(to, place));
+                self.put_first(&held, Use::Releasing { since, timer });
+            }
+            Use::Resetting { .. } => {
+                self.send(to, Cic::at(place), Body::Rsc);
+                let timer = Some(self.reset_timer(to, place, t.t17));
+                self.put_first(&held, Use::Resetting { timer });
+            }
+            _ => {}
+        }
+    }
+
+    /// A circuit's hardware failed: its call is cut and it is idle behind its block, without a release.
+    pub fn circuit_fails(&mut self, controller: &mut Controller, to: OfficeNo, place: u16) {
+        let used = self.desk.groups.get(&to).and_then(|group| group.get(place)).map(|circuit| circuit.used);
+        match used {
+            Some(Use::Idle | Use::Along(_)) | None => {}
+            Some(Use::Releasing { .. } | Use::Resetting { .. }) => self.idle(to, place),
+            Some(used) => {
+                // Both ends see the failure, and let go of all circuits of a wider call at once.
+                let rel = failure(Q850::TemporaryFailure);
+                used.call().into_iter().for_each(|call| {
+                    self.side_lost(controller, call, (to, place), Cause::Cut, &rel, Held::idle);
+                });
+            }
+        }
+    }
+
+    /// Blocks or unblocks circuits at the far end, a message a system (Q.763 clause 3.13: hardware failure).
+    pub fn tell_blocked(&mut self, to: OfficeNo, places: &[u16], blocked: bool) {
+        const HARDWARE: u8 = 1;
+        for system in places.chunk_by(|a, b| a / Cic::SYSTEM == b / Cic::SYSTEM) {
+            let (first, last) = (system[0], system[system.len() - 1]);
+            let status = system.iter().fold(0u32, |bits, place| bits | 1 << (place - first));
+            let range = RangeStatus { count: (last - first + 1) as u8, status };
+            let body = match blocked {
+                true => Body::Cgb { kind: HARDWARE, range },
+                false => Body::Cgu { kind: HARDWARE, range },
+            };
+            self.send(to, Cic::at(first), body);
+        }
+    }
+
+    fn announce(&mut self, to: OfficeNo) {
+        let own = u32::from(self.desk.own.0);
+        let again = self.now + self.desk.t.link_ack;
+        let Some(link) = self.desk.links.get_mut(&to) else { return };
+        let frame = match link.phase {
+            Phase::Announcing => Frame::AspUp { asp: Some(own) },
+            Phase::Activating => Frame::AspActive,
+            Phase::Down | Phase::Active => return,
+        };
+        let set = self.desk.timers.set(again, Timer::Link(to));
+        link.timer.replace(set).into_iter().for_each(|before| self.desk.timers.stop(before));
+        self.send_frame(to, frame);
+    }
+
+    /// The own end is up at the far one: asks to take traffic.
+    pub fn activate(&mut self, to: OfficeNo) {
+        if let Some(link) = self.desk.links.get_mut(&to).filter(|link| link.phase == Phase::Announcing) {
+            link.phase = Phase::Activating;
+            self.announce(to);
+        }
+    }
+
+    /// T(ack), or time for a sign of life.
+    fn link_timer(&mut self, to: OfficeNo) {
+        let beat = self.desk.t.beat;
+        let Some(link) = self.desk.links.get_mut(&to) else { return };
+        link.timer = None;
+        match link.phase {
+            Phase::Down => {}
+            Phase::Announcing | Phase::Activating => self.announce(to),
+            Phase::Active if link.unanswered >= SILENT_BEATS => {
+                self.plant.close(to, "no sign of life");
+            }
+            Phase::Active => {
+                link.unanswered += 1;
+                link.timer = Some(self.desk.timers.set(self.now + beat, Timer::Link(to)));
+                self.send_frame(to, Frame::Beat(b"mintstal"));
+            }
+        }
+    }
+
+    /// Both ends take traffic. A process that has just started has the far end forget all calls of one before it; a link
+    /// that was away has what it missed said again.
+    pub fn opened(&mut self, to: OfficeNo) {
+        let beat = self.now + self.desk.t.beat;
+        let Some(link) = self.desk.links.get_mut(&to) else { return };
+        let set = self.desk.timers.set(beat, Timer::Link(to));
+        let before = [link.timer.replace(set), link.grace.take()];
+        let (waiting, cleared) = (link.waiting.take(), std::mem::replace(&mut link.cleared, Cleared::Asked));
+        before.into_iter().flatten().for_each(|before| self.desk.timers.stop(before));
+        self.plant.note(&format!("link to exchange {} is open", to.0));
+        let Some(group) = self.desk.groups.get(&to) else { return };
+        let blocked: Vec<_> = group.all().filter(|(_, c)| c.blocked.here()).map(|(place, _)| place).collect();
+        match cleared {
+            Cleared::NotYet => {
+                let firsts: Vec<u16> = (0..group.size()).step_by(usize::from(Cic::SYSTEM)).collect();
+                firsts.into_iter().for_each(|place| self.reset_system(to, place, self.desk.t.t22));
+            }
+            Cleared::Asked => {
+                let uses: Vec<_> = group.all().map(|(place, circuit)| (place, circuit.used)).collect();
+                for (place, used) in uses {
+                    match used {
+                        Use::Resetting { timer: None } => {
+                            let timer = Some(self.reset_timer(to, place, self.desk.t.t16));
+                            self.send(to, Cic::at(place), Body::Rsc);
+                            let places = self.desk.groups.get(&to).map(|group| group.together(place));
+                            places.iter().for_each(|places| {
+                                self.put_first(
+                                    &Held { to, places: places.clone() },
+                                    Use::Resetting { timer },
+                                );
+                            });
+                        }
+                        Use::Releasing { .. } => {
+                            self.send(to, Cic::at(place), Body::Rel(normal(Location::Local)));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        self.tell_blocked(to, &blocked, true);
+        waiting.iter().for_each(|message| self.send(to, Cic(0), Body::Peer(message)));
+        self.desk.changed.insert(to);
+    }
+
+    /// Resets all circuits of a system that carry nothing; again after a while if it is not acknowledged.
+    fn reset_system(&mut self, to: OfficeNo, first: u16, again: Duration) {
+        let Some(group) = self.desk.groups.get_mut(&to) else { return };
+        let end = (first + Cic::SYSTEM).min(group.size());
+        let waiting = |used| matches!(used, Use::Idle | Use::Resetting { timer: None });
+        let open: Vec<_> =
+            (first..end).filter(|place| group.get(*place).is_some_and(|c| waiting(c.used))).collect();
+        // What is acknowledged is idle, and reset no more.
+        let again_due = group.all().any(|(place, c)| {
+            (first..end).contains(&place) && matches!(c.used, Use::Resetting { timer: None })
+        });
+        if again == self.desk.t.t17 && !again_due || open.is_empty() {
+            return;
+        }
+        if again != self.desk.t.t17 {
+            open.iter().for_each(|place| group.put(*place, Use::Resetting { timer: None }));
+        }
+        self.desk.tally.resets += 1;
+        self.desk.timers.set(self.now + again, Timer::GroupReset(to, first));
+        self.send(to, Cic::at(first), Body::Grs { count: (end - first) as u8 });
+    }
+}
+
+impl Out {
+    pub fn ended(&self, call: CallId, now: Duration, cause: Cause, closed: bool) -> Ended {
+        Ended {
+            call,
+            seizure: self.no,
+            exchange: self.exchange,
+            cause,
+            after: now.saturating_sub(self.at),
+            closed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/office/src/plant.rs
@@ -0,0 +1,42 @@
+//! What an office acts through, and what it tells its callers.
+
+use std::time::Duration;
+
+use mintstall::host::{CallId, OfficeNo};
+
+/// Carries out what the office does. Everything takes effect at once, in the order called.
+pub trait Plant {
+    /// Octets for the link to an exchange.
+    fn send(&mut self, to: OfficeNo, octets: &[u8]);
+    /// The link to an exchange carried what makes no sense, or nothing for too long: it is to be closed. Its end is
+    /// told as any other.
+    fn close(&mut self, to: OfficeNo, why: &str);
+    /// The one final answer of a call.
+    fn answer(&mut self, call: CallId, answer: Answer);
+    /// A call that stood has ended.
+    fn ended(&mut self, call: CallId, end: CallEnd);
+    /// A change of mode, with the figures that caused it.
+    fn note(&mut self, line: &str);
+}
+
+/// The final answer of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Stands,
+    /// Nothing was carried out; the caller is asked to stay away for `come_back` (zero: no word).
+    Refused {
+        come_back: Duration,
+    },
+    Fails,
+}
+
+/// How a standing call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// Its caller hung up.
+    HungUp,
+    /// The called side released it.
+    Released,
+    /// It was cut: a circuit, a link or an exchange on the way was lost.
+    Cut,
+}
