--- /dev/null
+++ b/crates/callapi/src/lib.rs
@@ -0,0 +1,255 @@
+//! Call-control messages: JSON-RPC 2.0 texts to types and back, without I/O.
+//!
+//! A subscriber line carries one text a line ([`LineCutter`]); WebSocket will carry the same texts. A call is named by
+//! its client's own number, unique on its line; answers also tell the number that the exchange gave it.
+
+mod lines;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+pub use lines::{LineCutter, LineTooLong};
+
+/// `call.offer`: asks for a call. Its result is the call's one final answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Offer {
+    /// The client's own number for it, not in use on this line.
+    pub call: u64,
+    /// Position in the configuration's list of call types.
+    #[serde(rename = "type", default)]
+    pub call_type: u8,
+    /// Which customer's subscriber calls.
+    #[serde(default)]
+    pub customer: u16,
+    /// The number of the destination exchange.
+    pub dest: u16,
+    /// The number dialled there.
+    pub number: u64,
+    /// How long the caller waits for the final answer, milliseconds.
+    pub time_left_ms: u32,
+    /// The tandem that a centre advises.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advised: Option<u16>,
+    /// It stood, was cut, and comes again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cut: bool,
+    /// Its caller dials again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub redial: bool,
+}
+
+/// `call.hangup`: the caller gives up, or ends a call that stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Hangup {
+    pub call: u64,
+}
+
+/// What a client asks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "method", content = "params")]
+pub enum Request {
+    #[serde(rename = "call.offer")]
+    Offer(Offer),
+    #[serde(rename = "call.hangup")]
+    Hangup(Hangup),
+}
+
+/// A request and the id by which its reply names it; without one no reply is given.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    pub id: Option<Value>,
+    pub request: Request,
+}
+
+/// The final answer of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "answer", rename_all = "snake_case")]
+pub enum Final {
+    Stands,
+    /// Nothing was carried out. The caller is asked to stay away for so long, milliseconds (0: no word).
+    Refused {
+        come_back_ms: u32,
+    },
+    Fails,
+}
+
+/// The result of `call.offer`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Answered {
+    pub call: u64,
+    /// The number that the exchange gave the call.
+    pub exchange_call: u64,
+    #[serde(flatten)]
+    pub answer: Final,
+}
+
+/// How a standing call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    HungUp,
+    Released,
+    Cut,
+}
+
+/// Notification `call.ended`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct EndedNote {
+    pub call: u64,
+    pub how: How,
+}
+
+/// Why a request was not carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub code: i32,
+    pub text: String,
+}
+
+/// Error codes: those of JSON-RPC 2.0 clause 5.1, and ours from -32000 down.
+pub mod code {
+    pub const PARSE: i32 = -32700;
+    pub const INVALID_REQUEST: i32 = -32600;
+    pub const NO_SUCH_METHOD: i32 = -32601;
+    pub const INVALID_PARAMS: i32 = -32602;
+    /// No such call is in hand.
+    pub const UNKNOWN_CALL: i32 = -32001;
+    /// The client's number for the call is in use on this line.
+    pub const NUMBER_IN_USE: i32 = -32002;
+    /// Too many calls on this line wait for an answer.
+    pub const TOO_MANY: i32 = -32003;
+}
+
+impl Fault {
+    pub fn new(code: i32, text: impl Into<String>) -> Self {
+        Self { code, text: text.into() }
+    }
+}
+
+impl Asked {
+    /// Reads one text; a fault comes with the id to reply to, null where it can't be known.
+    pub fn read(text: &[u8]) -> Result<Self, (Value, Fault)> {
+        let fail = |code, text: String| (Value::Null, Fault::new(code, text));
+        let value: Value =
+            serde_json::from_slice(text).map_err(|error| fail(code::PARSE, error.to_string()))?;
+        let Value::Object(mut fields) = value else {
+            return Err(fail(code::INVALID_REQUEST, "a request is an object; batches are not taken".into()));
+        };
+        let id = fields.remove("id");
+        let reply_to = id.clone().unwrap_or(Value::Null);
+        let fail = |code, text: String| (reply_to.clone(), Fault::new(code, text));
+        if !matches!(id, None | Some(Value::Null | Value::String(_) | Value::Number(_))) {
+            return Err((Value::Null, Fault::new(code::INVALID_REQUEST, "id is neither text nor number")));
+        }
+        if fields.remove("jsonrpc") != Some(json!("2.0")) {
+            return Err(fail(code::INVALID_REQUEST, "jsonrpc is not \"2.0\"".into()));
+        }
+        let Some(Value::String(method)) = fields.get("method") else {
+            return Err(fail(code::INVALID_REQUEST, "method is missing".into()));
+        };
+        if !["call.offer", "call.hangup"].contains(&method.as_str()) {
+            return Err(fail(code::NO_SUCH_METHOD, format!("no method {method:?}")));
+        }
+        let request = serde_json::from_value(Value::Object(fields));
+        let request = request.map_err(|error| fail(code::INVALID_PARAMS, error.to_string()))?;
+        Ok(Self { id, request })
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = serde_json::to_value(&self.request).unwrap_or_default();
+        text["jsonrpc"] = json!("2.0");
+        if let Some(id) = &self.id {
+            text["id"] = id.clone();
+        }
+        text.to_string()
+    }
+}
+
+pub fn result_text(id: &Value, result: impl Serialize) -> String {
+    json!({ "jsonrpc": "2.0", "id": id, "result": result }).to_string()
+}
+
+pub fn fault_text(id: &Value, fault: &Fault) -> String {
+    json!({ "jsonrpc": "2.0", "id": id, "error": { "code": fault.code, "message": fault.text } }).to_string()
+}
+
+pub fn ended_text(note: &EndedNote) -> String {
+    json!({ "jsonrpc": "2.0", "method": "call.ended", "params": note }).to_string()
+}
+
+/// What comes back on a line: a result, a fault, or a notification.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    Answered(Answered),
+    /// A result that is no answer of a call.
+    Done,
+    Fault {
+        id: Value,
+        code: i64,
+        message: String,
+    },
+    Ended(EndedNote),
+}
+
+impl Heard {
+    pub fn read(text: &[u8]) -> serde_json::Result<Self> {
+        let value: Value = serde_json::from_slice(text)?;
+        if value["method"] == "call.ended" {
+            return Ok(Self::Ended(serde_json::from_value(value["params"].clone())?));
+        }
+        if let Some(error) = value.get("error") {
+            let message = error["message"].as_str().unwrap_or_default().to_string();
+            let code = error["code"].as_i64().unwrap_or_default();
+            return Ok(Self::Fault { id: value["id"].clone(), code, message });
+        }
+        match value["result"].get("answer") {
+            Some(_) => Ok(Self::Answered(serde_json::from_value(value["result"].clone())?)),
+            None => Ok(Self::Done),
+        }
+    }
+}
+
+/// The schema of all messages, by name.
+pub fn schema() -> Value {
+    json!({
+        "request": schemars::schema_for!(Request),
+        "call.offer result": schemars::schema_for!(Answered),
+        "call.ended": schemars::schema_for!(EndedNote),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_offer_is_read_and_written_the_same() {
+        let text = br#"{"jsonrpc":"2.0","id":7,"method":"call.offer","params":{"call":1,"dest":4,"number":55,"time_left_ms":3000}}"#;
+        let asked = Asked::read(text).unwrap();
+        assert!(matches!(&asked.request, Request::Offer(offer) if offer.dest == 4 && offer.call_type == 0));
+        assert_eq!(Asked::read(asked.text().as_bytes()).unwrap(), asked);
+    }
+
+    #[test]
+    fn each_kind_of_bad_text_has_its_code_and_the_id_to_reply_to() {
+        let code =
+            |text: &str| Asked::read(text.as_bytes()).map_err(|(id, fault)| (id, fault.code)).unwrap_err();
+        assert_eq!(code("{"), (Value::Null, code::PARSE));
+        assert_eq!(code("[]"), (Value::Null, code::INVALID_REQUEST));
+        assert_eq!(code(r#"{"id":3,"method":"call.offer"}"#), (json!(3), code::INVALID_REQUEST));
+        assert_eq!(code(r#"{"jsonrpc":"2.0","id":"a","method":"x"}"#), (json!("a"), code::NO_SUCH_METHOD));
+        let extra = r#"{"jsonrpc":"2.0","id":1,"method":"call.hangup","params":{"call":1,"more":2}}"#;
+        assert_eq!(code(extra), (json!(1), code::INVALID_PARAMS));
+    }
+
+    #[test]
+    fn answers_and_ends_are_heard_as_said() {
+        let answer = Answered { call: 3, exchange_call: 9, answer: Final::Refused { come_back_ms: 500 } };
+        assert_eq!(Heard::read(result_text(&json!(3), answer).as_bytes()).unwrap(), Heard::Answered(answer));
+        let note = EndedNote { call: 3, how: How::Cut };
+        assert_eq!(Heard::read(ended_text(&note).as_bytes()).unwrap(), Heard::Ended(note));
+    }
+}
--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -165,7 +165,8 @@
     }
 
     pub fn cut(&mut self, a: u16, b: u16) {
-        (self.take(a, b), self.take(b, a));
+        self.take(a, b);
+        self.take(b, a);
         self.with(a, |office, now, wires| office.link_down(now, wires, OfficeNo(b)));
         self.with(b, |office, now, wires| office.link_down(now, wires, OfficeNo(a)));
     }
