--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,972 @@
+//! The world around controllers: network, processors, directory and troubles, told things with the time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use mintstall_callapi::Offer;
+use mintstall_isup::{Body, CauseIndicators, Cic, Data, Deframer, Frame, Location, Message, Q850, Rel, m3ua};
+use mintstall_roster::{Entry, News, Standing};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::callers::{Caller, State};
+use crate::day::{Day, Fault, Reports, Which};
+use crate::processor::{Cold, Job, Payload, Processor};
+use crate::score::Score;
+use crate::witness::{Seen, Witness};
+
+/// What reaches controllers, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// A controller starts; `incarnation` grows with each start.
+    Start {
+        office: u16,
+        incarnation: u32,
+    },
+    /// It is killed, without a word.
+    Kill {
+        office: u16,
+    },
+    /// Its link to another exchange opens (only where the world dials), or breaks.
+    Up {
+        office: u16,
+        to: u16,
+    },
+    Down {
+        office: u16,
+        to: u16,
+    },
+    Octets {
+        office: u16,
+        from: u16,
+        octets: Vec<u8>,
+    },
+    Offer {
+        office: u16,
+        offer: Offer,
+    },
+    HangUp {
+        office: u16,
+        call: u64,
+    },
+    Roster {
+        office: u16,
+        news: News,
+    },
+    Circuits {
+        office: u16,
+        to: u16,
+        in_service: u16,
+    },
+    Report {
+        office: u16,
+        rate: Option<f64>,
+        hold_back: Option<f64>,
+    },
+}
+
+/// Who opens the links.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wiring {
+    /// The world, as soon as both ends can: virtual time.
+    Within,
+    /// The controllers dial, and are told apart by where they dial.
+    Dialled,
+}
+
+#[derive(Debug)]
+pub(crate) enum Event {
+    CallerComes,
+    Dials { caller: u64 },
+    GivesUp { caller: u64, tries: u8 },
+    HangsUp { caller: u64, tries: u8 },
+    Arrives { to: u16, from: u16, round: u32, frame: Vec<u8> },
+    Done { office: u16, round: u64 },
+    Dial { a: u16, b: u16 },
+    Tell { office: u16 },
+    Report,
+    Drift,
+    Begins(usize),
+    Ends(usize),
+    Starts { office: u16 },
+    Replaced { office: u16 },
+    Back { a: u16, b: u16 },
+}
+
+pub(crate) struct Exchange {
+    id: u32,
+    region: usize,
+    pub processor: Processor,
+    /// Whether the controller runs, and how often it has started.
+    pub running: bool,
+    incarnation: u32,
+    /// What of the directory it was told, and until when what it is told is on its way.
+    told: u64,
+    telling: Duration,
+}
+
+#[derive(Default)]
+struct Wire {
+    delay: Duration,
+    connected: bool,
+    deframer: Deframer,
+    /// Frames sent before the far end was there.
+    held: Vec<Vec<u8>>,
+    /// What was sent before a break does not arrive after it.
+    round: u32,
+    last: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crowd {
+    pub exchange: u16,
+    pub number: u64,
+    pub share: f64,
+}
+
+pub struct World {
+    pub(crate) day: Day,
+    wiring: Wiring,
+    pub(crate) length: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64, Slot)>>,
+    sequence: u64,
+    pub(crate) arrivals: Pcg64Mcg,
+    pub(crate) chance: Pcg64Mcg,
+    pub(crate) exchanges: Vec<Exchange>,
+    groups: BTreeMap<(u16, u16), u16>,
+    in_service: BTreeMap<(u16, u16), u16>,
+    /// Circuits taken, as far as the wires show: only for advice.
+    taken: BTreeMap<(u16, u16), i32>,
+    stale: (Duration, BTreeMap<(u16, u16), i32>),
+    wires: BTreeMap<(u16, u16), Wire>,
+    /// Releases of turned away set-ups, whose completion the controller must not see.
+    swallow: BTreeSet<(u16, u16, u16)>,
+    /// Planned and true calls a second, by pair, and the sums to draw one from.
+    flows: Vec<(u16, u16, f64)>,
+    sums: Vec<f64>,
+    entries: BTreeMap<u32, (u64, Entry, Duration)>,
+    version: u64,
+    late_by: Duration,
+    cut_regions: Vec<usize>,
+    broken: BTreeSet<(u16, u16)>,
+    pub(crate) burst: f64,
+    pub(crate) crowd: Option<Crowd>,
+    pub(crate) redial_at_once: bool,
+    messages_lost: f64,
+    struck: BTreeMap<usize, Vec<u16>>,
+    pub(crate) callers: BTreeMap<u64, Caller>,
+    pub(crate) last_caller: u64,
+    pub score: Score,
+}
+
+/// An event that is ordered by its time and number alone.
+#[derive(Debug)]
+struct Slot(Event);
+
+impl PartialEq for Slot {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+impl Eq for Slot {}
+impl PartialOrd for Slot {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Slot {
+    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
+        std::cmp::Ordering::Equal
+    }
+}
+
+fn pair(a: u16, b: u16) -> (u16, u16) {
+    (a.min(b), a.max(b))
+}
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s.clamp(0.0, 1e6))
+}
+
+impl World {
+    /// The day must have no faults of its script.
+    pub fn new(day: &Day, wiring: Wiring) -> Self {
+        let stream = |no: u64| Pcg64Mcg::seed_from_u64(day.seed.wrapping_mul(31).wrapping_add(no));
+        let mut plan = stream(1);
+        let offices: Vec<u16> = (1..=day.exchanges).collect();
+        let pairs: Vec<(u16, u16)> = offices
+            .iter()
+            .flat_map(|a| offices.iter().map(move |b| (*a, *b)))
+            .filter(|(a, b)| a != b)
+            .collect();
+        let weights: Vec<f64> = pairs.iter().map(|_| plan.random_range(0.4..1.6)).collect();
+        let all: f64 = weights.iter().sum();
+        let planned = pairs.iter().zip(&weights).map(|((a, b), weight)| (*a, *b, weight / all));
+        let planned: Vec<(u16, u16, f64)> =
+            planned.map(|(a, b, share)| (a, b, share * day.traffic.calls_per_s)).collect();
+        let shares: f64 = day.call_types.iter().map(|of| of.share).sum();
+        let held =
+            day.call_types.iter().map(|of| of.share / shares * of.hold_s * f64::from(of.width)).sum::<f64>();
+        let mut groups = BTreeMap::new();
+        let rates: BTreeMap<(u16, u16), f64> = planned.iter().map(|(a, b, rate)| ((*a, *b), *rate)).collect();
+        for (a, b, rate) in planned.iter().filter(|(a, b, _)| a < b) {
+            let back = rates.get(&(*b, *a)).copied().unwrap_or(0.0);
+            let erlangs = (rate + back) * held;
+            let size = erlangs * (1.0 + day.groups.spare) + erlangs.sqrt() * day.groups.spare_root;
+            if plan.random::<f64>() >= day.groups.unlinked {
+                groups.insert((*a, *b), (size.round().clamp(1.0, f64::from(Cic::IN_GROUP))) as u16);
+            }
+        }
+        let miss = day.groups.miss;
+        let flows: Vec<_> = planned
+            .iter()
+            .map(|(a, b, rate)| (*a, *b, rate * plan.random_range(1.0 - miss..=1.0 + miss)))
+            .collect();
+        let work = &day.processor;
+        let exchanges = offices.iter().map(|no| {
+            let sum = |side: fn(&(u16, u16, f64)) -> u16| {
+                planned.iter().filter(|flow| side(flow) == *no).map(|flow| flow.2).sum::<f64>()
+            };
+            let (out, into) = (sum(|flow| flow.0), sum(|flow| flow.1));
+            let ms = out * (work.look_ms + work.set_up_ms + work.answer_ms)
+                + into * (work.set_up_ms + work.release_ms);
+            let true_speed = day.speeds[(usize::from(*no) - 1) % day.speeds.len()];
+            Exchange {
+                id: u32::from(*no) * 100,
+                region: (usize::from(*no) - 1) % day.regions.len(),
+                processor: Processor::new((ms / 1e3 / work.busy).max(1e-6) * true_speed),
+                running: false,
+                incarnation: 0,
+                told: 0,
+                telling: Duration::ZERO,
+            }
+        });
+        let exchanges: Vec<Exchange> = exchanges.collect();
+        let mut wires = BTreeMap::new();
+        for (a, b) in &pairs {
+            let same = exchanges[usize::from(*a) - 1].region == exchanges[usize::from(*b) - 1].region;
+            let [least, most] = if same { day.network.same_ms } else { day.network.cross_ms };
+            let delay = seconds((least + (most - least) * plan.random::<f64>()) / 1e3);
+            wires.insert((*a, *b), Wire { delay, ..Wire::default() });
+        }
+        let entry = |(no, exchange): (usize, &Exchange)| {
+            let (office, region) = (no as u16 + 1, exchange.region as u8);
+            let entry =
+                Entry { exchange: exchange.id, office, region, standing: Standing::Ready, age_ms: None };
+            (exchange.id, (1, entry, Duration::ZERO))
+        };
+        let mut world = Self {
+            entries: exchanges.iter().enumerate().map(entry).collect(),
+            length: seconds(day.length_s),
+            day: day.clone(),
+            wiring,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            arrivals: stream(2),
+            chance: stream(3),
+            exchanges,
+            in_service: groups.clone(),
+            groups,
+            taken: BTreeMap::new(),
+            stale: (Duration::ZERO, BTreeMap::new()),
+            wires,
+            swallow: BTreeSet::new(),
+            flows,
+            sums: Vec::new(),
+            version: 1,
+            late_by: Duration::ZERO,
+            cut_regions: Vec::new(),
+            broken: BTreeSet::new(),
+            burst: 1.0,
+            crowd: None,
+            redial_at_once: false,
+            messages_lost: 0.0,
+            struck: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            last_caller: 0,
+            score: Score::default(),
+        };
+        world.sum_flows();
+        offices.iter().for_each(|office| world.at(Duration::ZERO, Event::Starts { office: *office }));
+        // Links and groups need a moment to open.
+        world.at(seconds(1.5), Event::CallerComes);
+        for (no, fault) in day.faults.iter().enumerate() {
+            world.at(seconds(fault.at_s), Event::Begins(no));
+            world.at(seconds(fault.at_s + fault.for_s), Event::Ends(no));
+        }
+        if day.traffic.drift_s > 0.0 {
+            world.at(seconds(day.traffic.drift_s), Event::Drift);
+        }
+        if day.processor.reports != Reports::None {
+            world.at(Duration::ZERO, Event::Report);
+        }
+        world
+    }
+
+    /// Circuits between two exchanges.
+    pub fn groups(&self) -> &BTreeMap<(u16, u16), u16> {
+        &self.groups
+    }
+
+    pub fn day(&self) -> &Day {
+        &self.day
+    }
+
+    pub(crate) fn at(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence, Slot(event))));
+    }
+
+    pub fn next(&self) -> Option<Duration> {
+        self.queue.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Whether all arrivals are over and every caller has left.
+    pub fn over(&self, now: Duration) -> bool {
+        now >= self.length && self.callers.is_empty()
+    }
+
+    /// Callers who have not left yet.
+    pub fn callers_left(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Lets the next thing happen, if it is due; it happens at its own time.
+    pub fn advance(&mut self, now: Duration, w: &mut dyn Witness, acts: &mut Vec<Act>) -> bool {
+        if self.next().is_none_or(|at| at > now) {
+            return false;
+        }
+        let Some(Reverse((at, _, Slot(event)))) = self.queue.pop() else { return false };
+        match event {
+            Event::CallerComes => self.caller_comes(at),
+            Event::Dials { caller } => self.dials(at, caller),
+            Event::GivesUp { caller, tries } => self.gives_up(at, caller, tries, w, acts),
+            Event::HangsUp { caller, tries } => self.hangs_up(at, caller, tries, w, acts),
+            Event::Arrives { to, from, round, frame } => {
+                if self.wires.get(&(from, to)).is_some_and(|wire| wire.round == round) {
+                    self.arrives(at, to, from, frame, w, acts);
+                }
+            }
+            Event::Done { office, round } => self.done_work(at, office, round, w, acts),
+            Event::Dial { a, b } => {
+                if self.usable(a, b) && !self.wires[&(a, b)].connected {
+                    for (office, to) in [(a, b), (b, a)] {
+                        self.wire(office, to).connected = true;
+                        w.saw(at, Seen::LinkUp { office, to });
+                        acts.push(Act::Up { office, to });
+                    }
+                }
+            }
+            Event::Tell { office } => self.tell(at, office, w, acts),
+            Event::Report => self.report(at, acts),
+            Event::Drift => {
+                self.drift();
+                self.at(at + seconds(self.day.traffic.drift_s), Event::Drift);
+            }
+            Event::Begins(no) => self.begins(at, no, w, acts),
+            Event::Ends(no) => self.ends(at, no, w, acts),
+            Event::Starts { office } => self.starts(at, office, w, acts),
+            Event::Replaced { office } => self.replaced(at, office, w, acts),
+            Event::Back { a, b } => {
+                self.set_circuits(a, b, self.groups.get(&(a, b)).copied().unwrap_or(0), acts)
+            }
+        }
+        true
+    }
+
+    // Traffic.
+
+    pub(crate) fn pair(&self, draw: f64) -> (u16, u16) {
+        let wanted = draw * self.sums.last().copied().unwrap_or(0.0);
+        let at = self.sums.partition_point(|sum| *sum <= wanted).min(self.flows.len() - 1);
+        (self.flows[at].0, self.flows[at].1)
+    }
+
+    fn sum_flows(&mut self) {
+        let add = |sum: &mut f64, flow: &(u16, u16, f64)| {
+            *sum += flow.2;
+            Some(*sum)
+        };
+        self.sums = self.flows.iter().scan(0.0, add).collect();
+    }
+
+    fn drift(&mut self) {
+        let by = self.day.traffic.drift;
+        for flow in &mut self.flows {
+            flow.2 *= 1.0 + by * (self.arrivals.random::<f64>() * 2.0 - 1.0);
+        }
+        self.sum_flows();
+    }
+
+    /// The tandem that had most room at the centre's last look, two seconds apart.
+    pub(crate) fn advice(&mut self, now: Duration, from: u16, dest: u16) -> Option<u16> {
+        if now >= self.stale.0 {
+            self.stale = (now + seconds(2.0), self.taken.clone());
+        }
+        let room = |a: u16, b: u16| {
+            let size = self.in_service.get(&pair(a, b)).map(|size| i32::from(*size))?;
+            Some(size - self.stale.1.get(&pair(a, b)).copied().unwrap_or(0))
+        };
+        let tandems = (1..=self.day.exchanges).filter(|tandem| *tandem != from && *tandem != dest);
+        let rooms = tandems.filter_map(|tandem| Some((room(from, tandem)?.min(room(tandem, dest)?), tandem)));
+        rooms.max().map(|(_, tandem)| tandem)
+    }
+
+    // The network.
+
+    fn wire(&mut self, from: u16, to: u16) -> &mut Wire {
+        self.wires.entry((from, to)).or_default()
+    }
+
+    fn usable(&self, a: u16, b: u16) -> bool {
+        let (one, other) = (&self.exchanges[usize::from(a) - 1], &self.exchanges[usize::from(b) - 1]);
+        let cut = |region: &usize| (one.region == *region) != (other.region == *region);
+        one.running
+            && other.running
+            && !self.broken.contains(&pair(a, b))
+            && !self.cut_regions.iter().any(cut)
+    }
+
+    /// A controller opened its connection for another exchange.
+    pub fn connected(
+        &mut self,
+        now: Duration,
+        office: u16,
+        to: u16,
+        w: &mut dyn Witness,
+        acts: &mut Vec<Act>,
+    ) {
+        if !self.usable(office, to) {
+            return acts.push(Act::Down { office, to });
+        }
+        self.wire(office, to).connected = true;
+        w.saw(now, Seen::LinkUp { office, to });
+        let held = std::mem::take(&mut self.wire(to, office).held);
+        held.into_iter().for_each(|frame| self.on_its_way(now, to, office, frame));
+    }
+
+    /// It closed it, or died.
+    pub fn disconnected(
+        &mut self,
+        now: Duration,
+        office: u16,
+        to: u16,
+        w: &mut dyn Witness,
+        acts: &mut Vec<Act>,
+    ) {
+        if self.wire(office, to).connected {
+            self.break_link(now, office, to, w, acts);
+        }
+    }
+
+    fn break_link(&mut self, now: Duration, a: u16, b: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        for (office, to) in [(a, b), (b, a)] {
+            let wire = self.wire(office, to);
+            wire.round += 1;
+            wire.deframer = Deframer::default();
+            wire.held.clear();
+            let connected = std::mem::take(&mut wire.connected);
+            self.exchanges[usize::from(to) - 1].processor.lose(office);
+            if connected {
+                w.saw(now, Seen::LinkDown { office, to });
+                if self.exchanges[usize::from(office) - 1].running {
+                    acts.push(Act::Down { office, to });
+                }
+            }
+        }
+        self.swallow.retain(|(from, to, _)| pair(*from, *to) != pair(a, b));
+    }
+
+    fn dial_later(&mut self, now: Duration, a: u16, b: u16) {
+        if self.wiring == Wiring::Within {
+            let wait = seconds(self.chance.random_range(0.05..0.25));
+            self.at(now + wait, Event::Dial { a, b });
+        }
+    }
+
+    fn dial_all(&mut self, now: Duration, among: impl Fn(u16, u16) -> bool) {
+        let pairs: Vec<_> = self.groups.keys().copied().filter(|(a, b)| among(*a, *b)).collect();
+        pairs.into_iter().for_each(|(a, b)| self.dial_later(now, a, b));
+    }
+
+    /// A controller sent octets on its link to another exchange.
+    pub fn from_controller(
+        &mut self,
+        now: Duration,
+        office: u16,
+        to: u16,
+        octets: &[u8],
+        w: &mut dyn Witness,
+    ) {
+        if !self.wire(office, to).connected {
+            return;
+        }
+        let mut deframer = std::mem::take(&mut self.wire(office, to).deframer);
+        deframer.push(octets);
+        while let Ok(Some(frame)) = deframer.next() {
+            w.saw(now, Seen::Sent { office, to, frame });
+            self.on_its_way(now, office, to, frame.to_vec());
+        }
+        self.wire(office, to).deframer = deframer;
+    }
+
+    fn on_its_way(&mut self, now: Duration, from: u16, to: u16, frame: Vec<u8>) {
+        const HELD: usize = 64;
+        if !self.wire(to, from).connected {
+            let wire = self.wire(from, to);
+            if wire.held.len() < HELD {
+                wire.held.push(frame);
+            }
+            return;
+        }
+        if let Some((kind, cic)) = isup(&frame) {
+            match kind {
+                PEER if self.chance.random::<f64>() < self.messages_lost => return,
+                RLC if self.swallow.remove(&(from, to, cic)) => return,
+                IAM => *self.taken.entry(pair(from, to)).or_default() += 1,
+                RLC => *self.taken.entry(pair(from, to)).or_default() -= 1,
+                _ => {}
+            }
+        }
+        let jitter = 1.0 + self.day.network.jitter * self.chance.random::<f64>();
+        let wire = self.wire(from, to);
+        let at = (now + wire.delay.mul_f64(jitter)).max(wire.last);
+        wire.last = at;
+        let round = wire.round;
+        self.at(at, Event::Arrives { to, from, round, frame });
+    }
+
+    fn arrives(
+        &mut self,
+        now: Duration,
+        to: u16,
+        from: u16,
+        frame: Vec<u8>,
+        w: &mut dyn Witness,
+        acts: &mut Vec<Act>,
+    ) {
+        let work = &self.day.processor;
+        let (set_up, answer, release) = (work.set_up_ms / 1e3, work.answer_ms / 1e3, work.release_ms / 1e3);
+        let (full, ahead) = (work.full_wait_ms / 1e3, work.answers_first);
+        let processor = &mut self.exchanges[usize::from(to) - 1].processor;
+        let frame_of = |frame| Payload::Frame { from, frame };
+        match isup(&frame) {
+            Some((IAM, cic)) => {
+                w.saw(now, Seen::SetUp { office: to, from });
+                if processor.wait(now) > full && !processor.hung {
+                    return self.turn_away(now, to, from, cic);
+                }
+                let job = Job { work: set_up, payload: frame_of(frame), set_up: Some((from, cic)) };
+                processor.push(job, false);
+            }
+            Some((kind, cic)) => {
+                let work = match kind {
+                    ANM => answer,
+                    REL => release,
+                    _ => 0.0,
+                };
+                let behind = processor.queued((from, cic));
+                if work == 0.0 && !behind && !processor.hung {
+                    return self.deliver(now, to, from, frame, w, acts);
+                }
+                processor.push(Job { work, payload: frame_of(frame), set_up: None }, ahead && !behind);
+            }
+            None => return self.deliver(now, to, from, frame, w, acts),
+        }
+        self.keep_working(now, to);
+    }
+
+    /// A full processor turns a set-up away itself; its controller never sees it.
+    fn turn_away(&mut self, now: Duration, to: u16, from: u16, cic: u16) {
+        let plan = &self.day.processor;
+        let (work, full, tells) = (plan.turn_away_ms / 1e3, plan.full_wait_ms / 1e3, plan.tells_wait);
+        let processor = &mut self.exchanges[usize::from(to) - 1].processor;
+        let wait = (processor.wait(now) - full * 0.7).max(0.1);
+        processor.push(Job { work, payload: Payload::Nothing, set_up: None }, false);
+        self.swallow.insert((from, to, cic));
+        let cause = CauseIndicators::new(Location::Local, Q850::Congestion);
+        let rel = Rel { wait: tells.then(|| seconds(wait)), congestion: Some(2), ..Rel::new(cause) };
+        let (mut user, mut frame) = (Vec::new(), Vec::new());
+        Message::new(Cic(cic), Body::Rel(rel)).write(&mut user);
+        let (opc, dpc) = (u32::from(to), u32::from(from));
+        let data = Data { opc, dpc, service: m3ua::ISUP, network: 2, priority: 0, sls: 0, user: &user };
+        Frame::Data(data).write(&mut frame);
+        self.on_its_way(now, to, from, frame);
+        self.keep_working(now, to);
+    }
+
+    fn deliver(
+        &mut self,
+        now: Duration,
+        office: u16,
+        from: u16,
+        frame: Vec<u8>,
+        w: &mut dyn Witness,
+        acts: &mut Vec<Act>,
+    ) {
+        if self.exchanges[usize::from(office) - 1].running && self.wire(office, from).connected {
+            w.saw(now, Seen::Got { office, from, frame: &frame });
+            acts.push(Act::Octets { office, from, octets: frame });
+        }
+    }
+
+    // Processors.
+
+    fn keep_working(&mut self, now: Duration, office: u16) {
+        let processor = &mut self.exchanges[usize::from(office) - 1].processor;
+        if let Some(span) = processor.start(now) {
+            let round = processor.round;
+            self.at(now + span, Event::Done { office, round });
+        }
+    }
+
+    fn done_work(
+        &mut self,
+        now: Duration,
+        office: u16,
+        round: u64,
+        w: &mut dyn Witness,
+        acts: &mut Vec<Act>,
+    ) {
+        let processor = &mut self.exchanges[usize::from(office) - 1].processor;
+        if processor.round != round || processor.hung {
+            return;
+        }
+        let job = processor.done();
+        job.into_iter().for_each(|job| self.hand(now, office, job, w, acts));
+        self.keep_working(now, office);
+    }
+
+    fn hand(&mut self, now: Duration, office: u16, job: Job, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        match job.payload {
+            Payload::Frame { from, frame } => self.deliver(now, office, from, frame, w, acts),
+            Payload::Offer { caller, offer } => self.hand_over(now, caller, offer, w, acts),
+            Payload::Nothing => {}
+        }
+    }
+
+    /// A try comes to its own exchange's processor. `false`: it is full, or nothing runs there.
+    pub(crate) fn offer_work(&mut self, now: Duration, from: u16, caller: u64, offer: Offer) -> bool {
+        let plan = &self.day.processor;
+        let (work, full) = ((plan.look_ms + plan.set_up_ms) / 1e3, plan.full_wait_ms / 1e3);
+        let exchange = &mut self.exchanges[usize::from(from) - 1];
+        if !exchange.running || exchange.processor.wait(now) > full {
+            return false;
+        }
+        exchange.processor.push(Job { work, payload: Payload::Offer { caller, offer }, set_up: None }, false);
+        self.keep_working(now, from);
+        true
+    }
+
+    fn report(&mut self, now: Duration, acts: &mut Vec<Act>) {
+        let plan = &self.day.processor;
+        for (no, exchange) in self.exchanges.iter().enumerate().filter(|(_, exchange)| exchange.running) {
+            let wait = exchange.processor.wait(now);
+            let room = (1.0 - wait * 1e3 / plan.full_wait_ms).clamp(0.05, 1.0);
+            let rate = exchange.processor.pace(now) / (plan.set_up_ms / 1e3) * room;
+            let (rate, hold_back) = match plan.reports {
+                Reports::Rate => (Some(rate), None),
+                _ => (None, Some(1.0 - room)),
+            };
+            acts.push(Act::Report { office: no as u16 + 1, rate, hold_back });
+        }
+        if now < self.length {
+            self.at(now + seconds(0.5), Event::Report);
+        }
+    }
+
+    // The directory.
+
+    fn directory(&mut self, now: Duration, entry: Entry, started: Duration) {
+        self.version += 1;
+        self.entries.insert(entry.exchange, (self.version, entry, started));
+        for office in 1..=self.day.exchanges {
+            let [least, most] = self.day.directory.late_ms;
+            let late = seconds((least + (most - least) * self.chance.random::<f64>()) / 1e3) + self.late_by;
+            let exchange = &mut self.exchanges[usize::from(office) - 1];
+            let at = (now + late).max(exchange.telling);
+            exchange.telling = at;
+            if exchange.running {
+                self.at(at, Event::Tell { office });
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        let exchange = &self.exchanges[usize::from(office) - 1];
+        if !exchange.running {
+            return;
+        }
+        let held = exchange.told;
+        let since = (held > 0).then_some(held);
+        let aged = |(_, entry, started): &(u64, Entry, Duration)| {
+            let age = (!started.is_zero()).then(|| now.saturating_sub(*started).as_millis() as u64);
+            Entry { age_ms: age, ..*entry }
+        };
+        let entries: Vec<Entry> = self.entries.values().filter(|entry| entry.0 > held).map(aged).collect();
+        if entries.is_empty() {
+            return;
+        }
+        w.saw(now, Seen::Told { office, whole: since.is_none(), entries: &entries });
+        let news = News { version: self.version, since, entries };
+        self.exchanges[usize::from(office) - 1].told = self.version;
+        acts.push(Act::Roster { office, news });
+    }
+
+    /// A controller turned a version down: it is told all from the start.
+    pub fn wants_all(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        if let Some(exchange) = self.exchanges.get_mut(usize::from(office).wrapping_sub(1)) {
+            exchange.told = 0;
+            // A whole list of the version held would be turned down as old.
+            self.version += 1;
+            self.tell(now, office, w, acts);
+        }
+    }
+
+    fn standing(&mut self, now: Duration, office: u16, standing: Standing, started: Duration) {
+        let exchange = &self.exchanges[usize::from(office) - 1];
+        let entry =
+            Entry { exchange: exchange.id, office, region: exchange.region as u8, standing, age_ms: None };
+        self.directory(now, entry, started);
+    }
+
+    // Troubles.
+
+    fn kill(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        if !std::mem::replace(&mut self.exchanges[usize::from(office) - 1].running, false) {
+            return;
+        }
+        w.saw(now, Seen::Killed { office });
+        acts.push(Act::Kill { office });
+        let others: Vec<_> = (1..=self.day.exchanges).filter(|other| *other != office).collect();
+        others.into_iter().for_each(|other| self.break_link(now, office, other, w, acts));
+        self.callers_of_dead(now, office);
+    }
+
+    fn starts(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        let exchange = &mut self.exchanges[usize::from(office) - 1];
+        if std::mem::replace(&mut exchange.running, true) {
+            return;
+        }
+        exchange.incarnation += 1;
+        // It comes back with its last list, told anew as a whole.
+        exchange.told = 0;
+        let incarnation = exchange.incarnation * 2;
+        w.saw(now, Seen::Started { office });
+        acts.push(Act::Start { office, incarnation });
+        if incarnation > 2 {
+            self.version += 1;
+        }
+        self.tell(now, office, w, acts);
+        for (a, b) in self.in_service.keys().copied().filter(|(a, b)| *a == office || *b == office) {
+            let (to, in_service) = (if a == office { b } else { a }, self.in_service[&(a, b)]);
+            if in_service < self.groups[&(a, b)] {
+                acts.push(Act::Circuits { office, to, in_service });
+            }
+        }
+        self.dial_all(now, |a, b| a == office || b == office);
+    }
+
+    fn cold(&mut self, now: Duration, office: u16, w: &mut dyn Witness) {
+        let rules = &self.day.rules;
+        let (share, warm_up) = (rules.cold_share, Duration::from_millis(rules.warm_up_ms));
+        let processor = &mut self.exchanges[usize::from(office) - 1].processor;
+        processor.drain();
+        (processor.hung, processor.slow, processor.ageing) = (false, 1.0, None);
+        processor.cold = Some(Cold { started: now, share, warm_up });
+        let set_ups = processor.speed / (self.day.processor.set_up_ms / 1e3);
+        w.saw(now, Seen::Cold { office, set_ups });
+    }
+
+    /// The old machine stops; the new one starts in its place.
+    fn replaced(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        self.kill(now, office, w, acts);
+        self.standing(now, office, Standing::Gone, Duration::ZERO);
+        self.exchanges[usize::from(office) - 1].id += 1;
+        self.cold(now, office, w);
+        self.standing(now, office, Standing::Ready, now);
+        self.starts(now, office, w, acts);
+    }
+
+    fn set_circuits(&mut self, a: u16, b: u16, in_service: u16, acts: &mut Vec<Act>) {
+        self.in_service.insert((a, b), in_service);
+        for (office, to) in [(a, b), (b, a)] {
+            if self.exchanges[usize::from(office) - 1].running {
+                acts.push(Act::Circuits { office, to, in_service });
+            }
+        }
+    }
+
+    fn strikes(&mut self, no: usize, which: &Which) -> Vec<u16> {
+        let struck = match which {
+            Which::These(these) => these.clone(),
+            Which::Share { share } => {
+                let mut all: Vec<u16> = (1..=self.day.exchanges).collect();
+                let count = (share * f64::from(self.day.exchanges)).round() as usize;
+                let draw = |chance: &mut Pcg64Mcg, all: &mut Vec<u16>| {
+                    all.swap_remove(chance.random_range(0..all.len()))
+                };
+                (0..count.min(all.len())).map(|_| draw(&mut self.chance, &mut all)).collect()
+            }
+        };
+        self.struck.insert(no, struck.clone());
+        struck
+    }
+
+    fn crossing(&self, region: usize) -> Vec<(u16, u16)> {
+        let inside = |no: u16| self.exchanges[usize::from(no) - 1].region == region;
+        self.groups.keys().copied().filter(|(a, b)| inside(*a) != inside(*b)).collect()
+    }
+
+    fn begins(&mut self, now: Duration, no: usize, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        let fault = self.day.faults[no].clone();
+        w.saw(now, Seen::Trouble { name: fault.what.name(), begins: true });
+        match fault.what {
+            Fault::Slow { exchanges, factor } => {
+                for office in self.strikes(no, &exchanges) {
+                    self.exchanges[usize::from(office) - 1].processor.slow = factor;
+                }
+            }
+            Fault::Ageing { exchanges, factor } => {
+                let until = now + seconds(fault.for_s);
+                for office in self.strikes(no, &exchanges) {
+                    self.exchanges[usize::from(office) - 1].processor.ageing = Some((now, until, factor));
+                }
+            }
+            Fault::Hang { exchanges } => {
+                for office in self.strikes(no, &exchanges) {
+                    self.exchanges[usize::from(office) - 1].processor.hung = true;
+                }
+            }
+            Fault::Burst { factor } => self.burst = factor,
+            Fault::Crowd { exchange, number, share, .. } => {
+                self.crowd = Some(Crowd { exchange, number, share })
+            }
+            Fault::RegionCut { region } => {
+                self.cut_regions.push(region);
+                for (a, b) in self.crossing(region) {
+                    self.break_link(now, a, b, w, acts);
+                }
+            }
+            Fault::CircuitsLost { region, keep } => {
+                for (a, b) in self.crossing(region) {
+                    let left = (f64::from(self.groups[&(a, b)]) * keep.clamp(0.0, 1.0)).round() as u16;
+                    self.set_circuits(a, b, left, acts);
+                }
+            }
+            Fault::MassCut { share } => {
+                for (a, b) in self.groups.keys().copied().collect::<Vec<_>>() {
+                    let left = (f64::from(self.groups[&(a, b)]) * (1.0 - share)).round() as u16;
+                    self.set_circuits(a, b, left.min(self.in_service[&(a, b)]), acts);
+                    self.at(now + seconds(0.3), Event::Back { a, b });
+                }
+            }
+            Fault::Replaced { exchanges, drain_s } => {
+                for (turn, office) in self.strikes(no, &exchanges).into_iter().enumerate() {
+                    self.standing(now, office, Standing::Draining, Duration::ZERO);
+                    self.at(now + seconds(drain_s + 3.0 * turn as f64), Event::Replaced { office });
+                }
+            }
+            Fault::MassRestart { exchanges } => {
+                for office in self.strikes(no, &exchanges) {
+                    self.kill(now, office, w, acts);
+                    self.exchanges[usize::from(office) - 1].processor.drain();
+                    self.standing(now, office, Standing::Gone, Duration::ZERO);
+                }
+            }
+            Fault::ControllersKilled { exchanges } => {
+                for office in self.strikes(no, &exchanges) {
+                    self.kill(now, office, w, acts);
+                }
+            }
+            Fault::DirectoryLate { by_ms } => self.late_by = seconds(by_ms / 1e3),
+            Fault::MessagesLost { share } => self.messages_lost = share,
+            Fault::RedialAtOnce => self.redial_at_once = true,
+            Fault::LinkBreaks { between: [a, b] } => {
+                self.broken.insert(pair(a, b));
+                self.break_link(now, a, b, w, acts);
+            }
+        }
+    }
+
+    fn ends(&mut self, now: Duration, no: usize, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        let fault = self.day.faults[no].clone();
+        w.saw(now, Seen::Trouble { name: fault.what.name(), begins: false });
+        let struck = self.struck.remove(&no).unwrap_or_default();
+        match fault.what {
+            Fault::Slow { .. } | Fault::Ageing { .. } => {
+                for office in struck {
+                    let processor = &mut self.exchanges[usize::from(office) - 1].processor;
+                    (processor.slow, processor.ageing) = (1.0, None);
+                }
+            }
+            Fault::Hang { .. } => {
+                for office in struck {
+                    let processor = &mut self.exchanges[usize::from(office) - 1].processor;
+                    processor.hung = false;
+                    for job in processor.drain() {
+                        self.hand(now, office, job, w, acts);
+                    }
+                }
+            }
+            Fault::Burst { .. } => self.burst = 1.0,
+            Fault::Crowd { .. } => self.crowd = None,
+            Fault::RegionCut { region } => {
+                self.cut_regions.retain(|cut| *cut != region);
+                self.crossing(region).into_iter().for_each(|(a, b)| self.dial_later(now, a, b));
+            }
+            Fault::CircuitsLost { region, .. } => {
+                for (a, b) in self.crossing(region) {
+                    self.set_circuits(a, b, self.groups[&(a, b)], acts);
+                }
+            }
+            Fault::MassRestart { .. } => {
+                for office in struck {
+                    self.cold(now, office, w);
+                    self.starts(now, office, w, acts);
+                    self.standing(now, office, Standing::Ready, now);
+                }
+            }
+            Fault::ControllersKilled { .. } => {
+                struck.into_iter().for_each(|office| self.starts(now, office, w, acts))
+            }
+            Fault::DirectoryLate { .. } => self.late_by = Duration::ZERO,
+            Fault::MessagesLost { .. } => self.messages_lost = 0.0,
+            Fault::RedialAtOnce => self.redial_at_once = false,
+            Fault::LinkBreaks { between: [a, b] } => {
+                self.broken.remove(&pair(a, b));
+                self.dial_later(now, a, b);
+            }
+            Fault::MassCut { .. } | Fault::Replaced { .. } => {}
+        }
+    }
+
+    /// A controller ended by itself, which nothing here asked of it; it is started again.
+    pub fn died(&mut self, now: Duration, office: u16, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        self.kill(now, office, w, acts);
+        acts.retain(|act| *act != Act::Kill { office });
+        self.at(now + seconds(0.5), Event::Starts { office });
+    }
+
+    /// Callers who are talking now, for a look from outside.
+    pub fn talking(&self) -> usize {
+        self.callers.values().filter(|caller| caller.state == State::Standing).count()
+    }
+}
+
+const IAM: u8 = 0x01;
+const ANM: u8 = 0x09;
+const REL: u8 = 0x0c;
+const RLC: u8 = 0x10;
+const PEER: u8 = mintstall_isup::national::PEER_MESSAGE;
+
+/// The type and circuit of the ISUP message in a frame, without reading all of it.
+fn isup(frame: &[u8]) -> Option<(u8, u16)> {
+    match Frame::read(frame) {
+        Ok(Frame::Data(Data { service: m3ua::ISUP, user: [low, high, kind, ..], .. })) => {
+            Some((*kind, u16::from_le_bytes([*low, *high]) & Cic::MOST))
+        }
+        _ => None,
+    }
+}
