--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,414 @@
+//! Office, roster and subscriber lines together, without I/O: texts and octets in, texts and octets out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mintstall::host::{
+    CallId, CallType, CustomerNo, Dialled, ExchangeId, OfficeNo, RosterLine, Standing as HostStanding, Zone,
+};
+use mintstall_callapi::{
+    Answered, Asked, EndedNote, Fault, Final, How, LineCutter, Request, code, ended_text, fault_text,
+    result_text,
+};
+use mintstall_isup::Report;
+use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant};
+use mintstall_roster::{Ask, FeedNote, Held, Limits, Refusal, Reply, Roster, Standing, Told, Verdict};
+use serde_json::{Value, json};
+
+use crate::config::Config;
+
+/// One connection on which calls are asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LineNo(pub u64);
+
+/// What an exchange acts through.
+pub trait Port {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]);
+    fn close_link(&mut self, to: OfficeNo, why: &str);
+    /// A text for a subscriber line, its end not included.
+    fn say(&mut self, line: LineNo, text: &str);
+    fn close_line(&mut self, line: LineNo, why: &str);
+    /// A text for the directory.
+    fn reply(&mut self, text: &str);
+    fn note(&mut self, line: &str);
+}
+
+/// Octets of the longest text that a line may carry: an offer has some 200.
+const LONGEST_TEXT: usize = 16 << 10;
+/// And of the directory: 2,048 entries of some 100 octets.
+const LONGEST_NEWS: usize = 1 << 20;
+/// Calls that one line may have in hand.
+const CALLS_A_LINE: usize = 10_000;
+
+struct Line {
+    cutter: LineCutter,
+    /// By the client's numbers. Emptied as calls end.
+    calls: BTreeMap<u64, CallId>,
+}
+
+struct Asker {
+    line: LineNo,
+    call: u64,
+    id: Option<Value>,
+}
+
+pub struct Exchange {
+    pub office: Office,
+    roster: Roster,
+    feed: LineCutter,
+    lines: BTreeMap<LineNo, Line>,
+    /// Who asked for each call. Emptied as calls end.
+    askers: BTreeMap<CallId, Asker>,
+}
+
+/// A roster's lines as the decisions read them.
+pub fn roster_lines(held: &[Held]) -> Vec<RosterLine> {
+    let line = |held: &Held| RosterLine {
+        exchange: ExchangeId(held.entry.exchange),
+        office: OfficeNo(held.entry.office),
+        zone: Zone(held.entry.region),
+        standing: match held.entry.standing {
+            Standing::Ready => HostStanding::Ready,
+            Standing::Draining => HostStanding::Draining,
+            Standing::Gone => HostStanding::Gone,
+        },
+        started: held.started,
+    };
+    held.iter().map(line).collect()
+}
+
+/// What the office does, written down until it has returned: answers need its callers' names.
+struct Wire<'a> {
+    port: &'a mut dyn Port,
+    answers: Vec<(CallId, Answer)>,
+    ends: Vec<(CallId, CallEnd)>,
+}
+
+impl Plant for Wire<'_> {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]) {
+        self.port.send(to, octets);
+    }
+    fn close(&mut self, to: OfficeNo, why: &str) {
+        self.port.close_link(to, why);
+    }
+    fn answer(&mut self, call: CallId, answer: Answer) {
+        self.answers.push((call, answer));
+    }
+    fn ended(&mut self, call: CallId, end: CallEnd) {
+        self.ends.push((call, end));
+    }
+    fn note(&mut self, line: &str) {
+        self.port.note(line);
+    }
+}
+
+impl Exchange {
+    /// `now` must be well above zero: it is the clock on which processors that started earlier are told.
+    pub fn new(config: &Config, incarnation: u32, seed: u64) -> Self {
+        Self {
+            office: Office::new(&config.plan(), incarnation, seed),
+            roster: Roster::new(Limits::default()),
+            feed: LineCutter::new(LONGEST_NEWS),
+            lines: BTreeMap::new(),
+            askers: BTreeMap::new(),
+        }
+    }
+
+    /// Runs something of the office and gives out what it answers.
+    fn with<R>(&mut self, port: &mut dyn Port, f: impl FnOnce(&mut Office, &mut Wire) -> R) -> R {
+        let mut wire = Wire { port, answers: Vec::new(), ends: Vec::new() };
+        let result = f(&mut self.office, &mut wire);
+        let Wire { answers, ends, port } = wire;
+        for (call, answer) in answers {
+            let stands = answer == Answer::Stands;
+            let Some(asker) = self.askers.get(&call) else { continue };
+            let answer = match answer {
+                Answer::Stands => Final::Stands,
+                Answer::Refused { come_back } => {
+                    Final::Refused { come_back_ms: come_back.as_millis() as u32 }
+                }
+                Answer::Fails => Final::Fails,
+            };
+            if let Some(id) = &asker.id {
+                port.say(
+                    asker.line,
+                    &result_text(id, Answered { call: asker.call, exchange_call: call.0, answer }),
+                );
+            }
+            if !stands {
+                self.forget(call);
+            }
+        }
+        for (call, end) in ends {
+            if let Some(asker) = self.forget(call) {
+                let how = match end {
+                    CallEnd::HungUp => How::HungUp,
+                    CallEnd::Released => How::Released,
+                    CallEnd::Cut => How::Cut,
+                };
+                port.say(asker.line, &ended_text(&EndedNote { call: asker.call, how }));
+            }
+        }
+        result
+    }
+
+    fn forget(&mut self, call: CallId) -> Option<Asker> {
+        let asker = self.askers.remove(&call)?;
+        if let Some(line) = self.lines.get_mut(&asker.line) {
+            line.calls.remove(&asker.call);
+        }
+        Some(asker)
+    }
+
+    pub fn link_up(&mut self, now: Duration, port: &mut dyn Port, to: OfficeNo) {
+        self.with(port, |office, wire| office.link_up(now, wire, to));
+    }
+
+    pub fn link_down(&mut self, now: Duration, port: &mut dyn Port, to: OfficeNo) {
+        self.with(port, |office, wire| office.link_down(now, wire, to));
+    }
+
+    pub fn link_octets(&mut self, now: Duration, port: &mut dyn Port, from: OfficeNo, octets: &[u8]) {
+        self.with(port, |office, wire| office.octets(now, wire, from, octets));
+    }
+
+    pub fn ring(&mut self, now: Duration, port: &mut dyn Port) {
+        self.with(port, |office, wire| office.ring(now, wire));
+    }
+
+    /// All calls that are left are let go.
+    pub fn release_all(&mut self, now: Duration, port: &mut dyn Port) {
+        self.with(port, |office, wire| office.release_all(now, wire));
+    }
+
+    // Subscriber lines.
+
+    pub fn line_open(&mut self, line: LineNo) {
+        self.lines.insert(line, Line { cutter: LineCutter::new(LONGEST_TEXT), calls: BTreeMap::new() });
+    }
+
+    /// Who asked on this line is gone: what is in hand for it is hung up, and nobody is told.
+    pub fn line_closed(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
+        let Some(Line { calls, .. }) = self.lines.remove(&line) else { return };
+        for call in calls.into_values() {
+            self.askers.remove(&call);
+            self.with(port, |office, wire| office.hang_up(now, wire, call));
+        }
+    }
+
+    pub fn line_octets(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, octets: &[u8]) {
+        let Some(held) = self.lines.get_mut(&line) else { return };
+        // Taken out while its texts are acted on.
+        let mut cutter = std::mem::replace(&mut held.cutter, LineCutter::new(LONGEST_TEXT));
+        cutter.push(octets);
+        loop {
+            match cutter.next() {
+                Ok(Some(text)) => self.text(now, port, line, text),
+                Ok(None) => break,
+                Err(error) => {
+                    let fault = Fault::new(code::PARSE, error.to_string());
+                    port.say(line, &fault_text(&Value::Null, &fault));
+                    port.close_line(line, &error.to_string());
+                    break;
+                }
+            }
+        }
+        if let Some(held) = self.lines.get_mut(&line) {
+            held.cutter = cutter;
+        }
+    }
+
+    fn text(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, text: &[u8]) {
+        let Asked { id, request } = match Asked::read(text) {
+            Ok(asked) => asked,
+            Err((id, fault)) => return port.say(line, &fault_text(&id, &fault)),
+        };
+        let done = match request {
+            Request::Offer(offer) => self.offer(now, port, line, &id, &offer),
+            Request::Hangup(hangup) => self.hang_up(now, port, line, hangup.call).map(|()| {
+                let result = json!({ "call": hangup.call });
+                id.iter().for_each(|id| port.say(line, &result_text(id, &result)));
+            }),
+        };
+        if let (Err(fault), Some(id)) = (done, id) {
+            port.say(line, &fault_text(&id, &fault));
+        }
+    }
+
+    fn offer(
+        &mut self,
+        now: Duration,
+        port: &mut dyn Port,
+        line: LineNo,
+        id: &Option<Value>,
+        offer: &mintstall_callapi::Offer,
+    ) -> Result<(), Fault> {
+        let held = self.lines.get_mut(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        if held.calls.contains_key(&offer.call) {
+            return Err(Fault::new(code::NUMBER_IN_USE, format!("call {} is in hand already", offer.call)));
+        }
+        if held.calls.len() >= CALLS_A_LINE {
+            return Err(Fault::new(code::TOO_MANY, format!("{CALLS_A_LINE} calls are in hand on this line")));
+        }
+        let order = Order {
+            call_type: CallType(offer.call_type),
+            customer: CustomerNo(offer.customer),
+            dest: OfficeNo(offer.dest),
+            dialled: Dialled(offer.number),
+            left: Duration::from_millis(offer.time_left_ms.into()),
+            advised: offer.advised.map(OfficeNo),
+            cut: offer.cut,
+            redial: offer.redial,
+        };
+        let call = self.office.next_call();
+        held.calls.insert(offer.call, call);
+        self.askers.insert(call, Asker { line, call: offer.call, id: id.clone() });
+        self.with(port, |office, wire| office.offer(now, wire, call, order));
+        Ok(())
+    }
+
+    fn hang_up(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, call: u64) -> Result<(), Fault> {
+        let known = self.lines.get(&line).and_then(|line| line.calls.get(&call)).copied();
+        let id = known.ok_or_else(|| Fault::new(code::UNKNOWN_CALL, format!("no call {call} is in hand")))?;
+        // The final answer of a call that is given up goes out within, before the reply to this.
+        self.with(port, |office, wire| office.hang_up(now, wire, id));
+        self.forget(id);
+        Ok(())
+    }
+
+    // Directory.
+
+    /// The directory is there: it is asked for all that is new.
+    pub fn directory_open(&mut self, port: &mut dyn Port) {
+        self.feed = LineCutter::new(LONGEST_NEWS);
+        port.reply(&Reply::Want(Ask { office: self.office.own().0, held: self.roster.version() }).text());
+    }
+
+    /// `Err`: what came makes no sense as a line, and the connection is to be closed. `Ok(true)`: the roster is new.
+    pub fn directory_octets(
+        &mut self,
+        now: Duration,
+        port: &mut dyn Port,
+        octets: &[u8],
+    ) -> Result<bool, String> {
+        self.feed.push(octets);
+        let mut feed = std::mem::replace(&mut self.feed, LineCutter::new(LONGEST_NEWS));
+        let mut new = false;
+        let result = loop {
+            match feed.next() {
+                Ok(Some(text)) => match FeedNote::read(text) {
+                    Ok(note) => new |= self.feed_note(now, port, &note),
+                    Err(error) => {
+                        port.note(&format!("directory: a line makes no sense and is passed over: {error}"));
+                        let (office, why) = (self.office.own().0, error.to_string());
+                        port.reply(&Reply::TurnedDown { office, version: 0, why }.text());
+                    }
+                },
+                Ok(None) => break Ok(new),
+                Err(error) => break Err(error.to_string()),
+            }
+        };
+        self.feed = feed;
+        result
+    }
+
+    /// One note of the directory or the plant; `true`: the roster is new.
+    pub fn feed_note(&mut self, now: Duration, port: &mut dyn Port, note: &FeedNote) -> bool {
+        match note {
+            FeedNote::Roster(news) => {
+                let office = self.office.own().0;
+                let (verdict, told) = self.roster.hear(now, news);
+                match verdict {
+                    Verdict::Taken { version } => port.reply(&Reply::Taken { office, version }.text()),
+                    Verdict::TurnedDown { version, why } => {
+                        port.note(&format!("roster version {version} turned down: {why}"));
+                        port.reply(&Reply::TurnedDown { office, version, why: why.to_string() }.text());
+                        if matches!(why, Refusal::Gap { .. } | Refusal::NothingHeld { .. }) {
+                            port.reply(&Reply::Want(Ask { office, held: None }).text());
+                        }
+                    }
+                }
+                let new = told.is_some();
+                told.iter().for_each(|told| self.roster_told(now, port, told));
+                new
+            }
+            FeedNote::Circuits { to, in_service } => {
+                self.with(port, |office, wire| office.circuits(now, wire, OfficeNo(*to), *in_service));
+                false
+            }
+            FeedNote::Processor { rate, hold_back } => {
+                self.office.processor(processor_report(*rate, *hold_back));
+                false
+            }
+        }
+    }
+
+    fn roster_told(&mut self, now: Duration, port: &mut dyn Port, told: &Told) {
+        self.with(port, |office, wire| match told {
+            Told::Whole(held) => office.roster(now, wire, &roster_lines(held)),
+            Told::Changes(held) => office.roster_changes(now, wire, &roster_lines(held)),
+        });
+    }
+
+    /// The roster kept from before a restart.
+    pub fn come_back(
+        &mut self,
+        now: Duration,
+        wall_ms: u64,
+        port: &mut dyn Port,
+        text: &[u8],
+    ) -> Result<(), String> {
+        let (roster, told) =
+            Roster::come_back(Limits::default(), now, wall_ms, text).map_err(|error| error.to_string())?;
+        self.roster = roster;
+        self.roster_told(now, port, &told);
+        Ok(())
+    }
+
+    pub fn keep(&self, now: Duration, wall_ms: u64) -> Option<String> {
+        serde_json::to_string(&self.roster.keep(now, wall_ms)?).ok()
+    }
+
+    // What is shown.
+
+    pub fn status(&self) -> Value {
+        let OfficeState { own, tally, calls, owed, timers, groups } = self.office.state();
+        let groups: Vec<Value> = groups
+            .iter()
+            .map(|group| {
+                let link = match group.link {
+                    LinkState::Down => "down",
+                    LinkState::Opening => "opening",
+                    LinkState::Up => "up",
+                };
+                json!({
+                    "to": group.to.0, "link": link, "circuits": group.circuits, "free": group.free,
+                    "seized": group.seized, "standing": group.standing, "releasing": group.releasing,
+                    "resetting": group.resetting, "blocked": group.blocked,
+                })
+            })
+            .collect();
+        json!({
+            "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "lines": self.lines.len(),
+            "roster": { "version": self.roster.version(), "entries": self.roster.entries().count(),
+                "turned_down": self.roster.turned_down() },
+            "groups": groups,
+            "counts": {
+                "offered": tally.offered, "transit": tally.transit, "seizures": tally.seizures, "stood": tally.stood,
+                "refused": tally.refused, "failed": tally.failed, "cut": tally.cut, "terminated": tally.terminated,
+                "timed_out": tally.timed_out, "dual_seizures": tally.dual_seizures, "yielded": tally.yielded,
+                "releases_repeated": tally.releases_repeated, "resets": tally.resets,
+                "unexpected": tally.unexpected, "overflow": tally.overflow,
+            },
+        })
+    }
+}
+
+/// A report in the thousandths that the signalling carries; what is no figure is not told.
+pub fn processor_report(rate: Option<f64>, hold_back: Option<f64>) -> Report {
+    let milli = |value: f64| (value.is_finite() && value >= 0.0).then_some(value * 1e3);
+    Report {
+        rate_milli: rate.and_then(milli).map(|milli| milli.min(f64::from(u32::MAX)) as u32),
+        hold_back_milli: hold_back.and_then(milli).map(|milli| milli.min(1000.0) as u16),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shell.rs
@@ -0,0 +1,673 @@
+//! The mio loop: sockets, timers and signals around an [`Exchange`]. It decides nothing about calls.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mintstall::host::OfficeNo;
+use mintstall_callapi::{Fault, LineCutter, code, fault_text, result_text};
+use mintstall_isup::{Deframer, Frame};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use rand::Rng;
+use serde_json::{Value, json};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use thiserror::Error;
+use tracing::{debug, info, warn};
+
+use crate::config::Config;
+use crate::exchange::{Exchange, LineNo, Port};
+use crate::wires::Outbox;
+
+#[derive(Debug, Error)]
+pub enum ShellError {
+    #[error("{what} {addr}: {error}")]
+    Listen { what: &'static str, addr: SocketAddr, error: io::Error },
+    #[error("no event loop: {0}")]
+    Poll(io::Error),
+    #[error("{path}: {error}")]
+    Keep { path: PathBuf, error: io::Error },
+}
+
+/// The clock starts an hour in: processors that started before this process are told by their age.
+const CLOCK_START: Duration = Duration::from_secs(3600);
+/// An orderly stop gives calls that wait for an answer so long; every caller's time is shorter.
+const STOP_WITHIN: Duration = Duration::from_secs(30);
+/// What is still to be written after the last call is let go gets this long.
+const FLUSH_WITHIN: Duration = Duration::from_secs(2);
+/// Connections that have not said which exchange they are.
+const MOST_STRANGERS: usize = 64;
+const STRANGER_FOR: Duration = Duration::from_secs(5);
+/// Subscriber lines at a time.
+const MOST_LINES: usize = 10_000;
+const MOST_ADMINS: usize = 64;
+/// A reconnect waits a draw from half of this, doubled with each failure up to the last.
+const REDIAL_FIRST: Duration = Duration::from_millis(100);
+const REDIAL_LAST: Duration = Duration::from_secs(5);
+const LONGEST_ADMIN_TEXT: usize = 4096;
+
+const SIGNALS: Token = Token(0);
+const LINKS_IN: Token = Token(1);
+const LINES_IN: Token = Token(2);
+const ADMINS_IN: Token = Token(3);
+const FIRST_CONNECTION: usize = 16;
+
+/// What a connection is for.
+enum Purpose {
+    /// Dialled, not connected yet.
+    Dialling(Dialled),
+    Link(OfficeNo),
+    /// Came in on the signalling port and has not said who it is.
+    Stranger {
+        deframer: Deframer,
+        octets: Vec<u8>,
+        since: Instant,
+    },
+    Line(LineNo),
+    Directory,
+    Admin(LineCutter),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Dialled {
+    Link(OfficeNo),
+    Directory,
+}
+
+struct Connection {
+    stream: TcpStream,
+    purpose: Purpose,
+    out: Outbox,
+    /// Whether it is registered for writing too.
+    writing: Writing,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Writing {
+    Idle,
+    Waits,
+}
+
+/// Who is dialled, where, and when next.
+struct Redial {
+    to: SocketAddr,
+    failures: u32,
+    due: Option<Instant>,
+}
+
+/// All connections; what the exchange acts through.
+struct Wires {
+    poll: Poll,
+    connections: BTreeMap<Token, Connection>,
+    links: BTreeMap<OfficeNo, Token>,
+    lines: BTreeMap<LineNo, Token>,
+    directory: Option<Token>,
+    /// Connections with something to write, and those to be closed, with the reason.
+    dirty: Vec<Token>,
+    closing: VecDeque<(Token, String)>,
+    next: usize,
+}
+
+impl Wires {
+    fn push(&mut self, token: Option<Token>, parts: &[&[u8]]) {
+        let Some((token, connection)) =
+            token.and_then(|token| Some((token, self.connections.get_mut(&token)?)))
+        else {
+            return;
+        };
+        parts.iter().for_each(|part| connection.out.push(part));
+        self.dirty.push(token);
+    }
+
+    fn close(&mut self, token: Option<Token>, why: &str) {
+        self.closing.extend(token.map(|token| (token, why.to_string())));
+    }
+
+    fn add(&mut self, mut stream: TcpStream, purpose: Purpose) -> io::Result<Token> {
+        let token = Token(self.next);
+        self.next += 1;
+        // Small messages must not wait for each other; where it can't be set, they do.
+        let _ = stream.set_nodelay(true);
+        let dialling = matches!(purpose, Purpose::Dialling(_));
+        let interest = if dialling { Interest::WRITABLE } else { Interest::READABLE };
+        self.poll.registry().register(&mut stream, token, interest)?;
+        let writing = Writing::Idle;
+        self.connections.insert(token, Connection { stream, purpose, out: Outbox::default(), writing });
+        Ok(token)
+    }
+
+    /// Writes what waits, and has the rest waited for.
+    fn flush(&mut self, token: Token) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        if matches!(connection.purpose, Purpose::Dialling(_)) {
+            return;
+        }
+        if connection.out.overrun() {
+            return self.close(Some(token), "reads too slowly");
+        }
+        let writing = match connection.out.write_to(&mut connection.stream) {
+            Ok(true) => Writing::Idle,
+            Ok(false) => Writing::Waits,
+            Err(error) => return self.close(Some(token), &error.to_string()),
+        };
+        if std::mem::replace(&mut connection.writing, writing) != writing {
+            let interest = match writing {
+                Writing::Idle => Interest::READABLE,
+                Writing::Waits => Interest::READABLE | Interest::WRITABLE,
+            };
+            if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
+                self.close(Some(token), &error.to_string());
+            }
+        }
+    }
+
+    fn flush_all(&mut self) {
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.sort_unstable();
+        dirty.dedup();
+        dirty.drain(..).for_each(|token| self.flush(token));
+        // Kept for its room.
+        if self.dirty.is_empty() {
+            self.dirty = dirty;
+        }
+    }
+
+    fn count(&self, which: fn(&Purpose) -> bool) -> usize {
+        self.connections.values().filter(|connection| which(&connection.purpose)).count()
+    }
+}
+
+impl Port for Wires {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]) {
+        self.push(self.links.get(&to).copied(), &[octets]);
+    }
+    fn close_link(&mut self, to: OfficeNo, why: &str) {
+        self.close(self.links.get(&to).copied(), why);
+    }
+    fn say(&mut self, line: LineNo, text: &str) {
+        self.push(self.lines.get(&line).copied(), &[text.as_bytes(), b"\n"]);
+    }
+    fn close_line(&mut self, line: LineNo, why: &str) {
+        self.close(self.lines.get(&line).copied(), why);
+    }
+    fn reply(&mut self, text: &str) {
+        self.push(self.directory, &[text.as_bytes(), b"\n"]);
+    }
+    fn note(&mut self, line: &str) {
+        info!(target: "mintstall::mode", "{line}");
+    }
+}
+
+/// A controller with its sockets.
+pub struct Shell {
+    exchange: Exchange,
+    wires: Wires,
+    signals: Signals,
+    links_in: Option<TcpListener>,
+    lines_in: Option<TcpListener>,
+    admins_in: Option<TcpListener>,
+    redials: BTreeMap<Dialled, Redial>,
+    keep: Option<PathBuf>,
+    started: Instant,
+    stopping: Option<Instant>,
+    /// Read buffer, kept for its room.
+    buffer: Vec<u8>,
+    line_count: u64,
+}
+
+fn listener(
+    poll: &Poll,
+    what: &'static str,
+    addr: Option<SocketAddr>,
+    token: Token,
+) -> Result<Option<TcpListener>, ShellError> {
+    let Some(addr) = addr else { return Ok(None) };
+    let fail = |error| ShellError::Listen { what, addr, error };
+    let mut listener = TcpListener::bind(addr).map_err(fail)?;
+    poll.registry().register(&mut listener, token, Interest::READABLE).map_err(fail)?;
+    Ok(Some(listener))
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
+}
+
+impl Shell {
+    /// Opens all that the configuration names. The configuration has no faults.
+    pub fn open(config: &Config) -> Result<Self, ShellError> {
+        let poll = Poll::new().map_err(ShellError::Poll)?;
+        let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(ShellError::Poll)?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(ShellError::Poll)?;
+        let links_in = listener(&poll, "signalling.listen", config.signalling.listen, LINKS_IN)?;
+        let lines_in = listener(&poll, "subscribers.listen", config.subscribers.listen, LINES_IN)?;
+        let admins_in =
+            listener(&poll, "admin.listen", config.admin.as_ref().map(|admin| admin.listen), ADMINS_IN)?;
+        let now = Instant::now();
+        let redial = |to| Redial { to, failures: 0, due: Some(now) };
+        let links = config.signalling.links.iter();
+        let links = links.filter_map(|link| Some((Dialled::Link(OfficeNo(link.to)), redial(link.connect?))));
+        let directory =
+            config.directory.iter().map(|directory| (Dialled::Directory, redial(directory.connect)));
+        // Seconds since 2020 as the number of this start: it grows, and fits for a century.
+        let incarnation = (wall_ms() / 1000).saturating_sub(1_577_836_800) as u32;
+        let seed = config.seed.unwrap_or_else(|| rand::rng().random());
+        let mut shell = Self {
+            exchange: Exchange::new(config, incarnation, seed),
+            wires: Wires {
+                poll,
+                connections: BTreeMap::new(),
+                links: BTreeMap::new(),
+                lines: BTreeMap::new(),
+                directory: None,
+                dirty: Vec::new(),
+                closing: VecDeque::new(),
+                next: FIRST_CONNECTION,
+            },
+            signals,
+            links_in,
+            lines_in,
+            admins_in,
+            redials: links.chain(directory).collect(),
+            keep: config.directory.as_ref().and_then(|directory| directory.keep.clone()),
+            started: now,
+            stopping: None,
+            buffer: vec![0; 64 << 10],
+            line_count: 0,
+        };
+        shell.first_roster(config);
+        Ok(shell)
+    }
+
+    /// Where the subscriber lines and the admin port ended up, where they were left to the machine.
+    pub fn addresses(&self) -> [Option<SocketAddr>; 3] {
+        [&self.links_in, &self.lines_in, &self.admins_in]
+            .map(|listener| listener.as_ref().and_then(|listener| listener.local_addr().ok()))
+    }
+
+    fn now(&self) -> Duration {
+        CLOCK_START + self.started.elapsed()
+    }
+
+    /// The roster of the last time, or all that the configuration links to where no directory speaks.
+    fn first_roster(&mut self, config: &Config) {
+        let now = self.now();
+        if config.directory.is_none() {
+            let all = config.signalling.links.iter().map(|link| link.to).chain([config.exchange]);
+            let entry = |office: u16| mintstall_roster::Entry {
+                exchange: office.into(),
+                office,
+                region: 0,
+                standing: mintstall_roster::Standing::Ready,
+                age_ms: None,
+            };
+            let news = mintstall_roster::News { version: 1, since: None, entries: all.map(entry).collect() };
+            self.exchange.feed_note(now, &mut self.wires, &mintstall_roster::FeedNote::Roster(news));
+        }
+        let Some(path) = &self.keep else { return };
+        match std::fs::read(path) {
+            Ok(text) => match self.exchange.come_back(now, wall_ms(), &mut self.wires, &text) {
+                Ok(()) => info!(path = %path.display(), "roster of before taken"),
+                Err(error) => warn!(path = %path.display(), "{error}; waiting for the directory"),
+            },
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            Err(error) => warn!(path = %path.display(), "{error}; waiting for the directory"),
+        }
+    }
+
+    /// Runs until it is told to stop and has answered all it took.
+    pub fn run(mut self) -> Result<(), ShellError> {
+        let mut events = Events::with_capacity(1024);
+        loop {
+            let wait = self.wait();
+            match self.wires.poll.poll(&mut events, wait) {
+                Ok(()) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(ShellError::Poll(error)),
+            }
+            for event in &events {
+                match event.token() {
+                    SIGNALS => self.signalled(),
+                    LINKS_IN | LINES_IN | ADMINS_IN => self.accept(event.token()),
+                    token => self.ready(token, event.is_readable(), event.is_writable()),
+                }
+            }
+            let now = self.now();
+            self.exchange.ring(now, &mut self.wires);
+            self.redial();
+            self.drop_strangers();
+            self.settle();
+            if self.stopped() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn wait(&self) -> Option<Duration> {
+        let now = self.now();
+        let alarm = self.exchange.office.next_alarm().map(|at| at.saturating_sub(now));
+        let dial = self.redials.values().filter_map(|redial| redial.due).min();
+        let dial = dial.map(|due| due.saturating_duration_since(Instant::now()));
+        let strangers = self.wires.count(|purpose| matches!(purpose, Purpose::Stranger { .. })) > 0;
+        let stopping = self.stopping.map(|_| Duration::from_millis(20));
+        let all = [alarm, dial, strangers.then_some(STRANGER_FOR), stopping];
+        // Rounded up: the machine's clock wakes a shade early otherwise, and finds nothing due.
+        all.into_iter().flatten().min().map(|wait| wait + Duration::from_micros(50))
+    }
+
+    /// Writes and closes until neither leaves anything to do.
+    fn settle(&mut self) {
+        self.wires.flush_all();
+        while let Some((token, why)) = self.wires.closing.pop_front() {
+            self.gone(token, &why);
+            self.wires.flush_all();
+        }
+    }
+
+    fn signalled(&mut self) {
+        if self.signals.pending().next().is_some() && self.stopping.is_none() {
+            info!("stopping: no new calls, {} in hand", self.exchange.office.state().calls);
+            self.exchange.office.stop();
+            self.stopping = Some(Instant::now());
+            (self.links_in, self.lines_in) = (None, None);
+        }
+    }
+
+    /// Whether all that was taken is answered and written.
+    fn stopped(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if self.exchange.office.owes() && since.elapsed() < STOP_WITHIN {
+            return false;
+        }
+        let now = self.now();
+        self.exchange.release_all(now, &mut self.wires);
+        let until = Instant::now() + FLUSH_WITHIN;
+        let mut events = Events::with_capacity(64);
+        while Instant::now() < until {
+            self.settle();
+            if self.wires.connections.values().all(|connection| connection.out.waiting() == 0) {
+                break;
+            }
+            let _ = self.wires.poll.poll(&mut events, Some(Duration::from_millis(20)));
+            let tokens: Vec<Token> = self.wires.connections.keys().copied().collect();
+            tokens.into_iter().for_each(|token| self.wires.flush(token));
+        }
+        info!("stopped");
+        true
+    }
+
+    fn accept(&mut self, on: Token) {
+        loop {
+            let listener = match on {
+                LINKS_IN => &self.links_in,
+                LINES_IN => &self.lines_in,
+                _ => &self.admins_in,
+            };
+            let Some(Ok((stream, from))) = listener.as_ref().map(TcpListener::accept) else { return };
+            let (most, count) = match on {
+                LINKS_IN => (MOST_STRANGERS, self.wires.count(|of| matches!(of, Purpose::Stranger { .. }))),
+                LINES_IN => (MOST_LINES, self.wires.lines.len()),
+                _ => (MOST_ADMINS, self.wires.count(|of| matches!(of, Purpose::Admin(_)))),
+            };
+            if count >= most {
+                warn!(%from, "connection turned away: {most} there already");
+                continue;
+            }
+            let purpose = match on {
+                LINKS_IN => Purpose::Stranger {
+                    deframer: Deframer::default(),
+                    octets: Vec::new(),
+                    since: Instant::now(),
+                },
+                LINES_IN => {
+                    self.line_count += 1;
+                    Purpose::Line(LineNo(self.line_count))
+                }
+                _ => Purpose::Admin(LineCutter::new(LONGEST_ADMIN_TEXT)),
+            };
+            match self.wires.add(stream, purpose) {
+                Ok(token) if on == LINES_IN => {
+                    let line = LineNo(self.line_count);
+                    self.wires.lines.insert(line, token);
+                    self.exchange.line_open(line);
+                    debug!(%from, line = line.0, "line open");
+                }
+                Ok(_) => {}
+                Err(error) => warn!(%from, "connection can't be watched: {error}"),
+            }
+        }
+    }
+
+    fn redial(&mut self) {
+        let now = Instant::now();
+        let due = self.redials.iter_mut().filter(|(_, redial)| redial.due.is_some_and(|due| due <= now));
+        let due: Vec<_> =
+            due.map(|(dialled, redial)| (*dialled, redial.due.take().map(|_| redial.to))).collect();
+        for (dialled, to) in due {
+            let Some(to) = to else { continue };
+            let tried =
+                TcpStream::connect(to).and_then(|stream| self.wires.add(stream, Purpose::Dialling(dialled)));
+            if let Err(error) = tried {
+                debug!(?dialled, %to, "can't connect: {error}");
+                self.redial_later(dialled);
+            }
+        }
+    }
+
+    fn redial_later(&mut self, dialled: Dialled) {
+        if let Some(redial) = self.redials.get_mut(&dialled) {
+            let span = REDIAL_FIRST.saturating_mul(1 << redial.failures.min(8)).min(REDIAL_LAST);
+            redial.failures = redial.failures.saturating_add(1);
+            redial.due = Some(Instant::now() + span.mul_f64(rand::rng().random_range(0.5..1.0)));
+        }
+    }
+
+    fn drop_strangers(&mut self) {
+        let old = |purpose: &Purpose| matches!(purpose, Purpose::Stranger { since, .. } if since.elapsed() > STRANGER_FOR);
+        let late = self.wires.connections.iter().filter(|(_, connection)| old(&connection.purpose));
+        let late: Vec<Token> = late.map(|(token, _)| *token).collect();
+        late.into_iter().for_each(|token| self.wires.close(Some(token), "has not said which exchange it is"));
+    }
+
+    fn ready(&mut self, token: Token, readable: bool, writable: bool) {
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+        if let Purpose::Dialling(dialled) = connection.purpose {
+            return self.dialled(token, dialled);
+        }
+        if writable {
+            self.wires.flush(token);
+        }
+        if readable {
+            self.read(token);
+        }
+    }
+
+    /// A connection that was dialled is there, or has failed.
+    fn dialled(&mut self, token: Token, dialled: Dialled) {
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+        let error = connection.stream.take_error().ok().flatten();
+        if error.is_some() || connection.stream.peer_addr().is_err() {
+            if error.is_some() {
+                self.wires.close(Some(token), "can't connect");
+            }
+            return;
+        }
+        connection.purpose = match dialled {
+            Dialled::Link(to) => Purpose::Link(to),
+            Dialled::Directory => Purpose::Directory,
+        };
+        if let Err(error) =
+            self.wires.poll.registry().reregister(&mut connection.stream, token, Interest::READABLE)
+        {
+            return self.wires.close(Some(token), &error.to_string());
+        }
+        match dialled {
+            Dialled::Link(to) => self.link_open(token, to),
+            Dialled::Directory => {
+                self.wires.directory = Some(token);
+                info!("directory connected");
+                self.exchange.directory_open(&mut self.wires);
+            }
+        }
+    }
+
+    fn link_open(&mut self, token: Token, to: OfficeNo) {
+        let now = self.now();
+        // The far end may come back before its old connection is known to be dead.
+        if let Some(before) = self.wires.links.insert(to, token) {
+            self.exchange.link_down(now, &mut self.wires, to);
+            self.wires.close(Some(before), "replaced by a newer connection");
+        }
+        self.exchange.link_up(now, &mut self.wires, to);
+    }
+
+    fn read(&mut self, token: Token) {
+        // Bounded, so that one connection that never pauses does not keep the others waiting.
+        for _ in 0..8 {
+            let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+            let mut buffer = std::mem::take(&mut self.buffer);
+            let more = match connection.stream.read(&mut buffer) {
+                Ok(0) => Err("closed by the far end".to_string()),
+                Ok(count) => {
+                    self.octets(token, &buffer[..count]);
+                    // Less than there was room for: nothing more is there, and what comes is told anew.
+                    Ok(count == buffer.len())
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(true),
+                Err(error) => Err(error.to_string()),
+            };
+            self.buffer = buffer;
+            match more {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(why) => return self.wires.close(Some(token), &why),
+            }
+        }
+        // More waits: asks to be told again.
+        if let Some(connection) = self.wires.connections.get_mut(&token) {
+            let interest = match connection.writing {
+                Writing::Idle => Interest::READABLE,
+                Writing::Waits => Interest::READABLE | Interest::WRITABLE,
+            };
+            let again = self.wires.poll.registry().reregister(&mut connection.stream, token, interest);
+            again.err().into_iter().for_each(|error| self.wires.close(Some(token), &error.to_string()));
+        }
+    }
+
+    fn octets(&mut self, token: Token, octets: &[u8]) {
+        let now = self.now();
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+        match &mut connection.purpose {
+            Purpose::Link(from) => {
+                let from = *from;
+                self.exchange.link_octets(now, &mut self.wires, from, octets);
+            }
+            Purpose::Line(line) => {
+                let line = *line;
+                self.exchange.line_octets(now, &mut self.wires, line, octets);
+            }
+            Purpose::Directory => match self.exchange.directory_octets(now, &mut self.wires, octets) {
+                Ok(true) => self.keep_roster(now),
+                Ok(false) => {}
+                Err(why) => self.wires.close(Some(token), &why),
+            },
+            Purpose::Stranger { deframer, octets: held, .. } => {
+                held.extend_from_slice(octets);
+                deframer.push(octets);
+                let asp = match deframer.next().map(|frame| frame.map(Frame::read)) {
+                    Ok(None) => return,
+                    Ok(Some(Ok(Frame::AspUp { asp: Some(asp) }))) => u16::try_from(asp).ok().map(OfficeNo),
+                    _ => None,
+                };
+                let held = std::mem::take(held);
+                let known = asp
+                    .filter(|asp| self.exchange.office.state().groups.iter().any(|group| group.to == *asp));
+                let Some(from) = known else {
+                    return self
+                        .wires
+                        .close(Some(token), "does not say which exchange it is, or none with a link here");
+                };
+                connection.purpose = Purpose::Link(from);
+                self.link_open(token, from);
+                self.exchange.link_octets(now, &mut self.wires, from, &held);
+            }
+            Purpose::Admin(cutter) => {
+                cutter.push(octets);
+                let mut replies = Vec::new();
+                let fault = loop {
+                    match cutter.next() {
+                        Ok(Some(text)) => replies.push(admin_reply(&self.exchange, text, self.started)),
+                        Ok(None) => break None,
+                        Err(error) => break Some(error.to_string()),
+                    }
+                };
+                for reply in replies {
+                    self.wires.push(Some(token), &[reply.as_bytes(), b"\n"]);
+                }
+                fault.iter().for_each(|why| self.wires.close(Some(token), why));
+            }
+            Purpose::Dialling(_) => {}
+        }
+    }
+
+    /// Written beside and moved into place, so that a half-written file never takes the place of a good one.
+    fn keep_roster(&mut self, now: Duration) {
+        let (Some(path), Some(text)) = (&self.keep, self.exchange.keep(now, wall_ms())) else { return };
+        let beside = path.with_extension("new");
+        if let Err(error) = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, path)) {
+            warn!(path = %path.display(), "the roster can't be kept: {error}");
+        }
+    }
+
+    /// A connection is over: the exchange is told, and what was dialled is dialled again.
+    fn gone(&mut self, token: Token, why: &str) {
+        let Some(mut connection) = self.wires.connections.remove(&token) else { return };
+        let _ = self.wires.poll.registry().deregister(&mut connection.stream);
+        let now = self.now();
+        match connection.purpose {
+            Purpose::Dialling(dialled) => self.redial_later(dialled),
+            Purpose::Link(to) => {
+                if self.wires.links.get(&to) == Some(&token) {
+                    self.wires.links.remove(&to);
+                    info!(exchange = to.0, "link closed: {why}");
+                    self.exchange.link_down(now, &mut self.wires, to);
+                    self.redials.entry(Dialled::Link(to)).and_modify(|redial| redial.failures = 0);
+                    self.redial_later(Dialled::Link(to));
+                }
+            }
+            Purpose::Line(line) => {
+                self.wires.lines.remove(&line);
+                debug!(line = line.0, "line closed: {why}");
+                self.exchange.line_closed(now, &mut self.wires, line);
+            }
+            Purpose::Directory => {
+                self.wires.directory = None;
+                warn!("directory gone: {why}; the last roster stays in force");
+                self.redial_later(Dialled::Directory);
+            }
+            Purpose::Stranger { .. } => warn!("connection on the signalling port closed: {why}"),
+            Purpose::Admin(_) => {}
+        }
+    }
+}
+
+fn admin_reply(exchange: &Exchange, text: &[u8], started: Instant) -> String {
+    let asked: Result<Value, _> = serde_json::from_slice(text);
+    let asked = match asked {
+        Ok(asked) => asked,
+        Err(error) => return fault_text(&Value::Null, &Fault::new(code::PARSE, error.to_string())),
+    };
+    let id = asked.get("id").cloned().unwrap_or(Value::Null);
+    match asked["method"].as_str() {
+        Some("status") => {
+            let mut status = exchange.status();
+            status["up_ms"] = json!(started.elapsed().as_millis() as u64);
+            result_text(&id, status)
+        }
+        Some(method) => fault_text(&id, &Fault::new(code::NO_SUCH_METHOD, format!("no method {method:?}"))),
+        None => fault_text(&id, &Fault::new(code::INVALID_REQUEST, "method is missing")),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/audit.rs
@@ -0,0 +1,553 @@
+//! The verdict: judges the five rules from what crossed between controllers and the world, and nothing else. It shares
+//! no code with the office but the codec.
+//!
+//! On loopback the times are those at the world's end of the sockets, so `slack` allows for what a busy machine adds.
+//! Rule 1: one final answer, in time, and nothing sent after it, calls in transit too. Rule 2: one seizure out at a
+//! time. Rule 3: nothing new to an exchange later than the grace after it was told to drain or be gone. Rule 4: no cold
+//! exchange sent more than it can do. Rule 5: no re-send before the release time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+use mintstall_callapi::Final;
+use mintstall_isup::{Body, Cic, Data, Frame, Iam, Message, Number, RangeStatus};
+use mintstall_roster::{Entry, Standing};
+use mintstall_standin::{Rules, Seen, Witness};
+use serde::Serialize;
+
+/// One broken rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub rule: u8,
+    /// Seconds into the day.
+    pub at_s: f64,
+    pub office: u16,
+    /// The call, as its exchange numbers it; or as its subscriber does.
+    pub call: Option<u64>,
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "rule {} at {:.3} s, exchange {}", self.rule, self.at_s, self.office)?;
+        self.call.iter().try_for_each(|call| write!(f, ", call {call:#x}"))?;
+        write!(f, ": {}", self.what)
+    }
+}
+
+/// What was judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Judged {
+    pub calls: u64,
+    pub calls_in_transit: u64,
+    /// Calls of controllers that were killed, to which no answer is owed any more.
+    pub calls_exempt: u64,
+    pub seizures: u64,
+    pub further_attempts: u64,
+    /// Times a controller was told that an exchange drains or is gone.
+    pub drains: u64,
+    pub cold_starts: u64,
+    pub set_ups_at_cold: u64,
+    /// Seizures that ended with a release time to await.
+    pub releases: u64,
+    pub dual_seizures: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    pub judged: Judged,
+    pub breaches: Vec<Breach>,
+    /// Breaches beyond those listed.
+    pub more: u64,
+    /// The most that a cold exchange was sent of what it may be, as a share.
+    pub cold_peak: f64,
+}
+
+impl Verdict {
+    pub fn kept(&self) -> bool {
+        self.breaches.is_empty()
+    }
+}
+
+/// Breaches that are listed one by one.
+const LISTED: usize = 100;
+/// What ended longer ago is not held against anything new.
+const MEMORY: Duration = Duration::from_secs(60);
+/// Set-ups that may come beyond a cold exchange's budget by chance.
+const CHANCE: f64 = 5.0;
+
+struct Taken {
+    until: Duration,
+    gave_up: Option<Duration>,
+}
+
+/// A seizure that is out, or led to where a call stands.
+struct Out {
+    to: u16,
+    circuits: Vec<u16>,
+    stands: bool,
+}
+
+#[derive(Default)]
+struct Desk {
+    running: bool,
+    /// By the subscriber's number: calls that wait for their answer.
+    open: BTreeMap<u64, Taken>,
+    /// Subscriber's numbers answered lately, and exchange's numbers with when: pruned by time.
+    answered: BTreeSet<u64>,
+    answered_at: VecDeque<(Duration, u64, u64)>,
+    final_at: BTreeMap<u64, (Duration, bool)>,
+    out: BTreeMap<u64, Out>,
+    on: BTreeMap<(u16, u16), u64>,
+    /// When a call's last seizure ended so that its circuits may stay taken; pruned by time.
+    released: BTreeMap<u64, (Duration, &'static str)>,
+    sent_before: BTreeMap<u64, Duration>,
+    /// Circuits on which a release or reset is not completed.
+    closing: BTreeSet<(u16, u16)>,
+    told: BTreeMap<u32, (u16, Standing, Duration, bool)>,
+    transit: BTreeMap<(u16, u16), (Duration, u64)>,
+}
+
+struct Cold {
+    since: Duration,
+    set_ups: f64,
+    /// When set-ups came, and whether their sender had been told of the start; those of the last window.
+    came: VecDeque<(Duration, bool)>,
+    broken: bool,
+}
+
+pub struct Auditor {
+    rules: Rules,
+    slack: Duration,
+    desks: BTreeMap<u16, Desk>,
+    cold: BTreeMap<u16, Cold>,
+    judged: Judged,
+    breaches: Vec<Breach>,
+    more: u64,
+    cold_peak: f64,
+    pruned: Duration,
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+impl Auditor {
+    pub fn new(rules: &Rules, slack: Duration) -> Self {
+        Self {
+            rules: rules.clone(),
+            slack,
+            desks: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            judged: Judged::default(),
+            breaches: Vec::new(),
+            more: 0,
+            cold_peak: 0.0,
+            pruned: Duration::ZERO,
+        }
+    }
+
+    fn breach(&mut self, rule: u8, at: Duration, office: u16, call: Option<u64>, what: String) {
+        if self.breaches.len() < LISTED {
+            self.breaches.push(Breach { rule, at_s: at.as_secs_f64(), office, call, what });
+        } else {
+            self.more += 1;
+        }
+    }
+
+    /// The end of the day: what is still owed is judged.
+    pub fn finish(mut self, at: Duration) -> Verdict {
+        for (office, desk) in std::mem::take(&mut self.desks) {
+            if desk.running {
+                self.overdue(at, office, &desk, "never answered");
+            }
+        }
+        let Self { judged, breaches, more, cold_peak, .. } = self;
+        Verdict { judged, breaches, more, cold_peak }
+    }
+
+    /// Calls whose answer is overdue at this time.
+    fn overdue(&mut self, at: Duration, office: u16, desk: &Desk, what: &str) {
+        let grace = ms(self.rules.answer_grace_ms) + self.slack;
+        for (call, taken) in &desk.open {
+            let until = taken.gave_up.unwrap_or(taken.until).min(taken.until);
+            if until + grace < at {
+                let left = format!("{what}: its time was up at {:.3} s", until.as_secs_f64());
+                self.breach(1, at, office, Some(*call), left);
+            }
+        }
+        for ((from, cic), (until, call)) in &desk.transit {
+            if *until + grace < at {
+                let text = format!(
+                    "call in transit from {from}, circuit {cic}, {what} by {:.3} s",
+                    until.as_secs_f64()
+                );
+                self.breach(1, at, office, Some(*call), text);
+            }
+        }
+    }
+
+    fn answered(&mut self, at: Duration, office: u16, call: u64, exchange_call: u64, answer: Final) {
+        let grace = ms(self.rules.answer_grace_ms) + self.slack;
+        let desk = self.desks.entry(office).or_default();
+        let stands = answer == Final::Stands;
+        let Some(taken) = desk.open.remove(&call) else {
+            let again = desk.answered.contains(&call);
+            let what =
+                if again { "a second final answer" } else { "an answer to a call that was never offered" };
+            return self.breach(1, at, office, Some(call), format!("{what}: {answer:?}"));
+        };
+        desk.answered.insert(call);
+        desk.answered_at.push_back((at, call, exchange_call));
+        desk.final_at.insert(exchange_call, (at, stands));
+        if let Some(gave_up) = taken.gave_up.filter(|gave_up| at > *gave_up + grace) {
+            let late = (at - gave_up).as_secs_f64();
+            return self.breach(
+                1,
+                at,
+                office,
+                Some(call),
+                format!("answered {late:.3} s after its caller gave up"),
+            );
+        }
+        if at > taken.until + grace {
+            let late = (at - taken.until).as_secs_f64();
+            self.breach(1, at, office, Some(call), format!("answered {late:.3} s after its time was up"));
+        }
+    }
+
+    fn sent(&mut self, at: Duration, office: u16, to: u16, frame: &[u8]) {
+        let Some(message) = read(frame) else { return };
+        let cic = message.cic.0;
+        match message.body {
+            Body::Iam(iam) => self.set_up_sent(at, office, to, cic, &iam),
+            Body::Anm { .. } => _ = self.transit_over(at, office, (to, cic)),
+            Body::Rel(_) => {
+                self.transit_over(at, office, (to, cic));
+                self.desk(office).closing.insert((to, cic));
+                self.seizure_over(at, office, (to, cic), Some("time-out or cancel"));
+            }
+            Body::Rsc => {
+                self.desk(office).closing.insert((to, cic));
+                self.seizure_over(at, office, (to, cic), Some("reset"));
+            }
+            Body::Grs { count } => {
+                for cic in range(cic, count) {
+                    self.desk(office).closing.insert((to, cic));
+                }
+            }
+            Body::Cgb { kind: 1, range } => self.failed_circuits(at, office, to, cic, range),
+            _ => {}
+        }
+    }
+
+    fn got(&mut self, at: Duration, office: u16, from: u16, frame: &[u8]) {
+        let Some(message) = read(frame) else { return };
+        let cic = message.cic.0;
+        match message.body {
+            Body::Iam(iam) => self.set_up_got(at, office, from, cic, &iam),
+            Body::Anm { .. } => {
+                let desk = self.desk(office);
+                if let Some(out) = desk.on.get(&(from, cic)).copied().and_then(|call| desk.out.get_mut(&call))
+                {
+                    out.stands = true;
+                }
+            }
+            Body::Rel(_) => {
+                self.transit_over(at, office, (from, cic));
+                self.seizure_over(at, office, (from, cic), None);
+            }
+            Body::Rlc { .. } => {
+                if !self.desk(office).closing.remove(&(from, cic)) {
+                    self.seizure_over(at, office, (from, cic), Some("release that was not asked for"));
+                }
+            }
+            Body::Rsc => {
+                self.transit_over(at, office, (from, cic));
+                self.seizure_over(at, office, (from, cic), Some("reset by the far end"));
+            }
+            Body::Grs { count } => {
+                for cic in range(cic, count) {
+                    self.transit_over(at, office, (from, cic));
+                    self.seizure_over(at, office, (from, cic), Some("group reset by the far end"));
+                    self.desk(office).closing.remove(&(from, cic));
+                }
+            }
+            Body::Gra(status) => {
+                for cic in range(cic, status.count) {
+                    self.desk(office).closing.remove(&(from, cic));
+                }
+            }
+            Body::Cgb { kind: 1, range } => self.failed_circuits(at, office, from, cic, range),
+            _ => {}
+        }
+    }
+
+    fn desk(&mut self, office: u16) -> &mut Desk {
+        self.desks.entry(office).or_default()
+    }
+
+    fn failed_circuits(&mut self, at: Duration, office: u16, to: u16, first: u16, range: RangeStatus) {
+        for bit in (0..u16::from(range.count)).filter(|bit| range.status >> bit & 1 == 1) {
+            self.transit_over(at, office, (to, first + bit));
+            self.seizure_over(at, office, (to, first + bit), Some("failed circuit"));
+            self.desk(office).closing.remove(&(to, first + bit));
+        }
+    }
+
+    /// A call in transit is answered, or its caller has gone.
+    fn transit_over(&mut self, at: Duration, office: u16, circuit: (u16, u16)) -> bool {
+        let grace = ms(self.rules.answer_grace_ms) + self.slack;
+        let Some((until, call)) = self.desk(office).transit.remove(&circuit) else { return false };
+        if at > until + grace {
+            let late = (at - until).as_secs_f64();
+            let what =
+                format!("call in transit from {} answered {late:.3} s after its time was up", circuit.0);
+            self.breach(1, at, office, Some(call), what);
+        }
+        true
+    }
+
+    /// A seizure has ended; `wait` says why its circuits may stay taken.
+    fn seizure_over(&mut self, at: Duration, office: u16, circuit: (u16, u16), wait: Option<&'static str>) {
+        let desk = self.desk(office);
+        let Some(call) = desk.on.get(&circuit).copied() else { return };
+        let Some(out) = desk.out.remove(&call) else { return };
+        out.circuits.iter().for_each(|cic| _ = desk.on.remove(&(out.to, *cic)));
+        if let Some(why) = wait.filter(|_| !out.stands) {
+            desk.released.insert(call, (at, why));
+            self.judged.releases += 1;
+        }
+    }
+
+    fn set_up_sent(&mut self, at: Duration, office: u16, to: u16, cic: u16, iam: &Iam) {
+        let Some(identity) = iam.identity else {
+            return self.breach(
+                2,
+                at,
+                office,
+                None,
+                format!("a set-up to {to} that does not say whose it is"),
+            );
+        };
+        let (slack, rules) = (self.slack, self.rules.clone());
+        let desk = self.desk(office);
+        // Rule 3, calls in transit too.
+        let told: Vec<_> = desk.told.values().filter(|(at_office, ..)| *at_office == to).collect();
+        let ready = told.iter().any(|(_, standing, ..)| *standing == Standing::Ready);
+        let since = told.iter().map(|(_, _, since, _)| *since).max();
+        if let Some(since) = since.filter(|since| !ready && at > *since + ms(rules.drain_grace_ms) + slack) {
+            let late = (at - since).as_secs_f64();
+            let what = format!("a set-up to {to}, {late:.3} s after being told that it drains or is gone");
+            self.breach(3, at, office, Some(identity.call), what);
+        }
+        if identity.origin != office {
+            return;
+        }
+        self.judged.seizures += 1;
+        let call = identity.call;
+        let desk = self.desk(office);
+        let further = desk.sent_before.insert(call, at).is_some();
+        let (before, last) = (desk.out.get(&call), desk.final_at.get(&call).copied());
+        let twice = before.map(|out| (out.to, out.circuits[0], out.stands));
+        let released = desk.released.remove(&call);
+        let circuits = circuits(cic, iam);
+        circuits.iter().for_each(|cic| _ = desk.on.insert((to, *cic), call));
+        desk.out.insert(call, Out { to, circuits, stands: false });
+        self.judged.further_attempts += u64::from(further);
+        if let Some((other, circuit, stands)) = twice {
+            let how = if stands { "stands" } else { "is out" };
+            let what =
+                format!("seized to {to} on circuit {cic} while it {how} to {other} on circuit {circuit}");
+            self.breach(2, at, office, Some(call), what);
+        }
+        if let Some((answered, _)) = last.filter(|(answered, _)| at > *answered + slack) {
+            let late = (at - answered).as_secs_f64();
+            self.breach(
+                1,
+                at,
+                office,
+                Some(call),
+                format!("a set-up to {to}, {late:.3} s after its final answer"),
+            );
+        }
+        if let Some((ended, why)) =
+            released.filter(|(ended, _)| at + slack < *ended + ms(rules.release_wait_ms))
+        {
+            let gap = (at - ended).as_secs_f64();
+            let what = format!(
+                "sent again to {to} {gap:.3} s after a {why}, {} ms to be awaited",
+                rules.release_wait_ms
+            );
+            self.breach(5, at, office, Some(call), what);
+        }
+    }
+
+    fn set_up_got(&mut self, at: Duration, office: u16, from: u16, cic: u16, iam: &Iam) {
+        let theirs = circuits(cic, iam);
+        let desk = self.desk(office);
+        // A release of its own is on its way: the set-up is disregarded, and the far end gives it up.
+        if theirs.iter().any(|cic| desk.closing.contains(&(from, *cic))) {
+            return;
+        }
+        let disputed: Vec<_> =
+            theirs.iter().filter_map(|cic| Some((*cic, *desk.on.get(&(from, *cic))?))).collect();
+        for (circuit, call) in disputed {
+            let Some(out) = self.desk(office).out.get(&call).filter(|out| !out.stands) else { continue };
+            let (ours, even) = (out.circuits.len(), circuit.is_multiple_of(2));
+            self.judged.dual_seizures += 1;
+            // Q.764 clause 2.9.1.4: the wider call, else the higher point code on even circuits, the lower on odd.
+            let prevails = ours > theirs.len() || ours == theirs.len() && (office > from) == even;
+            if prevails {
+                return;
+            }
+            self.seizure_over(at, office, (from, circuit), None);
+        }
+        let digits = iam.called.digits();
+        let dest = Number::value(&digits[..digits.len().min(5)]);
+        let (true, Some(identity)) = (dest != Some(office.into()), iam.identity) else { return };
+        self.judged.calls_in_transit += 1;
+        let until = at + Duration::from_millis(identity.left_ms.into());
+        self.desk(office).transit.insert((from, cic), (until, identity.call));
+    }
+
+    fn told(&mut self, at: Duration, office: u16, whole: bool, entries: &[Entry]) {
+        let mut drains = 0;
+        let desk = self.desk(office);
+        if whole {
+            desk.told.retain(|id, _| entries.iter().any(|entry| entry.exchange == *id));
+        }
+        for entry in entries {
+            let started = entry.age_ms.is_some();
+            let told =
+                desk.told.entry(entry.exchange).or_insert((entry.office, Standing::Ready, at, started));
+            told.3 |= started;
+            if (told.1 == Standing::Ready) != (entry.standing == Standing::Ready) {
+                (told.1, told.2) = (entry.standing, at);
+                drains += u64::from(entry.standing != Standing::Ready);
+            }
+        }
+        self.judged.drains += drains;
+    }
+
+    /// Rule 4: a budget over every window of the stated length.
+    fn set_up_at(&mut self, at: Duration, office: u16, from: u16) {
+        let told = self.desks.get(&from).is_some_and(|desk| {
+            desk.told.values().any(|(at_office, standing, _, started)| {
+                *at_office == office && *standing == Standing::Ready && *started
+            })
+        });
+        let rules = &self.rules;
+        let (window, warm_up) = (ms(rules.fall_ms), ms(rules.warm_up_ms));
+        let Some(cold) = self.cold.get_mut(&office) else { return };
+        let age = at.saturating_sub(cold.since);
+        if age >= warm_up {
+            self.cold.remove(&office);
+            return;
+        }
+        self.judged.set_ups_at_cold += 1;
+        cold.came.push_back((at, told));
+        while cold.came.front().is_some_and(|(came, _)| *came + window < at) {
+            cold.came.pop_front();
+        }
+        let warmth = age.as_secs_f64() / warm_up.as_secs_f64();
+        let can = cold.set_ups * (rules.cold_share + (1.0 - rules.cold_share) * warmth);
+        let budget = rules.fall_multiple * can * window.as_secs_f64() + CHANCE;
+        let (count, knowing) = (cold.came.len(), cold.came.iter().filter(|(_, told)| *told).count());
+        self.cold_peak = self.cold_peak.max(count as f64 / budget);
+        if count as f64 > budget && 3 * knowing >= 2 * count && !std::mem::replace(&mut cold.broken, true) {
+            let what = format!(
+                "cold, sent {count} set-ups in {window:?}, {budget:.1} are its budget ({knowing} knowingly)"
+            );
+            self.breach(4, at, office, None, what);
+        }
+    }
+
+    fn prune(&mut self, at: Duration) {
+        if at < self.pruned + Duration::from_secs(1) {
+            return;
+        }
+        self.pruned = at;
+        for desk in self.desks.values_mut() {
+            while desk.answered_at.front().is_some_and(|(answered, ..)| *answered + MEMORY < at) {
+                if let Some((_, call, exchange_call)) = desk.answered_at.pop_front() {
+                    desk.answered.remove(&call);
+                    desk.final_at.remove(&exchange_call);
+                }
+            }
+            desk.released.retain(|_, (ended, _)| *ended + MEMORY > at);
+            desk.sent_before.retain(|_, sent| *sent + MEMORY > at);
+        }
+    }
+
+    fn started(&mut self, office: u16) {
+        *self.desk(office) = Desk { running: true, ..Desk::default() };
+    }
+
+    fn killed(&mut self, at: Duration, office: u16) {
+        let desk = std::mem::take(self.desk(office));
+        self.overdue(at, office, &desk, "not answered before its controller was killed");
+        self.judged.calls_exempt += desk.open.len() as u64;
+    }
+
+    fn link_down(&mut self, at: Duration, office: u16, to: u16) {
+        let desk = self.desk(office);
+        let lost = desk
+            .on
+            .iter()
+            .filter(|((other, _), call)| *other == to && desk.out.get(call).is_some_and(|out| !out.stands));
+        let lost: Vec<_> = lost.map(|(circuit, _)| *circuit).collect();
+        lost.into_iter().for_each(|circuit| self.seizure_over(at, office, circuit, Some("lost link")));
+        let desk = self.desk(office);
+        desk.transit.retain(|(from, _), _| *from != to);
+    }
+}
+
+impl Witness for Auditor {
+    fn saw(&mut self, at: Duration, seen: Seen) {
+        self.prune(at);
+        match seen {
+            Seen::Sent { office, to, frame } => self.sent(at, office, to, frame),
+            Seen::Got { office, from, frame } => self.got(at, office, from, frame),
+            Seen::LinkDown { office, to } => self.link_down(at, office, to),
+            Seen::Offered { office, offer } => {
+                self.judged.calls += 1;
+                let until = at + Duration::from_millis(offer.time_left_ms.into());
+                self.desk(office).open.insert(offer.call, Taken { until, gave_up: None });
+            }
+            Seen::HungUp { office, call } => {
+                if let Some(taken) = self.desk(office).open.get_mut(&call) {
+                    taken.gave_up = Some(at);
+                }
+            }
+            Seen::Answered { office, call, exchange_call, answer } => {
+                self.answered(at, office, call, exchange_call, answer);
+            }
+            Seen::Told { office, whole, entries } => self.told(at, office, whole, entries),
+            Seen::Started { office } => self.started(office),
+            Seen::Killed { office } => self.killed(at, office),
+            Seen::Cold { office, set_ups } => {
+                self.judged.cold_starts += 1;
+                self.cold.insert(office, Cold { since: at, set_ups, came: VecDeque::new(), broken: false });
+            }
+            Seen::SetUp { office, from } => self.set_up_at(at, office, from),
+            Seen::LinkUp { .. } | Seen::Ended { .. } | Seen::Trouble { .. } => {}
+        }
+    }
+}
+
+fn read(frame: &[u8]) -> Option<Message<'_>> {
+    match Frame::read(frame) {
+        Ok(Frame::Data(Data { user, .. })) => Message::read(user).ok(),
+        _ => None,
+    }
+}
+
+fn circuits(cic: u16, iam: &Iam) -> Vec<u16> {
+    iam.map.map_or_else(|| vec![cic], |map| map.circuits(Cic(cic)).map(|cic| cic.0).collect())
+}
+
+fn range(first: u16, count: u8) -> impl Iterator<Item = u16> {
+    (0..u16::from(count)).map(move |at| first + at)
+}
--- /dev/null
+++ b/crates/lab/src/capture.rs
@@ -0,0 +1,57 @@
+//! What crossed the links, as a capture file: pcap, link type MTP3 (141), which Wireshark opens.
+
+use std::borrow::Cow;
+use std::io::Write;
+use std::time::Duration;
+
+use mintstall_isup::{Data, Frame, m3ua};
+use mintstall_standin::{Seen, Witness};
+use pcap_file::pcap::{PcapHeader, PcapPacket, PcapWriter};
+use pcap_file::{DataLink, PcapError};
+
+/// Writes each ISUP message as its sender's socket gave it.
+pub struct Capture<W: Write> {
+    writer: PcapWriter<W>,
+    /// The first failure to write; nothing is written after it.
+    failed: Option<PcapError>,
+}
+
+impl<W: Write> Capture<W> {
+    pub fn new(to: W) -> Result<Self, PcapError> {
+        let header = PcapHeader { datalink: DataLink::MTP3, ..PcapHeader::default() };
+        Ok(Self { writer: PcapWriter::with_header(to, header)?, failed: None })
+    }
+
+    pub fn finish(self) -> Result<W, PcapError> {
+        match self.failed {
+            Some(error) => Err(error),
+            None => Ok(self.writer.into_writer()),
+        }
+    }
+}
+
+impl<W: Write> Witness for Capture<W> {
+    fn saw(&mut self, at: Duration, seen: Seen) {
+        let (Seen::Sent { frame, .. }, None) = (seen, &self.failed) else { return };
+        let Ok(Frame::Data(data)) = Frame::read(frame) else { return };
+        let octets = mtp3(&data);
+        let length = octets.len() as u32;
+        let packet = PcapPacket { timestamp: at, orig_len: length, data: Cow::Owned(octets) };
+        self.failed = self.writer.write_packet(&packet).err();
+    }
+}
+
+/// Service information octet and routing label (Q.704 clauses 14.2 and 2.2), point codes of 14 bits.
+fn mtp3(data: &Data) -> Vec<u8> {
+    let label = data.dpc & 0x3fff | (data.opc & 0x3fff) << 14 | u32::from(data.sls & 15) << 28;
+    let mut octets = Vec::with_capacity(5 + data.user.len());
+    octets.push(data.network << 6 | data.priority << 4 | data.service & 15);
+    octets.extend_from_slice(&label.to_le_bytes());
+    octets.extend_from_slice(data.user);
+    octets
+}
+
+/// The network indicator that our frames carry.
+pub const NATIONAL: u8 = 2;
+/// And their service indicator.
+pub const SERVICE: u8 = m3ua::ISUP;
--- /dev/null
+++ b/crates/lab/src/loopback.rs
@@ -0,0 +1,1 @@
+//! A day over sockets, to come.
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,128 @@
+//! What a day showed: the verdict, and what became of the calls. Figures come from simulated exchanges.
+
+use std::fmt::Write;
+
+use mintstall_office::Tally;
+use mintstall_standin::{Day, Score};
+use serde::Serialize;
+
+use crate::audit::Verdict;
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub day: String,
+    pub seed: u64,
+    /// `virtual` or `loopback`.
+    pub played: &'static str,
+    pub exchanges: u16,
+    pub length_s: f64,
+    pub troubles: Vec<&'static str>,
+    pub kept: bool,
+    /// Revenue of calls that stood within their target and were not cut, over the revenue offered.
+    pub service: f64,
+    pub worst_window: f64,
+    pub score: Score,
+    pub verdict: Verdict,
+    pub seizures: u64,
+    pub timed_out: u64,
+    pub dual_seizures: u64,
+    pub transit: u64,
+    /// Controllers that ended without being asked to.
+    pub crashes: u64,
+    /// Circuits that carry nothing and are not free at the end; calls left in hand.
+    pub stuck_circuits: Option<usize>,
+    pub calls_left: Option<usize>,
+}
+
+impl Report {
+    pub fn new(day: &Day, played: &'static str, score: Score, verdict: Verdict, tallies: &[Tally]) -> Self {
+        let sum = |of: fn(&Tally) -> u64| tallies.iter().map(of).sum();
+        Self {
+            day: day.name.clone(),
+            seed: day.seed,
+            played,
+            exchanges: day.exchanges,
+            length_s: day.length_s,
+            troubles: day.faults.iter().map(|fault| fault.what.name()).collect(),
+            kept: verdict.kept(),
+            service: score.whole.share(),
+            worst_window: score.worst_window(),
+            score,
+            verdict,
+            seizures: sum(|tally| tally.seizures),
+            timed_out: sum(|tally| tally.timed_out),
+            dual_seizures: sum(|tally| tally.dual_seizures),
+            transit: sum(|tally| tally.transit),
+            crashes: 0,
+            stuck_circuits: None,
+            calls_left: None,
+        }
+    }
+
+    /// For people.
+    pub fn text(&self, day: &Day) -> String {
+        let mut out = String::new();
+        let mut line = |text: String| _ = writeln!(out, "{text}");
+        line(format!(
+            "{} (seed {}, {}): {} exchanges, {} s, {} first tries, {} tries",
+            self.day,
+            self.seed,
+            self.played,
+            self.exchanges,
+            self.length_s,
+            self.score.first_tries,
+            self.score.tries
+        ));
+        line(format!("troubles: {}", self.troubles.join(", ")));
+        line(format!(
+            "service {:.3}, worst 10 s {:.3} (simulated exchanges)",
+            self.service, self.worst_window
+        ));
+        for (of, slice) in day.call_types.iter().zip(&self.score.call_types) {
+            line(format!("  {:<16} {:.3} of {:.0} offered", of.name, slice.share(), slice.offered));
+        }
+        let all: u64 = self.score.outcomes.values().sum();
+        for (outcome, count) in &self.score.outcomes {
+            let share = *count as f64 / all.max(1) as f64;
+            line(format!("  {:<16} {count:>7} callers, {share:.3}", format!("{outcome:?}").to_lowercase()));
+        }
+        line(format!(
+            "seizures {}, of them timed out {}, yielded in dual seizure {}; calls in transit {}",
+            self.seizures, self.timed_out, self.dual_seizures, self.transit
+        ));
+        if let (Some(stuck), Some(left)) = (self.stuck_circuits, self.calls_left) {
+            line(format!(
+                "at the end: {stuck} circuits neither free nor carrying a call, {left} calls in hand"
+            ));
+        }
+        if self.crashes > 0 {
+            line(format!("controllers that ended unasked: {}", self.crashes));
+        }
+        let judged = &self.verdict.judged;
+        line(format!(
+            "judged: 1 answers: {} calls, {} in transit ({} of killed controllers exempt)",
+            judged.calls, judged.calls_in_transit, judged.calls_exempt
+        ));
+        line(format!(
+            "        2 one seizure: {} seizures, {} dual seizures",
+            judged.seizures, judged.dual_seizures
+        ));
+        line(format!("        3 drains: {} times told", judged.drains));
+        line(format!(
+            "        4 cold exchanges: {} starts, {} set-ups, at most {:.2} of the budget",
+            judged.cold_starts, judged.set_ups_at_cold, self.verdict.cold_peak
+        ));
+        line(format!(
+            "        5 release awaited: {} releases, {} further attempts",
+            judged.releases, judged.further_attempts
+        ));
+        for breach in &self.verdict.breaches {
+            line(format!("BROKEN {breach}"));
+        }
+        if self.verdict.more > 0 {
+            line(format!("... and {} more", self.verdict.more));
+        }
+        line(if self.kept { "rules kept".into() } else { "RULES BROKEN".to_string() });
+        out
+    }
+}
