--- /dev/null
+++ b/crates/cli/src/day.rs
@@ -0,0 +1,126 @@
+//! `mintstall day`: plays a day, judges the rules, tells what became of the calls.
+
+use std::fs::File;
+use std::io::BufWriter;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use mintstall_daemon::config::read_json;
+use mintstall_lab::capture::Capture;
+use mintstall_lab::{Auditor, Report, loopback, virtual_day};
+use mintstall_standin::{Day, Seen, Witness};
+
+use crate::{bad_input, failed};
+
+#[derive(Args)]
+pub struct DayArgs {
+    /// The day's script, JSON; `--schema` tells its form.
+    #[arg(required_unless_present = "schema")]
+    file: Option<PathBuf>,
+    /// In virtual time, with the office core of every exchange in this process.
+    #[arg(long = "virtual")]
+    in_virtual_time: bool,
+    /// In place of the script's own seed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Writes the signalling as a capture file (pcap, MTP3).
+    #[arg(long, value_name = "OUT.pcap")]
+    capture: Option<PathBuf>,
+    /// The whole report as JSON.
+    #[arg(long)]
+    json: bool,
+    /// On loopback: what the machine's scheduling may add to a time before a rule counts as broken, milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 400)]
+    slack_ms: u64,
+    /// Writes the JSON Schema of days to standard output.
+    #[arg(long)]
+    schema: bool,
+}
+
+/// The auditor, and the capture where one is asked for.
+struct Witnesses {
+    auditor: Auditor,
+    capture: Option<Capture<BufWriter<File>>>,
+}
+
+impl Witness for Witnesses {
+    fn saw(&mut self, at: Duration, seen: Seen) {
+        self.auditor.saw(at, seen);
+        self.capture.iter_mut().for_each(|capture| capture.saw(at, seen));
+    }
+}
+
+pub fn day(args: &DayArgs) -> ExitCode {
+    let Some(file) = args.file.as_deref().filter(|_| !args.schema) else { return crate::schema::<Day>() };
+    let mut day: Day = match read_json(file) {
+        Ok(day) => day,
+        Err(error) => return bad_input(error),
+    };
+    let faults = day.faults_found();
+    if !faults.is_empty() {
+        return bad_input(
+            faults.iter().map(|fault| format!("{}: {fault}", file.display())).collect::<Vec<_>>().join("\n"),
+        );
+    }
+    day.seed = args.seed.unwrap_or(day.seed);
+    match play(args, &day) {
+        Ok(report) => {
+            if args.json {
+                println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+            } else {
+                print!("{}", report.text(&day));
+            }
+            if report.kept && report.crashes == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(error) => failed(error),
+    }
+}
+
+fn play(args: &DayArgs, day: &Day) -> Result<Report, String> {
+    let capture = args.capture.as_deref().map(open_capture).transpose()?;
+    // In virtual time only the rounding of times is allowed for.
+    let (slack, crossing) = match args.in_virtual_time {
+        true => (Duration::from_millis(2), Duration::ZERO),
+        false => (Duration::from_millis(args.slack_ms), Duration::from_millis(args.slack_ms)),
+    };
+    let mut witnesses = Witnesses { auditor: Auditor::new(&day.rules, slack, crossing), capture };
+    let (score, ended, tallies, crashes, stuck, calls_left, how) = if args.in_virtual_time {
+        let played = virtual_day::play(day, &mut witnesses, &mut virtual_day::Honest);
+        (played.score, played.ended, played.tallies, 0, played.stuck, played.calls_left, "virtual")
+    } else {
+        let program = std::env::current_exe().map_err(|error| format!("the own program: {error}"))?;
+        let folder = std::env::temp_dir().join(format!("mintstall-day-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        let played = loopback::play(day, &program, &folder, &mut witnesses);
+        let removed = std::fs::remove_dir_all(&folder);
+        let played = played.map_err(|error| error.to_string())?;
+        removed.map_err(|error| format!("{}: {error}", folder.display()))?;
+        (
+            played.score,
+            played.ended,
+            played.tallies,
+            played.crashes,
+            played.stuck,
+            played.calls_left,
+            "loopback",
+        )
+    };
+    let Witnesses { auditor, capture } = witnesses;
+    if let (Some(capture), Some(path)) = (capture, &args.capture) {
+        let flushed = capture.finish().map_err(|error| error.to_string());
+        flushed
+            .and_then(|file| file.into_inner().map_err(|error| error.to_string()))
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    let mut report = Report::new(day, how, score, auditor.finish(ended), &tallies);
+    (report.crashes, report.stuck_circuits, report.calls_left) = (crashes, Some(stuck), Some(calls_left));
+    Ok(report)
+}
+
+fn open_capture(path: &Path) -> Result<Capture<BufWriter<File>>, String> {
+    let fail = |error: String| format!("{}: {error}", path.display());
+    let file = File::create(path).map_err(|error| fail(error.to_string()))?;
+    Capture::new(BufWriter::new(file)).map_err(|error| fail(error.to_string()))
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,199 @@
+//! The command `mintstall`. Exit codes: 0 done, 1 a rule was broken or something failed, 2 bad input.
+
+mod day;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use mintstall_daemon::{Config, Shell};
+use serde_json::json;
+
+#[derive(Parser)]
+#[command(
+    name = "mintstall",
+    version,
+    about = "A call router: sets calls up over trunk groups",
+    max_term_width = 100
+)]
+struct Cli {
+    /// What to log: a level, or targets with levels (`info,mintstall::mode=debug`).
+    #[arg(long, global = true, env = "MINTSTALL_LOG", default_value = "warn", value_name = "FILTER")]
+    log: String,
+    /// How to write the log, which goes to standard error.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a controller until it is told to stop (SIGTERM, SIGINT).
+    ///
+    /// Once it takes calls it writes one line of JSON with its addresses to standard output.
+    Run {
+        /// Its configuration, JSON.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Checks configurations.
+    Config {
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
+    /// Plays a day and judges the rules: over sockets with real processes, or in virtual time.
+    Day(day::DayArgs),
+    /// Asks a running controller what it holds.
+    Status {
+        /// Its admin address, as `admin.listen` says.
+        admin: SocketAddr,
+        /// The whole status as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Writes completions for a shell to standard output.
+    Completions { shell: clap_complete::Shell },
+    /// Tells the version.
+    Version,
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Finds every fault, each with its place.
+    Check { file: PathBuf },
+    /// Writes the JSON Schema of configurations to standard output.
+    Schema,
+}
+
+/// Bad input: told on standard error, exit code 2.
+pub fn bad_input(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(2)
+}
+
+/// Something failed that the input is not to blame for.
+pub fn failed(error: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = match tracing_subscriber::EnvFilter::try_new(&cli.log) {
+        Ok(filter) => filter,
+        Err(error) => return bad_input(format!("--log {}: {error}", cli.log)),
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr);
+    match cli.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+    match cli.command {
+        Command::Run { config } => run(&config),
+        Command::Config { command: ConfigCommand::Check { file } } => match Config::read(&file) {
+            Ok(config) => {
+                println!(
+                    "{}: exchange {}, {} links, in order",
+                    file.display(),
+                    config.exchange,
+                    config.signalling.links.len()
+                );
+                ExitCode::SUCCESS
+            }
+            Err(error) => bad_input(error),
+        },
+        Command::Config { command: ConfigCommand::Schema } => schema::<Config>(),
+        Command::Day(args) => day::day(&args),
+        Command::Status { admin, json } => status(admin, json),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "mintstall", &mut io::stdout());
+            ExitCode::SUCCESS
+        }
+        Command::Version => {
+            println!("mintstall {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Writes a type's JSON Schema.
+pub fn schema<T: schemars::JsonSchema>() -> ExitCode {
+    match serde_json::to_string_pretty(&schemars::schema_for!(T)) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => failed(error),
+    }
+}
+
+fn run(path: &std::path::Path) -> ExitCode {
+    let config = match Config::read(path) {
+        Ok(config) => config,
+        Err(error) => return bad_input(error),
+    };
+    let shell = match Shell::open(&config) {
+        Ok(shell) => shell,
+        Err(error) => return failed(error),
+    };
+    let [signalling, subscribers, admin] = shell.addresses();
+    println!("{}", json!({ "signalling": signalling, "subscribers": subscribers, "admin": admin }));
+    tracing::info!(exchange = config.exchange, "takes calls");
+    match shell.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed(error),
+    }
+}
+
+fn status(admin: SocketAddr, whole: bool) -> ExitCode {
+    let status = match mintstall_lab::loopback::status(admin) {
+        Ok(status) => status,
+        Err(error) => return failed(format!("{admin}: {error}")),
+    };
+    if whole {
+        println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
+    let secs = status["up_ms"].as_u64().unwrap_or(0) / 1000;
+    println!(
+        "exchange {}, up {secs} s, {} calls in hand, {} to be answered",
+        status["exchange"], status["calls"], status["owed"]
+    );
+    let roster = &status["roster"];
+    println!(
+        "roster version {}, {} exchanges, {} versions turned down",
+        roster["version"], roster["entries"], roster["turned_down"]
+    );
+    for (name, count) in status["counts"].as_object().into_iter().flatten() {
+        println!("  {name:<18} {count}");
+    }
+    println!(
+        "{:>8} {:<8} {:>8} {:>6} {:>6} {:>8} {:>9} {:>9} {:>7}",
+        "group to", "link", "circuits", "free", "seized", "standing", "releasing", "resetting", "blocked"
+    );
+    for group in status["groups"].as_array().into_iter().flatten() {
+        let field = |name: &str| group[name].as_str().map_or_else(|| group[name].to_string(), str::to_string);
+        println!(
+            "{:>8} {:<8} {:>8} {:>6} {:>6} {:>8} {:>9} {:>9} {:>7}",
+            field("to"),
+            field("link"),
+            field("circuits"),
+            field("free"),
+            field("seized"),
+            field("standing"),
+            field("releasing"),
+            field("resetting"),
+            field("blocked")
+        );
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -1,1 +1,577 @@
-//! A day over sockets, to come.
+//! A day over sockets: every controller a process of its own (`mintstall run`), the world in this one, loopback between.
+//!
+//! Each link of a controller ends here, as do its subscriber line and its directory: what crosses is seen at this end.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use mintstall_callapi::{Asked, Hangup, Heard, LineCutter, Request};
+use mintstall_daemon::wires::Outbox;
+use mintstall_office::Tally;
+use mintstall_roster::{FeedNote, Reply};
+use mintstall_standin::{Act, Day, Score, Wiring, Witness, World};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use thiserror::Error;
+use tracing::{info, warn};
+
+use crate::setup::{Places, config};
+
+#[derive(Debug, Error)]
+pub enum LoopbackError {
+    #[error("{what}: {error}")]
+    Io { what: String, error: io::Error },
+    #[error("controller {office} was not ready within {within:?}")]
+    NotReady { office: u16, within: Duration },
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> LoopbackError {
+    let what = what.into();
+    move |error| LoopbackError::Io { what, error }
+}
+
+/// What a controller says on its standard output once it takes calls.
+#[derive(Debug, Deserialize)]
+struct Ready {
+    subscribers: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+}
+
+/// How a day over sockets went.
+pub struct Played {
+    pub score: Score,
+    pub ended: Duration,
+    pub tallies: Vec<Tally>,
+    /// Controllers that ended without being asked to, and that did not stop in order when told.
+    pub crashes: u64,
+    pub stuck: usize,
+    pub calls_left: usize,
+}
+
+/// Which controller, which start of it, and what it said first, if that made sense.
+type Said = (u16, u64, Option<Ready>);
+
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const LINGER: Duration = Duration::from_secs(60);
+const WAKER: Token = Token(0);
+const FIRST_CONNECTION: usize = 1 << 24;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Purpose {
+    Link { office: u16, to: u16 },
+    Line(u16),
+    Directory(u16),
+}
+
+struct Connection {
+    stream: TcpStream,
+    purpose: Purpose,
+    cutter: LineCutter,
+    out: Outbox,
+}
+
+/// One controller's process.
+struct Process {
+    child: Child,
+    /// Which start of it this is: what an earlier one said late is passed over.
+    round: u64,
+    ready: Option<Ready>,
+}
+
+struct Site<'a> {
+    world: World,
+    witness: &'a mut dyn Witness,
+    program: &'a Path,
+    folder: PathBuf,
+    poll: Poll,
+    listeners: BTreeMap<Token, (TcpListener, Purpose)>,
+    connections: BTreeMap<Token, Connection>,
+    by_purpose: BTreeMap<Purpose, Token>,
+    places: BTreeMap<u16, Places>,
+    processes: BTreeMap<u16, Process>,
+    said: (Sender<Said>, Receiver<Said>),
+    /// Texts for directories that are not connected yet.
+    waiting: BTreeMap<u16, Vec<String>>,
+    start: Instant,
+    next: usize,
+    rounds: u64,
+    crashes: u64,
+}
+
+/// Plays a day whose script has no faults, with `program` as the command `mintstall` and a folder of its own for
+/// configurations.
+pub fn play(
+    day: &Day,
+    program: &Path,
+    folder: &Path,
+    witness: &mut dyn Witness,
+) -> Result<Played, LoopbackError> {
+    let poll = Poll::new().map_err(io_error("event loop"))?;
+    let mut site = Site {
+        world: World::new(day, Wiring::Dialled),
+        witness,
+        program,
+        folder: folder.to_path_buf(),
+        poll,
+        listeners: BTreeMap::new(),
+        connections: BTreeMap::new(),
+        by_purpose: BTreeMap::new(),
+        places: BTreeMap::new(),
+        processes: BTreeMap::new(),
+        said: channel(),
+        waiting: BTreeMap::new(),
+        start: Instant::now(),
+        next: FIRST_CONNECTION,
+        rounds: 0,
+        crashes: 0,
+    };
+    let played = site.run(day);
+    // Whatever went wrong, no process is left behind.
+    for process in site.processes.values_mut() {
+        let _ = process.child.kill();
+        let _ = process.child.wait();
+    }
+    played
+}
+
+impl Site<'_> {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn listen(&mut self, purpose: Purpose) -> Result<SocketAddr, LoopbackError> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut listener = TcpListener::bind(any).map_err(io_error("listening on loopback"))?;
+        let addr = listener.local_addr().map_err(io_error("listening on loopback"))?;
+        self.next += 1;
+        let token = Token(self.next);
+        let registry = self.poll.registry();
+        registry
+            .register(&mut listener, token, Interest::READABLE)
+            .map_err(io_error("listening on loopback"))?;
+        self.listeners.insert(token, (listener, purpose));
+        Ok(addr)
+    }
+
+    fn run(&mut self, day: &Day) -> Result<Played, LoopbackError> {
+        let waker = Waker::new(self.poll.registry(), WAKER).map_err(io_error("event loop"))?;
+        let waker = std::sync::Arc::new(waker);
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        for office in 1..=day.exchanges {
+            let pairs: Vec<(u16, u16)> = self.world.groups().keys().copied().collect();
+            let others = pairs.iter().filter(|(a, b)| *a == office || *b == office);
+            let mut links = Vec::new();
+            for to in others.map(|(a, b)| if *a == office { *b } else { *a }) {
+                links.push((to, self.listen(Purpose::Link { office, to })?));
+            }
+            let directory = Some(self.listen(Purpose::Directory(office))?);
+            let keep = Some(self.folder.join(format!("roster-{office}.json")));
+            self.places.insert(office, Places { links, lines: Some(any), admin: Some(any), directory, keep });
+        }
+        for office in 1..=day.exchanges {
+            self.spawn(office, &waker)?;
+        }
+        // The day's clock starts once all take calls.
+        let mut events = Events::with_capacity(1024);
+        while (1..=day.exchanges).any(|office| self.line(office).is_none()) {
+            if self.start.elapsed() > READY_WITHIN {
+                let office = (1..=day.exchanges).find(|office| self.line(*office).is_none()).unwrap_or(0);
+                return Err(LoopbackError::NotReady { office, within: READY_WITHIN });
+            }
+            self.turn(&mut events, Some(Duration::from_millis(50)), &waker)?;
+        }
+        self.start = Instant::now();
+        for office in 1..=day.exchanges {
+            let mut acts = Vec::new();
+            let now = self.now();
+            self.world.ready(now, office, self.witness, &mut acts);
+            self.carry_out(acts, &waker)?;
+        }
+        let last = Duration::from_secs_f64(day.length_s) + LINGER;
+        while !self.world.over(self.now()) && self.now() < last {
+            let wait = self.world.next().map(|at| at.saturating_sub(self.now()));
+            let wait = wait.unwrap_or(Duration::from_millis(100)).min(Duration::from_millis(100));
+            self.turn(&mut events, Some(wait), &waker)?;
+            loop {
+                let (now, mut acts) = (self.now(), Vec::new());
+                if !self.world.advance(now, self.witness, &mut acts) {
+                    break;
+                }
+                self.carry_out(acts, &waker)?;
+            }
+            self.flush();
+        }
+        // What was let go last still has its release on the way.
+        let until = self.now() + Duration::from_secs(3);
+        while self.now() < until {
+            self.turn(&mut events, Some(Duration::from_millis(20)), &waker)?;
+            let (now, mut acts) = (self.now(), Vec::new());
+            while self.world.advance(now, self.witness, &mut acts) {}
+            self.carry_out(acts, &waker)?;
+            self.flush();
+        }
+        let ended = self.now();
+        let (mut tallies, mut stuck, mut calls_left) = (Vec::new(), 0, 0);
+        for process in self.processes.values() {
+            let Some(status) = process.ready.as_ref().and_then(|ready| status(ready.admin?).ok()) else {
+                continue;
+            };
+            tallies.push(tally(&status));
+            calls_left += status["calls"].as_u64().unwrap_or(0) as usize;
+            let groups = status["groups"].as_array().cloned().unwrap_or_default();
+            let count = |group: &Value, what: &str| group[what].as_u64().unwrap_or(0) as usize;
+            stuck += groups
+                .iter()
+                .map(|g| count(g, "circuits") - count(g, "free") - count(g, "standing") - count(g, "blocked"))
+                .sum::<usize>();
+        }
+        self.stop_all();
+        let score = self.world.score.clone();
+        Ok(Played { score, ended, tallies, crashes: self.crashes, stuck, calls_left })
+    }
+
+    /// Tells every controller to stop, and counts those that do not do so in order.
+    fn stop_all(&mut self) {
+        for process in self.processes.values() {
+            // The signal goes to a process that was started here and is not reaped yet.
+            let pid = Pid::from_raw(process.child.id() as i32);
+            if let Err(error) = kill(pid, Signal::SIGTERM) {
+                warn!(%pid, "can't be told to stop: {error}");
+            }
+        }
+        let until = Instant::now() + Duration::from_secs(10);
+        for (office, process) in &mut self.processes {
+            loop {
+                match process.child.try_wait() {
+                    Ok(Some(status)) if status.success() => break,
+                    Ok(None) if Instant::now() < until => std::thread::sleep(Duration::from_millis(5)),
+                    other => {
+                        warn!(office, ?other, "did not stop in order");
+                        self.crashes += 1;
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn spawn(&mut self, office: u16, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        let config = config(&self.world, office, &self.places[&office]);
+        let path = self.folder.join(format!("exchange-{office}.json"));
+        let text = serde_json::to_string_pretty(&config).unwrap_or_default();
+        std::fs::write(&path, text).map_err(io_error(path.display().to_string()))?;
+        let mut child = Command::new(self.program)
+            .arg("run")
+            .arg("--config")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .map_err(io_error(self.program.display().to_string()))?;
+        self.rounds += 1;
+        let (round, sender, waker) = (self.rounds, self.said.0.clone(), waker.clone());
+        if let Some(stdout) = child.stdout.take() {
+            std::thread::spawn(move || {
+                let mut lines = BufReader::new(stdout).lines();
+                let ready =
+                    lines.next().and_then(Result::ok).and_then(|line| serde_json::from_str(&line).ok());
+                let _ = sender.send((office, round, ready));
+                let _ = waker.wake();
+                lines.for_each(drop);
+            });
+        }
+        self.processes.insert(office, Process { child, round, ready: None });
+        Ok(())
+    }
+
+    fn line(&self, office: u16) -> Option<Token> {
+        self.by_purpose.get(&Purpose::Line(office)).copied()
+    }
+
+    fn add(&mut self, mut stream: TcpStream, purpose: Purpose) -> io::Result<()> {
+        let _ = stream.set_nodelay(true);
+        self.next += 1;
+        let token = Token(self.next);
+        self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        let cutter = LineCutter::new(1 << 16);
+        let connection = Connection { stream, purpose, cutter, out: Outbox::default() };
+        self.connections.insert(token, connection);
+        if let Some(before) = self.by_purpose.insert(purpose, token) {
+            self.connections.remove(&before);
+        }
+        Ok(())
+    }
+
+    /// One turn of the loop.
+    fn turn(
+        &mut self,
+        events: &mut Events,
+        wait: Option<Duration>,
+        waker: &std::sync::Arc<Waker>,
+    ) -> Result<(), LoopbackError> {
+        match self.poll.poll(events, wait) {
+            Err(error) if error.kind() != io::ErrorKind::Interrupted => {
+                return Err(io_error("event loop")(error));
+            }
+            _ => {}
+        }
+        let tokens: Vec<Token> = events.iter().map(|event| event.token()).collect();
+        for token in tokens {
+            if token == WAKER {
+                self.starts_said(waker)?;
+            } else if self.listeners.contains_key(&token) {
+                self.accept(token, waker)?;
+            } else {
+                self.read(token, waker)?;
+            }
+        }
+        self.flush();
+        Ok(())
+    }
+
+    /// Controllers that were started say that they take calls: their subscribers connect.
+    fn starts_said(&mut self, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        while let Ok((office, round, ready)) = self.said.1.try_recv() {
+            let Some(process) = self.processes.get_mut(&office).filter(|process| process.round == round)
+            else {
+                continue;
+            };
+            process.ready = ready;
+            let Some(lines) = process.ready.as_ref().and_then(|ready| ready.subscribers) else { continue };
+            let stream = TcpStream::connect(lines).map_err(io_error("connecting a subscriber line"))?;
+            self.add(stream, Purpose::Line(office)).map_err(io_error("connecting a subscriber line"))?;
+            // The first starts are told once all are there.
+            if round > u64::from(self.world.day().exchanges) {
+                let (now, mut acts) = (self.now(), Vec::new());
+                self.world.ready(now, office, self.witness, &mut acts);
+                self.carry_out(acts, waker)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, token: Token, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        while let Some((listener, purpose)) = self.listeners.get(&token) {
+            let purpose = *purpose;
+            let Ok((stream, _)) = listener.accept() else { return Ok(()) };
+            self.add(stream, purpose).map_err(io_error("a connection"))?;
+            match purpose {
+                Purpose::Link { office, to } => {
+                    let (now, mut acts) = (self.now(), Vec::new());
+                    self.world.connected(now, office, to, self.witness, &mut acts);
+                    self.carry_out(acts, waker)?;
+                }
+                Purpose::Directory(office) => {
+                    for text in self.waiting.remove(&office).unwrap_or_default() {
+                        self.push(purpose, &[text.as_bytes(), b"\n"]);
+                    }
+                }
+                Purpose::Line(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn push(&mut self, purpose: Purpose, parts: &[&[u8]]) {
+        let token = self.by_purpose.get(&purpose);
+        if let Some(connection) = token.and_then(|token| self.connections.get_mut(token)) {
+            parts.iter().for_each(|part| connection.out.push(part));
+        }
+    }
+
+    fn flush(&mut self) {
+        for connection in self.connections.values_mut().filter(|connection| connection.out.waiting() > 0) {
+            // A failure shows as the end of the connection when it is read.
+            let _ = connection.out.write_to(&mut connection.stream);
+        }
+    }
+
+    fn read(&mut self, token: Token, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        let mut buffer = [0; 16 << 10];
+        loop {
+            let Some(connection) = self.connections.get_mut(&token) else { return Ok(()) };
+            match connection.stream.read(&mut buffer) {
+                Ok(count) if count > 0 => self.octets(token, &buffer[..count], waker)?,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Not connected yet: told again once it is.
+                Err(error) if error.kind() == io::ErrorKind::NotConnected => return Ok(()),
+                _ => return self.gone(token, waker),
+            }
+        }
+    }
+
+    fn octets(
+        &mut self,
+        token: Token,
+        octets: &[u8],
+        waker: &std::sync::Arc<Waker>,
+    ) -> Result<(), LoopbackError> {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(&token) else { return Ok(()) };
+        let purpose = connection.purpose;
+        if let Purpose::Link { office, to } = purpose {
+            self.world.from_controller(now, office, to, octets, self.witness);
+            return Ok(());
+        }
+        connection.cutter.push(octets);
+        let mut texts = Vec::new();
+        while let Ok(Some(text)) = connection.cutter.next() {
+            texts.push(text.to_vec());
+        }
+        let mut acts = Vec::new();
+        for text in texts {
+            match purpose {
+                Purpose::Line(office) => match Heard::read(&text) {
+                    Ok(Heard::Answered(a)) => {
+                        self.world.answered(now, office, a.call, a.exchange_call, a.answer, self.witness);
+                    }
+                    Ok(Heard::Ended(note)) => {
+                        self.world.ended(now, office, note.call, note.how, self.witness)
+                    }
+                    Ok(Heard::Done) => {}
+                    Ok(Heard::Fault { code, message, .. }) => info!(office, code, "{message}"),
+                    Err(error) => warn!(office, "a line makes no sense: {error}"),
+                },
+                Purpose::Directory(office) => {
+                    if let Ok(Reply::Want(ask)) = Reply::read(&text)
+                        && ask.held.is_none()
+                        && self.processes.get(&office).is_some_and(|process| process.ready.is_some())
+                    {
+                        self.world.wants_all(now, office, self.witness, &mut acts);
+                    }
+                }
+                Purpose::Link { .. } => {}
+            }
+        }
+        self.carry_out(acts, waker)
+    }
+
+    fn gone(&mut self, token: Token, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        let Some(connection) = self.connections.remove(&token) else { return Ok(()) };
+        let purpose = connection.purpose;
+        if self.by_purpose.get(&purpose) != Some(&token) {
+            return Ok(());
+        }
+        self.by_purpose.remove(&purpose);
+        let (now, mut acts) = (self.now(), Vec::new());
+        match purpose {
+            Purpose::Link { office, to } => self.world.disconnected(now, office, to, self.witness, &mut acts),
+            Purpose::Line(office) => {
+                if let Some(mut process) = self.processes.remove(&office) {
+                    warn!(office, "ended unasked: {:?}", process.child.try_wait());
+                    let _ = process.child.kill();
+                    let _ = process.child.wait();
+                    self.crashes += 1;
+                    self.world.died(now, office, self.witness, &mut acts);
+                }
+            }
+            Purpose::Directory(_) => {}
+        }
+        self.carry_out(acts, waker)
+    }
+
+    fn close(&mut self, purpose: Purpose) {
+        if let Some(token) = self.by_purpose.remove(&purpose) {
+            self.connections.remove(&token);
+        }
+    }
+
+    fn carry_out(&mut self, acts: Vec<Act>, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
+        for act in acts {
+            match act {
+                Act::Start { office, .. } => self.spawn(office, waker)?,
+                Act::Kill { office } => {
+                    if let Some(mut process) = self.processes.remove(&office) {
+                        let _ = process.child.kill();
+                        let _ = process.child.wait();
+                    }
+                    self.close(Purpose::Line(office));
+                    self.close(Purpose::Directory(office));
+                    self.waiting.remove(&office);
+                    let links: Vec<u16> = self.places[&office].links.iter().map(|(to, _)| *to).collect();
+                    links.into_iter().for_each(|to| self.close(Purpose::Link { office, to }));
+                }
+                Act::Up { .. } => {}
+                Act::Down { office, to } => self.close(Purpose::Link { office, to }),
+                Act::Octets { office, from, octets } => {
+                    self.push(Purpose::Link { office, to: from }, &[&octets])
+                }
+                Act::Offer { office, offer } => {
+                    let asked = Asked { id: Some(json!(offer.call)), request: Request::Offer(offer) };
+                    self.push(Purpose::Line(office), &[asked.text().as_bytes(), b"\n"]);
+                }
+                Act::HangUp { office, call } => {
+                    let asked = Asked { id: Some(json!(call)), request: Request::Hangup(Hangup { call }) };
+                    self.push(Purpose::Line(office), &[asked.text().as_bytes(), b"\n"]);
+                }
+                Act::Roster { office, news } => self.feed(office, &FeedNote::Roster(news)),
+                Act::Circuits { office, to, in_service } => {
+                    self.feed(office, &FeedNote::Circuits { to, in_service })
+                }
+                Act::Report { office, rate, hold_back } => {
+                    self.feed(office, &FeedNote::Processor { rate, hold_back })
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn feed(&mut self, office: u16, note: &FeedNote) {
+        const WAITING: usize = 1000;
+        if self.by_purpose.contains_key(&Purpose::Directory(office)) {
+            self.push(Purpose::Directory(office), &[note.text().as_bytes(), b"\n"]);
+        } else {
+            let waiting = self.waiting.entry(office).or_default();
+            if waiting.len() < WAITING {
+                waiting.push(note.text());
+            }
+        }
+    }
+}
+
+/// Asks a controller's admin port for its status.
+pub fn status(admin: SocketAddr) -> io::Result<Value> {
+    let limit = Duration::from_secs(5);
+    let mut stream = std::net::TcpStream::connect_timeout(&admin, limit)?;
+    stream.set_read_timeout(Some(limit))?;
+    stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n")?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line)?;
+    let reply: Value = serde_json::from_str(&line)?;
+    match reply.get("result") {
+        Some(result) => Ok(result.clone()),
+        None => Err(io::Error::other(reply["error"]["message"].as_str().unwrap_or("no result").to_string())),
+    }
+}
+
+fn tally(status: &Value) -> Tally {
+    let count = |what: &str| status["counts"][what].as_u64().unwrap_or(0);
+    Tally {
+        offered: count("offered"),
+        transit: count("transit"),
+        seizures: count("seizures"),
+        stood: count("stood"),
+        refused: count("refused"),
+        failed: count("failed"),
+        cut: count("cut"),
+        terminated: count("terminated"),
+        timed_out: count("timed_out"),
+        dual_seizures: count("dual_seizures"),
+        yielded: count("yielded"),
+        releases_repeated: count("releases_repeated"),
+        resets: count("resets"),
+        unexpected: count("unexpected"),
+        overflow: count("overflow"),
+    }
+}
--- a/crates/standin/src/processor.rs
+++ b/crates/standin/src/processor.rs
@@ -73,6 +73,11 @@
         self.line.iter().any(waits) || self.current.as_ref().is_some_and(waits)
     }
 
+    pub fn queued_from(&self, link: u16) -> bool {
+        let waits = |job: &Job| job.set_up.is_some_and(|(from, _)| from == link);
+        self.line.iter().any(waits) || self.current.as_ref().is_some_and(waits)
+    }
+
     pub fn push(&mut self, job: Job, ahead: bool) {
         self.backlog += job.work;
         if ahead { &mut self.ahead } else { &mut self.line }.push_back(job);
