--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,230 @@
+//! The command as its users run it: exit codes, a short day over sockets, an orderly stop.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+fn mintstall(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_mintstall")).args(args).output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("mintstall-command-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn says(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[test]
+fn bad_input_is_named_with_its_place_and_exits_with_two() {
+    let day = file("bad.json", "{\n  \"exchanges\": 4,\n  \"faults\": [{\"at_s\": \"soon\"}]\n}");
+    let output = mintstall(&["day", day.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(says(&output).contains(":3:") && says(&output).contains("faults[0].at_s"), "{}", says(&output));
+    let day = file("wrong.json", "{\"exchanges\": 1, \"length_s\": -3}");
+    let output = mintstall(&["day", "--virtual", day.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        says(&output).contains("exchanges: ") && says(&output).contains("length_s: "),
+        "{}",
+        says(&output)
+    );
+    let output = mintstall(&["config", "check", "no-such-file.json"]);
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn schemas_are_json_and_name_what_the_files_hold() {
+    for (args, field) in [(&["config", "schema"][..], "call_types"), (&["day", "--schema"][..], "faults")] {
+        let schema: Value = serde_json::from_slice(&mintstall(args).stdout).unwrap();
+        assert!(schema["properties"][field].is_object(), "{field}");
+    }
+}
+
+#[test]
+fn a_short_day_over_sockets_with_a_controller_killed_keeps_the_rules() {
+    let day = file(
+        "short.json",
+        r#"{ "name": "short", "length_s": 6, "exchanges": 4, "regions": ["a", "b"],
+             "traffic": { "calls_per_s": 60, "load": 0.8 }, "messages": true, "advice": true,
+             "call_types": [{ "hold_s": 2 }],
+             "faults": [
+               { "at_s": 2, "for_s": 1, "what": { "controllers_killed": { "exchanges": [2] } } },
+               { "at_s": 4, "for_s": 0.7, "what": { "link_breaks": { "between": [1, 3] } } },
+               { "at_s": 4, "for_s": 1, "what": { "hang": { "exchanges": [4] } } } ] }"#,
+    );
+    let capture = std::env::temp_dir().join(format!("mintstall-command-{}.pcap", std::process::id()));
+    let args = [
+        "day",
+        day.to_str().unwrap(),
+        "--json",
+        "--slack-ms",
+        "3000",
+        "--capture",
+        capture.to_str().unwrap(),
+    ];
+    let output = mintstall(&args);
+    let report: Value =
+        serde_json::from_slice(&output.stdout).unwrap_or_else(|_| panic!("{}", says(&output)));
+    assert_eq!((&report["kept"], output.status.code()), (&json!(true), Some(0)), "{}", says(&output));
+    let judged = &report["verdict"]["judged"];
+    assert!(judged["calls"].as_u64() > Some(150) && judged["seizures"].as_u64() > Some(100), "{judged}");
+    assert_eq!((&report["crashes"], &report["stuck_circuits"]), (&json!(0), &json!(0)));
+    assert!(std::fs::metadata(&capture).unwrap().len() > 10_000);
+    std::fs::remove_file(capture).unwrap();
+}
+
+/// A controller on its own, linked to an exchange that this test plays.
+struct Controller {
+    child: Child,
+    ready: Value,
+}
+
+impl Controller {
+    fn start(name: &str, link: SocketAddr) -> Self {
+        let config = json!({
+            "exchange": 1,
+            "signalling": { "listen": "127.0.0.1:0", "links": [{ "to": 2, "circuits": 31, "connect": link }] },
+            "subscribers": { "listen": "127.0.0.1:0" },
+            "admin": { "listen": "127.0.0.1:0" },
+            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                             "mean_hold_ms": 10000 }],
+        });
+        let path = file(name, &config.to_string());
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mintstall"))
+            .args(["run", "--config", path.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        Self { child, ready: serde_json::from_str(&line).unwrap() }
+    }
+
+    fn connect(&self, what: &str) -> BufReader<TcpStream> {
+        let addr: SocketAddr = self.ready[what].as_str().unwrap().parse().unwrap();
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        BufReader::new(stream)
+    }
+
+    fn stop(mut self) -> Option<i32> {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        self.child.wait().unwrap().code()
+    }
+}
+
+fn ask(line: &mut BufReader<TcpStream>, text: &str) -> Value {
+    line.get_mut().write_all(text.as_bytes()).unwrap();
+    line.get_mut().write_all(b"\n").unwrap();
+    hear(line)
+}
+
+fn hear(line: &mut BufReader<TcpStream>) -> Value {
+    let mut text = String::new();
+    line.read_line(&mut text).unwrap();
+    serde_json::from_str(&text).unwrap()
+}
+
+#[test]
+fn a_controller_answers_bad_texts_and_calls_without_a_link_and_stops_in_order() {
+    // Nobody listens there: the link never opens.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let controller = Controller::start("alone.json", nobody);
+    let mut line = controller.connect("subscribers");
+    assert_eq!(ask(&mut line, "{")["error"]["code"], -32700);
+    assert_eq!(
+        ask(&mut line, r#"{"jsonrpc":"2.0","id":1,"method":"call.hangup","params":{"call":9}}"#)["error"]["code"],
+        -32001
+    );
+    let offer = r#"{"jsonrpc":"2.0","id":5,"method":"call.offer","params":{"call":1,"dest":2,"number":7,"time_left_ms":2000}}"#;
+    let answer = ask(&mut line, offer);
+    assert_eq!((&answer["id"], &answer["result"]["answer"]), (&json!(5), &json!("refused")), "{answer}");
+    let mut admin = controller.connect("admin");
+    let status = ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+    assert_eq!((&status["result"]["counts"]["offered"], &status["result"]["owed"]), (&json!(1), &json!(0)));
+    assert_eq!(status["result"]["groups"][0]["link"], "down");
+    let shown = mintstall(&["status", controller.ready["admin"].as_str().unwrap()]);
+    assert!(says(&shown).contains("exchange 1") && shown.status.success(), "{}", says(&shown));
+    assert_eq!(controller.stop(), Some(0));
+}
+
+#[test]
+fn a_stop_answers_every_call_that_was_taken_before_the_process_ends() {
+    use mintstall_isup::{Deframer, Frame};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let controller = Controller::start("stop.json", listener.local_addr().unwrap());
+    // An exchange that opens the link, resets its circuits when asked, and answers no set-up.
+    let far = std::thread::spawn(move || {
+        use std::io::Read;
+        let (mut stream, _) = listener.accept().unwrap();
+        let (mut deframer, mut buffer, mut set_ups) = (Deframer::default(), [0; 4096], 0);
+        let mut out = Vec::new();
+        Frame::AspUp { asp: Some(2) }.write(&mut out);
+        Frame::AspActive.write(&mut out);
+        stream.write_all(&out).unwrap();
+        loop {
+            let count = stream.read(&mut buffer).unwrap_or(0);
+            if count == 0 {
+                return set_ups;
+            }
+            deframer.push(&buffer[..count]);
+            while let Ok(Some(frame)) = deframer.next() {
+                let mut out = Vec::new();
+                match Frame::read(frame).unwrap() {
+                    Frame::AspUp { .. } => Frame::AspUpAck { asp: Some(2) }.write(&mut out),
+                    Frame::AspActive => Frame::AspActiveAck.write(&mut out),
+                    Frame::Data(data) => {
+                        let message = mintstall_isup::Message::read(data.user).unwrap();
+                        match message.body {
+                            mintstall_isup::Body::Grs { count } => {
+                                let status = mintstall_isup::RangeStatus { count, status: 0 };
+                                let body = mintstall_isup::Body::Gra(status);
+                                let mut user = Vec::new();
+                                mintstall_isup::Message::new(message.cic, body).write(&mut user);
+                                let back = mintstall_isup::Data { opc: 2, dpc: 1, user: &user, ..data };
+                                Frame::Data(back).write(&mut out);
+                            }
+                            mintstall_isup::Body::Iam(_) => set_ups += 1,
+                            _ => {}
+                        }
+                    }
+                    _ => {}
+                }
+                let _ = stream.write_all(&out);
+            }
+        }
+    });
+    // Until the group is there.
+    let mut admin = controller.connect("admin");
+    for _ in 0..400 {
+        let status = ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+        if status["result"]["groups"][0]["free"] == 31 && status["result"]["groups"][0]["link"] == "up" {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let mut line = controller.connect("subscribers");
+    for call in 1..=3 {
+        let offer = json!({ "jsonrpc": "2.0", "id": call, "method": "call.offer",
+            "params": { "call": call, "dest": 2, "number": call, "time_left_ms": 900 } });
+        line.get_mut().write_all(format!("{offer}\n").as_bytes()).unwrap();
+    }
+    // Asked on the same line, and so read after the offers.
+    assert_eq!(ask(&mut line, "{")["error"]["code"], -32700);
+    let pid = controller.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let answers: Vec<Value> = (0..3).map(|_| hear(&mut line)).collect();
+    assert!(answers.iter().all(|answer| answer["result"]["answer"] != "stands"), "{answers:?}");
+    let mut child = controller.child;
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(far.join().unwrap() > 0, "the calls were on their way");
+}
--- /dev/null
+++ b/crates/lab/benches/virtual_speed.rs
@@ -0,0 +1,39 @@
+//! How many times faster than real time days run, by size, on one core. Ratios of simulated to real time in this run;
+//! the time counted is that in which calls arrive.
+//!
+//! `cargo bench -p mintstall-lab --bench virtual_speed` (`-- --long` adds 500 exchanges).
+
+use std::time::{Duration, Instant};
+
+use mintstall_lab::Auditor;
+use mintstall_lab::virtual_day::{Honest, play};
+use mintstall_standin::{Day, Groups, Traffic};
+
+fn main() {
+    let long = std::env::args().any(|arg| arg == "--long");
+    let sizes = [(10, 103.0, 30.0), (40, 410.0, 30.0), (75, 770.0, 30.0), (500, 5000.0, 10.0)];
+    println!(
+        "{:>9} {:>8} {:>9} {:>10} {:>12} {:>8}",
+        "exchanges", "calls/s", "events", "real s", "times faster", "rules"
+    );
+    for (exchanges, calls_per_s, length_s) in sizes.into_iter().filter(|size| size.0 <= 75 || long) {
+        let day = Day {
+            exchanges,
+            length_s,
+            traffic: Traffic { calls_per_s, load: 0.92, ..Traffic::default() },
+            groups: Groups { spare_root: 1.3, ..Groups::default() },
+            ..Day::default()
+        };
+        let mut auditor = Auditor::new(&day.rules, Duration::from_millis(2), Duration::ZERO);
+        let start = Instant::now();
+        let played = play(&day, &mut auditor, &mut Honest);
+        let real = start.elapsed().as_secs_f64();
+        let kept = auditor.finish(played.ended).kept();
+        let rules = if kept { "kept" } else { "BROKEN" };
+        println!(
+            "{exchanges:>9} {calls_per_s:>8} {:>9} {real:>10.2} {:>12.1} {rules:>8}",
+            played.events,
+            length_s / real
+        );
+    }
+}
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -229,10 +229,10 @@
             calls_left += status["calls"].as_u64().unwrap_or(0) as usize;
             let groups = status["groups"].as_array().cloned().unwrap_or_default();
             let count = |group: &Value, what: &str| group[what].as_u64().unwrap_or(0) as usize;
-            stuck += groups
-                .iter()
-                .map(|g| count(g, "circuits") - count(g, "free") - count(g, "standing") - count(g, "blocked"))
-                .sum::<usize>();
+            let stuck_in = |group: &Value| {
+                ["seized", "releasing", "resetting"].map(|what| count(group, what)).iter().sum::<usize>()
+            };
+            stuck += groups.iter().map(stuck_in).sum::<usize>();
         }
         self.stop_all();
         let score = self.world.score.clone();
--- a/crates/lab/src/virtual_day.rs
+++ b/crates/lab/src/virtual_day.rs
@@ -65,6 +65,10 @@
 pub trait Meddler {
     /// Octets that the controller of `office` sends; what is returned is sent in their place.
     fn sends(&mut self, _now: Duration, _office: u16, _to: u16, octets: Vec<u8>) -> Vec<(u16, Vec<u8>)>;
+    /// Whether the controller hears what the directory tells it.
+    fn hears(&mut self, _now: Duration, _office: u16) -> bool {
+        true
+    }
     /// A final answer; how often it is given.
     fn answers(&mut self, _now: Duration, _office: u16, _call: u64) -> usize {
         1
@@ -166,7 +170,7 @@
             score: self.world.score.clone(),
             ended: now,
             events: self.events,
-            stuck: stuck.map(|group| group.circuits - group.free - group.standing - group.blocked).sum(),
+            stuck: stuck.map(|group| group.seized + group.releasing + group.resetting).sum(),
             calls_left: states.iter().map(|state| state.calls).sum(),
             tallies: states.iter().map(|state| state.tally).collect(),
         }
@@ -235,6 +239,8 @@
                     seat.names.remove(&id);
                 }
             }
+            // The first list it needs to know anyone at all.
+            Act::Roster { office, news } if news.since.is_some() && !self.meddler.hears(now, office) => {}
             Act::Roster { office, news } => {
                 let mut taken = true;
                 self.with(now, office, w, |seat, now, plant| {
--- /dev/null
+++ b/crates/lab/tests/rules.rs
@@ -0,0 +1,188 @@
+//! The auditor on controllers that do wrong, each rule in turn, and on the same days with honest ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mintstall_isup::{Body, Cic, Data, Frame, Message, Q850};
+use mintstall_lab::virtual_day::{Honest, Meddler, play};
+use mintstall_lab::{Auditor, Verdict};
+use mintstall_standin::{Day, Fault, FaultAt, Groups, Rules, Traffic, Which};
+
+fn judged(day: &Day, meddler: &mut dyn Meddler) -> Verdict {
+    assert_eq!(day.faults_found(), Vec::<String>::new());
+    let mut auditor = Auditor::new(&day.rules, Duration::from_millis(2), Duration::ZERO);
+    let played = play(day, &mut auditor, meddler);
+    auditor.finish(played.ended)
+}
+
+fn day(exchanges: u16, what: Vec<(f64, f64, Fault)>) -> Day {
+    let fault = |(at_s, for_s, what)| FaultAt { at_s, for_s, what };
+    Day {
+        length_s: 15.0,
+        exchanges,
+        traffic: Traffic { calls_per_s: 10.0 * f64::from(exchanges), ..Traffic::default() },
+        groups: Groups { spare_root: 1.5, ..Groups::default() },
+        faults: what.into_iter().map(fault).collect(),
+        ..Day::default()
+    }
+}
+
+fn hang(office: u16) -> (f64, f64, Fault) {
+    (4.0, 4.0, Fault::Hang { exchanges: Which::These(vec![office]) })
+}
+
+fn replaced(office: u16) -> (f64, f64, Fault) {
+    (4.0, 10.0, Fault::Replaced { exchanges: Which::These(vec![office]), drain_s: 8.0 })
+}
+
+/// Every breach is of this rule, and there are some.
+fn breaks(rule: u8, verdict: &Verdict) {
+    assert!(!verdict.kept(), "nothing found: {:?}", verdict.judged);
+    let others: Vec<_> = verdict.breaches.iter().filter(|breach| breach.rule != rule).collect();
+    assert!(others.is_empty(), "{others:?}");
+}
+
+fn kept(verdict: &Verdict) {
+    assert!(verdict.kept(), "{:#?}", verdict.breaches);
+}
+
+struct Answers(usize);
+
+impl Meddler for Answers {
+    fn sends(&mut self, _: Duration, _: u16, to: u16, octets: Vec<u8>) -> Vec<(u16, Vec<u8>)> {
+        vec![(to, octets)]
+    }
+    fn answers(&mut self, _: Duration, _: u16, call: u64) -> usize {
+        if (call >> 8).is_multiple_of(50) { self.0 } else { 1 }
+    }
+}
+
+#[test]
+fn a_second_answer_or_none_breaks_the_first_rule() {
+    let day = day(4, vec![]);
+    let twice = judged(&day, &mut Answers(2));
+    breaks(1, &twice);
+    assert!(twice.breaches[0].what.contains("a second final answer"), "{}", twice.breaches[0]);
+    let never = judged(&day, &mut Answers(0));
+    breaks(1, &never);
+    assert!(never.breaches[0].what.contains("never answered"), "{}", never.breaches[0]);
+    kept(&judged(&day, &mut Honest));
+}
+
+/// Sends set-ups again, by a rule of its own.
+struct Resends {
+    at_once: bool,
+    /// What it sent on each circuit, as it stood.
+    sent: BTreeMap<(u16, u16, u16), Vec<u8>>,
+}
+
+fn user(frame: &[u8]) -> Option<Data<'_>> {
+    match Frame::read(frame) {
+        Ok(Frame::Data(data)) => Some(data),
+        _ => None,
+    }
+}
+
+/// The same set-up as the next seizure of its call, on the circuit at the other end of the group.
+fn again(frame: &[u8]) -> Option<Vec<u8>> {
+    let data = user(frame)?;
+    let mut message = Message::read(data.user).ok()?;
+    let Body::Iam(iam) = &mut message.body else { return None };
+    iam.identity.as_mut()?.seizure += 1;
+    message.cic = Cic(message.cic.0 ^ 2);
+    let (mut octets, mut out) = (Vec::new(), Vec::new());
+    message.write(&mut octets);
+    Frame::Data(Data { user: &octets, ..data }).write(&mut out);
+    Some(out)
+}
+
+impl Meddler for Resends {
+    fn sends(&mut self, _: Duration, office: u16, to: u16, octets: Vec<u8>) -> Vec<(u16, Vec<u8>)> {
+        let Some(data) = user(&octets) else { return vec![(to, octets)] };
+        let Ok(message) = Message::read(data.user) else { return vec![(to, octets)] };
+        let circuit = (office, to, message.cic.0);
+        match message.body {
+            Body::Iam(iam) if iam.identity.is_some_and(|identity| identity.origin == office) => {
+                if self.at_once && self.sent.len() == 40 {
+                    self.sent.clear();
+                    let second = again(&octets);
+                    return [Some(octets), second].into_iter().flatten().map(|octets| (to, octets)).collect();
+                }
+                self.sent.insert(circuit, octets.clone());
+                vec![(to, octets)]
+            }
+            Body::Rel(rel) if !self.at_once && rel.cause.cause == Q850::RecoveryOnTimer => {
+                let second = self.sent.remove(&circuit).and_then(|iam| again(&iam));
+                [Some(octets), second].into_iter().flatten().map(|octets| (to, octets)).collect()
+            }
+            _ => vec![(to, octets)],
+        }
+    }
+}
+
+#[test]
+fn two_seizures_out_break_the_second_rule() {
+    let day = day(4, vec![]);
+    let verdict = judged(&day, &mut Resends { at_once: true, sent: BTreeMap::new() });
+    let second: Vec<_> = verdict.breaches.iter().filter(|breach| breach.rule == 2).collect();
+    assert!(second.iter().any(|breach| breach.what.contains("while it is out")), "{:?}", verdict.breaches);
+    kept(&judged(&day, &mut Honest));
+}
+
+/// Controllers that do not hear the directory, which has spoken to them all the same.
+struct Deaf;
+
+impl Meddler for Deaf {
+    fn sends(&mut self, _: Duration, _: u16, to: u16, octets: Vec<u8>) -> Vec<(u16, Vec<u8>)> {
+        vec![(to, octets)]
+    }
+    fn hears(&mut self, _: Duration, _: u16) -> bool {
+        false
+    }
+}
+
+#[test]
+fn set_ups_to_a_draining_exchange_break_the_third_rule() {
+    let day = day(4, vec![replaced(2)]);
+    let verdict = judged(&day, &mut Deaf);
+    breaks(3, &verdict);
+    assert!(verdict.breaches.iter().all(|breach| breach.what.starts_with("a set-up to 2")));
+    let honest = judged(&day, &mut Honest);
+    kept(&honest);
+    assert!(honest.judged.drains >= 4);
+}
+
+#[test]
+fn twelve_controllers_together_break_the_fourth_rule_unless_each_keeps_to_its_share() {
+    let restart = Fault::MassRestart { exchanges: Which::These(vec![5]) };
+    // Falls over at less than the usual load, so that it is the share that keeps it up.
+    let rules = Rules { fall_multiple: 0.4, cold_share: 0.3, warm_up_ms: 15_000, ..Rules::default() };
+    let day = Day { rules: rules.clone(), length_s: 25.0, ..day(12, vec![(4.0, 1.0, restart)]) };
+    // Controllers that were told that it bears anything.
+    let careless = Day { rules: Rules { fall_multiple: 50.0, ..rules }, ..day.clone() };
+    let mut auditor = Auditor::new(&day.rules, Duration::from_millis(2), Duration::ZERO);
+    let played = play(&careless, &mut auditor, &mut Honest);
+    let verdict = auditor.finish(played.ended);
+    breaks(4, &verdict);
+    assert!(verdict.breaches.iter().all(|breach| breach.office == 5), "{:?}", verdict.breaches);
+    let honest = judged(&day, &mut Honest);
+    kept(&honest);
+    // Before they are told all send as usual; after it, their share.
+    let (share, all) = (honest.judged.set_ups_at_cold, verdict.judged.set_ups_at_cold);
+    assert!(share > 0 && 2 * share < all, "{share} of {all}");
+}
+
+#[test]
+fn a_set_up_sent_again_at_once_after_a_time_out_breaks_the_fifth_rule() {
+    let day = day(4, vec![hang(2)]);
+    let verdict = judged(&day, &mut Resends { at_once: false, sent: BTreeMap::new() });
+    let fifth: Vec<_> = verdict.breaches.iter().filter(|breach| breach.rule == 5).collect();
+    assert!(
+        fifth.iter().any(|breach| breach.what.contains("200 ms to be awaited")),
+        "{:?}",
+        verdict.breaches
+    );
+    let honest = judged(&day, &mut Honest);
+    kept(&honest);
+    assert!(honest.judged.releases > 10, "{:?}", honest.judged);
+}
--- /dev/null
+++ b/crates/lab/tests/virtual_days.rs
@@ -0,0 +1,147 @@
+//! Days in virtual time: rules kept through every kind of trouble, and the same octets from the same seed.
+
+use std::time::Duration;
+
+use mintstall_lab::Auditor;
+use mintstall_lab::capture::Capture;
+use mintstall_lab::virtual_day::{Honest, Played, play};
+use mintstall_lab::{Report, Verdict};
+use mintstall_standin::*;
+
+fn run(day: &Day) -> (Played, Verdict) {
+    assert_eq!(day.faults_found(), Vec::<String>::new());
+    let mut auditor = Auditor::new(&day.rules, Duration::from_millis(2), Duration::ZERO);
+    let played = play(day, &mut auditor, &mut Honest);
+    let verdict = auditor.finish(played.ended);
+    (played, verdict)
+}
+
+fn some(share: f64) -> Which {
+    Which::Share { share }
+}
+
+/// Every kind of trouble, some at once.
+fn all_troubles() -> Vec<FaultAt> {
+    let troubles = [
+        (2.0, 3.0, Fault::Slow { exchanges: some(0.2), factor: 3.0 }),
+        (3.0, 2.0, Fault::ControllersKilled { exchanges: some(0.3) }),
+        (4.0, 2.0, Fault::LinkBreaks { between: [1, 2] }),
+        (5.0, 4.0, Fault::Replaced { exchanges: some(0.1), drain_s: 3.0 }),
+        (6.0, 2.0, Fault::Hang { exchanges: some(0.15) }),
+        (6.0, 4.0, Fault::DirectoryLate { by_ms: 3000.0 }),
+        (7.0, 3.0, Fault::Burst { factor: 1.5 }),
+        (8.0, 3.0, Fault::CircuitsLost { region: 0, keep: 0.4 }),
+        (9.0, 2.0, Fault::RegionCut { region: 1 }),
+        (10.0, 3.0, Fault::Crowd { exchange: 3, number: 5_550_000, lines: 2, share: 0.2 }),
+        (11.0, 2.0, Fault::Ageing { exchanges: some(0.2), factor: 4.0 }),
+        (11.0, 4.0, Fault::MessagesLost { share: 0.5 }),
+        (12.0, 1.0, Fault::MassCut { share: 0.3 }),
+        (12.0, 2.0, Fault::MassRestart { exchanges: some(0.2) }),
+        (13.0, 2.0, Fault::RedialAtOnce),
+    ];
+    troubles.into_iter().map(|(at_s, for_s, what)| FaultAt { at_s, for_s, what }).collect()
+}
+
+fn hard(exchanges: u16, seed: u64) -> Day {
+    Day {
+        seed,
+        length_s: 15.0,
+        exchanges,
+        regions: vec!["a".into(), "b".into(), "c".into()],
+        speeds: vec![1.0, 0.8, 1.2],
+        call_types: vec![
+            CallTypePlan { share: 0.9, ..CallTypePlan::default() },
+            CallTypePlan {
+                name: "wide".into(),
+                share: 0.1,
+                width: 3,
+                revenue: 3.0,
+                ..CallTypePlan::default()
+            },
+        ],
+        traffic: Traffic { calls_per_s: 9.0 * f64::from(exchanges), ..Traffic::default() },
+        processor: ProcessorPlan {
+            reports: Reports::Rate,
+            answers_first: seed.is_multiple_of(2),
+            ..ProcessorPlan::default()
+        },
+        groups: Groups { unlinked: 0.1, ..Groups::default() },
+        advice: seed.is_multiple_of(3),
+        messages: true,
+        faults: all_troubles(),
+        ..Day::default()
+    }
+}
+
+#[test]
+fn forty_exchanges_keep_the_rules_through_all_troubles_over_twenty_seeds() {
+    for seed in 1..=20 {
+        let day = hard(40, seed);
+        let (played, verdict) = run(&day);
+        assert!(verdict.kept(), "seed {seed}: {:#?}", verdict.breaches);
+        let judged = verdict.judged;
+        let all = [
+            judged.calls,
+            judged.seizures,
+            judged.calls_in_transit,
+            judged.drains,
+            judged.cold_starts,
+            judged.releases,
+        ];
+        assert!(
+            all.iter().all(|count| *count > 0) && judged.calls_exempt > 0,
+            "seed {seed} judged little: {judged:?}"
+        );
+        assert_eq!((played.stuck, played.calls_left), (0, 0), "seed {seed}: circuits or calls are left over");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_capture_to_the_octet_and_another_does_not() {
+    let capture = |seed| {
+        let mut capture = Capture::new(Vec::new()).unwrap();
+        play(&hard(8, seed), &mut capture, &mut Honest);
+        capture.finish().unwrap()
+    };
+    let (first, second, other) = (capture(4), capture(4), capture(5));
+    assert!(first.len() > 50_000, "{} octets", first.len());
+    assert_eq!(&first[..4], &[0xa1, 0xb2, 0xc3, 0xd4], "a pcap file, big end first");
+    assert!(first == second && first != other);
+}
+
+#[test]
+fn a_quiet_day_serves_nearly_every_call() {
+    let day = Day { traffic: Traffic { load: 0.6, ..Traffic::default() }, ..Day::default() };
+    let (played, verdict) = run(&day);
+    let report = Report::new(&day, "virtual", played.score, verdict, &played.tallies);
+    assert!(report.kept && report.service > 0.99, "{}", report.text(&day));
+}
+
+#[test]
+fn the_script_of_the_first_command_keeps_the_rules() {
+    let text = include_str!("../../../days/bad-day.json");
+    let day: Day = serde_json::from_str(text).unwrap();
+    let (played, verdict) = run(&day);
+    assert!(verdict.kept(), "{:#?}", verdict.breaches);
+    assert!(day.exchanges >= 6 && day.regions.len() == 3 && day.faults.len() >= 5);
+    assert!(played.score.whole.share() > 0.5 && played.score.whole.share() < 1.0);
+}
+
+#[test]
+fn every_fault_of_a_script_is_found_with_its_place() {
+    let mut day = hard(4, 1);
+    day.length_s = 0.0;
+    day.call_types[1].width = 40;
+    day.faults.truncate(1);
+    day.faults[0].what = Fault::Slow { exchanges: Which::These(vec![9]), factor: 0.1 };
+    let found = day.faults_found();
+    let places: Vec<_> = found.iter().map(|fault| fault.split(": ").next().unwrap()).collect();
+    let wanted = [
+        "length_s",
+        "call_types[1].width",
+        "faults[0].at_s",
+        "faults[0].what.exchanges",
+        "faults[0].what.factor",
+    ];
+    assert_eq!(places, wanted);
+}
