--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -161,6 +161,8 @@
     pub link_ack_ms: u64,
     pub beat_ms: u64,
     pub link_grace_ms: u64,
+    /// Each group is audited this often, one system of 31 circuits at a time.
+    pub audit_ms: u64,
 }
 
 impl Default for TimersMs {
@@ -177,6 +179,7 @@
             link_ack_ms: ms(t.link_ack),
             beat_ms: ms(t.beat),
             link_grace_ms: ms(t.link_grace),
+            audit_ms: ms(t.audit),
         }
     }
 }
@@ -329,6 +332,7 @@
             t.link_ack_ms,
             t.beat_ms,
             t.link_grace_ms,
+            t.audit_ms,
         ];
         say(
             all.iter().any(|ms| !(1..=86_400_000).contains(ms)),
@@ -385,6 +389,7 @@
                 link_ack: ms(t.link_ack_ms),
                 beat: ms(t.beat_ms),
                 link_grace: ms(t.link_grace_ms),
+                audit: ms(t.audit_ms),
             },
             most_calls: self.most_calls,
         }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -104,9 +104,9 @@
 
 impl Exchange {
     /// `now` must be well above zero: it is the clock on which processors that started earlier are told.
-    pub fn new(config: &Config, incarnation: u32, seed: u64) -> Self {
+    pub fn new(now: Duration, config: &Config, incarnation: u32, seed: u64) -> Self {
         Self {
-            office: Office::new(&config.plan(), incarnation, seed),
+            office: Office::new(now, &config.plan(), incarnation, seed),
             roster: Roster::new(Limits::default()),
             feed: LineCutter::new(LONGEST_NEWS),
             lines: BTreeMap::new(),
@@ -397,7 +397,7 @@
                 "offered": tally.offered, "transit": tally.transit, "seizures": tally.seizures, "stood": tally.stood,
                 "refused": tally.refused, "failed": tally.failed, "cut": tally.cut, "terminated": tally.terminated,
                 "timed_out": tally.timed_out, "dual_seizures": tally.dual_seizures, "yielded": tally.yielded,
-                "releases_repeated": tally.releases_repeated, "resets": tally.resets,
+                "releases_repeated": tally.releases_repeated, "resets": tally.resets, "stuck_found": tally.stuck_found,
                 "unexpected": tally.unexpected, "overflow": tally.overflow,
             },
         })
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -255,7 +255,7 @@
         let incarnation = (wall_ms() / 1000).saturating_sub(1_577_836_800) as u32;
         let seed = config.seed.unwrap_or_else(|| rand::rng().random());
         let mut shell = Self {
-            exchange: Exchange::new(config, incarnation, seed),
+            exchange: Exchange::new(CLOCK_START, config, incarnation, seed),
             wires: Wires {
                 poll,
                 connections: BTreeMap::new(),
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -571,6 +571,7 @@
         yielded: count("yielded"),
         releases_repeated: count("releases_repeated"),
         resets: count("resets"),
+        stuck_found: count("stuck_found"),
         unexpected: count("unexpected"),
         overflow: count("overflow"),
     }
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -70,6 +70,7 @@
             t17_ms: 4000,
             t22_ms: 2000,
             link_ack_ms: 500,
+            audit_ms: 6000,
             ..TimersMs::default()
         },
         most_calls: 20_000,
--- /dev/null
+++ b/crates/office/src/audit.rs
@@ -0,0 +1,158 @@
+//! Audits of circuits: what one end holds busy and the other idle is found and freed (Q.764 clause 2.8.3, circuit
+//! group query).
+//!
+//! Signalling that was lost or overtaken can leave a call standing at one end of a circuit of which the other knows
+//! nothing; nobody would ever release it. Each link's group is asked about one system at a time, in turn. A
+//! disagreement counts only when two looks in a row find it and the circuit has not changed in between: what is on its
+//! way at one look has arrived by the next, so that no live circuit is freed. A stuck circuit is found within two
+//! rounds: `2 x audit x systems`.
+
+use std::collections::BTreeMap;
+
+use mintstall::Controller;
+use mintstall::host::{Cause, OfficeNo};
+use mintstall_isup::{Body, Cic, CircuitState, Q850};
+
+use crate::circuits::{Group, Use};
+use crate::desk::Working;
+use crate::legs::Held;
+use crate::office::failure;
+use crate::timers::Timer;
+
+/// What an audit knows of one group.
+#[derive(Debug, Default)]
+pub(crate) struct Audit {
+    /// The system asked about last.
+    system: u16,
+    /// Circuits that differed at the last look, and how often they had changed by then. At most one a circuit.
+    doubts: BTreeMap<u16, u32>,
+}
+
+/// What becomes of a circuit on which the ends disagree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    Agreed,
+    /// At this look only.
+    Doubt,
+    /// At two looks, without a change in between.
+    Stuck,
+}
+
+impl Audit {
+    fn look(&mut self, group: &Group, place: u16, far: CircuitState) -> Finding {
+        let Some(circuit) = group.get(place) else { return Finding::Agreed };
+        let far_idle = matches!(far, CircuitState::Idle { .. });
+        let (far_in, far_out) = (
+            matches!(far, CircuitState::IncomingBusy { .. }),
+            matches!(far, CircuitState::OutgoingBusy { .. }),
+        );
+        // Set-ups, releases and resets have timers of their own.
+        let differs = match circuit.used {
+            Use::StandingOut(_) => far_idle || far_out,
+            Use::StandingIn(_) => far_idle || far_in,
+            Use::Idle => far_in || far_out,
+            _ => false,
+        };
+        match (differs, self.doubts.remove(&place)) {
+            (false, _) => Finding::Agreed,
+            (true, Some(turns)) if turns == circuit.turns => Finding::Stuck,
+            (true, _) => {
+                self.doubts.insert(place, circuit.turns);
+                Finding::Doubt
+            }
+        }
+    }
+}
+
+impl Working<'_> {
+    /// Asks the far end about the next system of its group, and sets the next look.
+    pub fn audit(&mut self, to: OfficeNo) {
+        let next = self.now + self.desk.t.audit;
+        self.desk.timers.set(next, Timer::Audit(to));
+        let Some(size) = self.desk.groups.get(&to).map(Group::size).filter(|size| *size > 0) else { return };
+        let audit = self.desk.audits.entry(to).or_default();
+        audit.system = (audit.system + 1) % size.div_ceil(Cic::SYSTEM);
+        let first = audit.system * Cic::SYSTEM;
+        let count = (size - first).min(Cic::SYSTEM) as u8;
+        self.send(to, Cic::at(first), Body::Cqm { count });
+    }
+
+    /// The far end says what it holds of each circuit.
+    pub fn audited(
+        &mut self,
+        controller: &mut Controller,
+        from: OfficeNo,
+        first: Cic,
+        states: &[CircuitState],
+    ) {
+        for (cic, far) in (first.0..).map(Cic).zip(states) {
+            let Some(group) = self.desk.groups.get(&from) else { return };
+            let Some(place) = group.place(cic) else { continue };
+            let finding = self.desk.audits.entry(from).or_default().look(group, place, *far);
+            if finding != Finding::Stuck {
+                continue;
+            }
+            let used = group.get(place).map(|circuit| circuit.used);
+            self.desk.tally.stuck_found += 1;
+            self.plant.note(&format!(
+                "exchange {}: circuit {} is {used:?} here, {far:?} there: reset",
+                from.0, cic.0
+            ));
+            match used.and_then(Use::call) {
+                Some(call) => {
+                    let rel = failure(Q850::TemporaryFailure);
+                    self.side_lost(controller, call, (from, place), Cause::Cut, &rel, Held::reset);
+                }
+                None => self.reset_held(&Held { to: from, places: vec![place] }),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use mintstall::host::CallId;
+
+    use super::*;
+
+    fn group() -> Group {
+        Group::new(OfficeNo(1), OfficeNo(2), 10)
+    }
+
+    const IDLE: CircuitState = CircuitState::Idle { blocked: false };
+    const BUSY: CircuitState = CircuitState::IncomingBusy { blocked: false };
+
+    #[test]
+    fn a_call_unknown_to_the_far_end_is_stuck_at_the_second_look() {
+        let (mut audit, mut group) = (Audit::default(), group());
+        group.put(3, Use::StandingOut(CallId(7)));
+        assert_eq!(audit.look(&group, 3, BUSY), Finding::Agreed);
+        assert_eq!(audit.look(&group, 3, IDLE), Finding::Doubt);
+        assert_eq!(audit.look(&group, 3, IDLE), Finding::Stuck);
+        // Both ends hold that they set the call up.
+        let both_out = CircuitState::OutgoingBusy { blocked: false };
+        assert_eq!(audit.look(&group, 3, both_out), Finding::Doubt);
+        assert_eq!(audit.look(&group, 3, both_out), Finding::Stuck);
+    }
+
+    #[test]
+    fn a_circuit_that_changed_between_the_looks_is_not_freed() {
+        let (mut audit, mut group) = (Audit::default(), group());
+        group.put(3, Use::StandingOut(CallId(7)));
+        assert_eq!(audit.look(&group, 3, IDLE), Finding::Doubt);
+        group.put(3, Use::Idle);
+        group.put(3, Use::StandingOut(CallId(8)));
+        assert_eq!(audit.look(&group, 3, IDLE), Finding::Doubt);
+        assert_eq!(audit.look(&group, 3, BUSY), Finding::Agreed);
+        assert_eq!(audit.look(&group, 3, IDLE), Finding::Doubt, "agreeing once starts afresh");
+    }
+
+    #[test]
+    fn what_is_being_set_up_or_let_go_is_left_to_its_timers() {
+        let (mut audit, mut group) = (Audit::default(), group());
+        group.put(3, Use::SeizedOut(CallId(7)));
+        assert!((0..3).all(|_| audit.look(&group, 3, IDLE) == Finding::Agreed));
+        group.put(3, Use::Resetting { timer: None });
+        assert!((0..3).all(|_| audit.look(&group, 3, BUSY) == Finding::Agreed));
+    }
+}
--- a/crates/office/src/circuits.rs
+++ b/crates/office/src/circuits.rs
@@ -77,6 +77,8 @@
 pub(crate) struct Circuit {
     pub used: Use,
     pub blocked: Blocked,
+    /// How often its use has changed.
+    pub turns: u32,
 }
 
 /// The circuits to one other exchange, by their places in the group.
@@ -92,7 +94,7 @@
 
 impl Group {
     pub fn new(own: OfficeNo, to: OfficeNo, count: u16) -> Self {
-        let circuit = Circuit { used: Use::Idle, blocked: Blocked::Open };
+        let circuit = Circuit { used: Use::Idle, blocked: Blocked::Open, turns: 0 };
         let mut group = Self {
             circuits: vec![circuit; usize::from(count.min(Cic::IN_GROUP))],
             controls_even: own > to,
@@ -132,6 +134,7 @@
     pub fn put(&mut self, place: u16, used: Use) {
         if let Some(circuit) = self.circuits.get_mut(usize::from(place)) {
             circuit.used = used;
+            circuit.turns = circuit.turns.wrapping_add(1);
             self.keep_in_step(place);
         }
     }
--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -15,6 +15,7 @@
     Report, TurnedBack, m3ua,
 };
 
+use crate::audit::Audit;
 use crate::circuits::{Group, Use};
 use crate::legs::{Held, Leg, Out, Sink, Source};
 use crate::links::Link;
@@ -34,6 +35,8 @@
     /// Fixed at start.
     pub groups: BTreeMap<OfficeNo, Group>,
     pub links: BTreeMap<OfficeNo, Link>,
+    /// One a link at the most.
+    pub audits: BTreeMap<OfficeNo, Audit>,
     /// At most `most_calls`; emptied as calls end.
     pub legs: BTreeMap<CallId, Leg>,
     pub timers: TimerQueue,
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -5,6 +5,7 @@
 //! | `plan` | what is read at start |
 //! | `plant` | what the office acts through, and what it tells its callers |
 //! | `circuits` | trunk groups, the states of their circuits, selection, dual seizure |
+//! | `audit` | circuits that one end holds busy and the other idle |
 //! | `legs` | the calls of this exchange and the circuits that each holds |
 //! | `links` | the M3UA state of the link to each other exchange |
 //! | `timers` | what rings when |
@@ -13,6 +14,7 @@
 //! | `desk` | what the decisions may do: `mintstall::host::Host` |
 //! | `state` | what is shown of it |
 
+mod audit;
 mod circuits;
 mod desk;
 mod legs;
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -64,15 +64,16 @@
 
 impl Office {
     /// `incarnation` sets the call numbers of this process apart from those before it: it must grow with each start.
-    pub fn new(plan: &OfficePlan, incarnation: u32, seed: u64) -> Self {
+    pub fn new(now: Duration, plan: &OfficePlan, incarnation: u32, seed: u64) -> Self {
         let group = |group: &crate::GroupPlan| (group.to, Group::new(plan.own, group.to, group.circuits));
-        let desk = Desk {
+        let mut desk = Desk {
             own: plan.own,
             t: plan.timers,
             most_calls: plan.most_calls,
             widths: plan.data.call_types.iter().map(|of| of.width).collect(),
             groups: plan.groups.iter().map(group).collect(),
             links: plan.groups.iter().map(|group| (group.to, Link::default())).collect(),
+            audits: BTreeMap::new(),
             legs: BTreeMap::new(),
             timers: TimerQueue::default(),
             exchanges: BTreeMap::new(),
@@ -87,6 +88,11 @@
             frame: Vec::new(),
             message: Vec::new(),
         };
+        // The looks at the groups are spread over the time between two at one.
+        for (turn, to) in plan.groups.iter().map(|group| group.to).enumerate() {
+            let share = (turn + 1) as f64 / plan.groups.len() as f64;
+            desk.timers.set(now + plan.timers.audit.mul_f64(share), Timer::Audit(to));
+        }
         Self { controller: Controller::new(&plan.data, seed), desk, service: Service::Open }
     }
 
@@ -234,13 +240,12 @@
                     to.0,
                     places.len()
                 ));
-                for place in &places {
-                    if let Some(group) = w.desk.groups.get_mut(&to) {
-                        group.block(*place, Some(fails), None);
-                    }
-                    if fails {
-                        w.circuit_fails(controller, to, *place);
-                    }
+                // All are blocked before any call is cut: what its end sets free must not seize one that fails next.
+                if let Some(group) = w.desk.groups.get_mut(&to) {
+                    places.iter().for_each(|place| group.block(*place, Some(fails), None));
+                }
+                for place in places.iter().filter(|_| fails) {
+                    w.circuit_fails(controller, to, *place);
                 }
                 w.desk.changed.insert(to);
                 w.tell_blocked(to, &places, fails);
@@ -302,6 +307,7 @@
                 Timer::Circuit(to, place) => w.circuit_timer(to, place),
                 Timer::GroupReset(to, place) => w.reset_system(to, place, w.desk.t.t17),
                 Timer::Link(to) => w.link_timer(to),
+                Timer::Audit(to) => w.audit(to),
                 Timer::LinkGrace(to) => w.link_grace(controller, to),
             });
         }
--- a/crates/office/src/plan.rs
+++ b/crates/office/src/plan.rs
@@ -53,6 +53,8 @@
     pub beat: Duration,
     /// Standing calls outlive their link by this; then they count as cut.
     pub link_grace: Duration,
+    /// Each link's group is audited this often, one system at a time: a stuck circuit is found within two rounds.
+    pub audit: Duration,
 }
 
 impl Default for Timers {
@@ -68,6 +70,7 @@
             link_ack: s(2),
             beat: s(5),
             link_grace: s(10),
+            audit: s(30),
         }
     }
 }
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -203,12 +203,12 @@
             }
             Body::Cgb { kind, range } => {
                 const HARDWARE: u8 = 1;
-                for (place, _) in in_range(&self.desk.groups[&from], cic, range).into_iter().filter(|at| at.1)
-                {
-                    self.block_there(from, place, true);
-                    if kind == HARDWARE {
-                        self.circuit_fails(controller, from, place);
-                    }
+                let meant = in_range(&self.desk.groups[&from], cic, range);
+                let meant: Vec<_> =
+                    meant.into_iter().filter(|(_, status)| *status).map(|(place, _)| place).collect();
+                meant.iter().for_each(|place| self.block_there(from, *place, true));
+                for place in meant.into_iter().filter(|_| kind == HARDWARE) {
+                    self.circuit_fails(controller, from, place);
                 }
                 self.send(from, cic, Body::Cgba { kind, range });
             }
@@ -228,7 +228,8 @@
                 let states = states.collect();
                 self.send(from, cic, Body::Cqr { states });
             }
-            Body::Bla | Body::Uba | Body::Cgba { .. } | Body::Cgua { .. } | Body::Cqr { .. } => {}
+            Body::Cqr { states } => self.audited(controller, from, cic, &states),
+            Body::Bla | Body::Uba | Body::Cgba { .. } | Body::Cgua { .. } => {}
             Body::Unknown { .. } => self.desk.tally.unexpected += 1,
             Body::Probe | Body::Reported(_) | Body::Peer(_) => {}
         }
@@ -535,6 +536,8 @@
                     yielding.push((*place, call));
                 }
                 Use::Idle => {}
+                // The far end answered this call, and so had yielded: its set-up was overtaken by its answer.
+                Use::StandingOut(_) => return None,
                 used => stale.extend(used.call().map(|call| (*place, call))),
             }
         }
--- a/crates/office/src/state.rs
+++ b/crates/office/src/state.rs
@@ -26,6 +26,8 @@
     /// Releases sent again, circuits reset.
     pub releases_repeated: u64,
     pub resets: u64,
+    /// Circuits that an audit found busy at one end and idle at the other.
+    pub stuck_found: u64,
     /// Messages that made no sense, or none in the state of their circuit.
     pub unexpected: u64,
     /// Offers turned away because too many calls were in hand.
--- a/crates/office/src/timers.rs
+++ b/crates/office/src/timers.rs
@@ -23,6 +23,8 @@
     GroupReset(OfficeNo, u16),
     /// T(ack) or the next sign of life.
     Link(OfficeNo),
+    /// The next look at what the far end holds of the group.
+    Audit(OfficeNo),
     /// Standing calls have outlived their link for long enough.
     LinkGrace(OfficeNo),
 }
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -240,7 +240,7 @@
     table.carry();
     // 1 dies without a word and comes back with nothing.
     let (office, wires) = table.offices.get_mut(&1).unwrap();
-    *office = mintstall_office::Office::new(&common::plan(1, &[2, 3], 31), 2, 9);
+    *office = mintstall_office::Office::new(table.now, &common::plan(1, &[2, 3], 31), 2, 9);
     wires.sent.clear();
     table.listed(1);
     for far in [2, 3] {
@@ -361,3 +361,69 @@
     table.carry();
     table.all_quiet();
 }
+
+#[test]
+fn a_call_of_which_the_far_end_knows_nothing_is_found_and_its_circuit_freed() {
+    let mut table = Table::new(2, 62);
+    let call = table.call(1, 2, 5, 0);
+    table.carry();
+    // The release is lost on the way, and its completion made up: the far end holds the call for good.
+    let live = table.call(1, 2, 6, 0);
+    table.carry();
+    table.with(1, |office, now, wires| office.hang_up(now, wires, call));
+    assert_eq!(table.take(1, 2).len(), 1);
+    table.give(2, 1, &frame(2, 1, Cic(1), Body::Rlc { other: Vec::new() }));
+    assert_eq!((table.group(1, 2).standing, table.group(2, 1).standing), (1, 2));
+    // Two systems, a look every 30 s, from each end: two looks at each system within two minutes.
+    for _ in 0..120 {
+        table.pass(ms(1000));
+        table.carry();
+    }
+    assert_eq!((table.group(1, 2).standing, table.group(2, 1).standing), (1, 1));
+    assert!(table.tally(1).stuck_found + table.tally(2).stuck_found >= 1, "either end may find it first");
+    assert_eq!(table.ended(1), [], "the live call is left alone");
+    table.with(1, |office, now, wires| office.hang_up(now, wires, live));
+    table.carry();
+    table.all_quiet();
+}
+
+#[test]
+fn an_exchange_that_the_roster_still_lists_as_ready_but_is_gone_costs_no_call_its_answer() {
+    let mut table = Table::new(3, 31);
+    table.cut(1, 2);
+    let calls: Vec<_> = (0..6).map(|no| table.call(1, 2, no, 0)).collect();
+    table.pass(ms(3000));
+    let answered: Vec<_> = table.answers(1).into_iter().map(|(call, _)| call).collect();
+    assert!(
+        calls.iter().all(|call| answered.iter().filter(|other| *other == call).count() == 1),
+        "{answered:?}"
+    );
+    assert!(table.take(1, 2).is_empty() && table.tally(1).seizures == 0);
+}
+
+#[test]
+fn a_drain_told_while_a_call_waits_for_a_further_seizure_keeps_it_from_going_there() {
+    use mintstall::host::{ExchangeId, RosterLine, Standing, Zone};
+    let mut table = Table::new(2, 31);
+    let call = table.call(1, 2, 5, 0);
+    table.take(1, 2);
+    // Turned away for now: the call waits for its next seizure.
+    let cause = mintstall_isup::CauseIndicators::new(
+        mintstall_isup::Location::Local,
+        mintstall_isup::Q850::Congestion,
+    );
+    table.give(2, 1, &frame(2, 1, Cic(1), Body::Rel(mintstall_isup::Rel::new(cause))));
+    table.take(1, 2);
+    assert_eq!(table.answers(1), []);
+    let drains = RosterLine {
+        exchange: ExchangeId(20),
+        office: OfficeNo(2),
+        zone: Zone(0),
+        standing: Standing::Draining,
+        started: Duration::ZERO,
+    };
+    table.with(1, |office, now, wires| office.roster_changes(now, wires, &[drains]));
+    table.pass(ms(3000));
+    assert!(!table.take(1, 2).iter().any(|octets| name(octets).as_deref() == Some("IAM")));
+    assert!(matches!(table.answers(1)[..], [(answered, Answer::Refused { .. })] if answered == call));
+}
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -83,6 +83,7 @@
     HangsUp { caller: u64, tries: u8 },
     Arrives { to: u16, from: u16, round: u32, frame: Vec<u8> },
     Done { office: u16, round: u64 },
+    Hand { office: u16, job: Job },
     Dial { a: u16, b: u16 },
     Tell { office: u16 },
     Report,
@@ -353,6 +354,7 @@
                 }
             }
             Event::Done { office, round } => self.done_work(at, office, round, w, acts),
+            Event::Hand { office, job } => self.hand(at, office, job, w, acts),
             Event::Dial { a, b } => {
                 if self.usable(a, b) && !self.wire(a, b).connected {
                     for (office, to) in [(a, b), (b, a)] {
@@ -946,7 +948,7 @@
                     let processor = &mut self.exchanges[usize::from(office) - 1].processor;
                     processor.hung = false;
                     for job in processor.drain() {
-                        self.hand(now, office, job, w, acts);
+                        self.at(now, Event::Hand { office, job });
                     }
                 }
             }
