--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -5,8 +5,12 @@
 
 mod lines;
 
+use std::borrow::Cow;
+
 use schemars::JsonSchema;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
 pub use lines::{LineCutter, LineTooLong};
@@ -132,52 +136,92 @@
 impl Asked {
     /// Reads one text; a fault comes with the id to reply to, null where it can't be known.
     pub fn read(text: &[u8]) -> Result<Self, (Value, Fault)> {
-        let fail = |code, text: String| (Value::Null, Fault::new(code, text));
-        let value: Value =
-            serde_json::from_slice(text).map_err(|error| fail(code::PARSE, error.to_string()))?;
-        let Value::Object(mut fields) = value else {
-            return Err(fail(code::INVALID_REQUEST, "a request is an object; batches are not taken".into()));
+        let raw: RawAsked = match serde_json::from_slice(text) {
+            Ok(raw) => raw,
+            Err(error) => return Err((Value::Null, Fault::new(shape(text), error.to_string()))),
         };
-        let id = fields.remove("id");
-        let reply_to = id.clone().unwrap_or(Value::Null);
-        let fail = |code, text: String| (reply_to.clone(), Fault::new(code, text));
+        let id = raw.id.map(|id| serde_json::from_str::<Value>(id.get()).unwrap_or(Value::Null));
+        let fail = |code, text: &str| (id.clone().unwrap_or(Value::Null), Fault::new(code, text));
         if !matches!(id, None | Some(Value::Null | Value::String(_) | Value::Number(_))) {
             return Err((Value::Null, Fault::new(code::INVALID_REQUEST, "id is neither text nor number")));
         }
-        if fields.remove("jsonrpc") != Some(json!("2.0")) {
-            return Err(fail(code::INVALID_REQUEST, "jsonrpc is not \"2.0\"".into()));
+        if raw.jsonrpc.as_deref() != Some("2.0") {
+            return Err(fail(code::INVALID_REQUEST, "jsonrpc is not \"2.0\""));
         }
-        let Some(Value::String(method)) = fields.get("method") else {
-            return Err(fail(code::INVALID_REQUEST, "method is missing".into()));
+        let Some(method) = raw.method else { return Err(fail(code::INVALID_REQUEST, "method is missing")) };
+        let params = raw.params.map_or("null", RawValue::get);
+        let request = match &*method {
+            "call.offer" => serde_json::from_str(params).map(Request::Offer),
+            "call.hangup" => serde_json::from_str(params).map(Request::Hangup),
+            other => return Err(fail(code::NO_SUCH_METHOD, &format!("no method {other:?}"))),
         };
-        if !["call.offer", "call.hangup"].contains(&method.as_str()) {
-            return Err(fail(code::NO_SUCH_METHOD, format!("no method {method:?}")));
+        match request {
+            Ok(request) => Ok(Self { id, request }),
+            Err(error) => Err(fail(code::INVALID_PARAMS, &error.to_string())),
         }
-        let request = serde_json::from_value(Value::Object(fields));
-        let request = request.map_err(|error| fail(code::INVALID_PARAMS, error.to_string()))?;
-        Ok(Self { id, request })
     }
 
     pub fn text(&self) -> String {
-        let mut text = serde_json::to_value(&self.request).unwrap_or_default();
-        text["jsonrpc"] = json!("2.0");
-        if let Some(id) = &self.id {
-            text["id"] = id.clone();
+        #[derive(Serialize)]
+        struct Text<'a> {
+            jsonrpc: &'static str,
+            #[serde(skip_serializing_if = "Option::is_none")]
+            id: &'a Option<Value>,
+            #[serde(flatten)]
+            request: &'a Request,
         }
-        text.to_string()
+        text(&Text { jsonrpc: "2.0", id: &self.id, request: &self.request })
+    }
+}
+
+/// A request as its text has it, its parts not read yet.
+#[derive(Deserialize)]
+struct RawAsked<'a> {
+    #[serde(borrow, default)]
+    jsonrpc: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    id: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    method: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    params: Option<&'a RawValue>,
+}
+
+/// Whether a text that is no request is JSON at all.
+fn shape(text: &[u8]) -> i32 {
+    match serde_json::from_slice::<IgnoredAny>(text) {
+        Ok(_) => code::INVALID_REQUEST,
+        Err(_) => code::PARSE,
     }
 }
 
+/// Our own types always have a text.
+fn text(of: &impl Serialize) -> String {
+    serde_json::to_string(of).unwrap_or_default()
+}
+
 pub fn result_text(id: &Value, result: impl Serialize) -> String {
-    json!({ "jsonrpc": "2.0", "id": id, "result": result }).to_string()
+    #[derive(Serialize)]
+    struct Text<'a, R> {
+        jsonrpc: &'static str,
+        id: &'a Value,
+        result: R,
+    }
+    text(&Text { jsonrpc: "2.0", id, result })
 }
 
 pub fn fault_text(id: &Value, fault: &Fault) -> String {
-    json!({ "jsonrpc": "2.0", "id": id, "error": { "code": fault.code, "message": fault.text } }).to_string()
+    text(&json!({ "jsonrpc": "2.0", "id": id, "error": { "code": fault.code, "message": fault.text } }))
 }
 
 pub fn ended_text(note: &EndedNote) -> String {
-    json!({ "jsonrpc": "2.0", "method": "call.ended", "params": note }).to_string()
+    #[derive(Serialize)]
+    struct Text<'a> {
+        jsonrpc: &'static str,
+        method: &'static str,
+        params: &'a EndedNote,
+    }
+    text(&Text { jsonrpc: "2.0", method: "call.ended", params: note })
 }
 
 /// What comes back on a line: a result, a fault, or a notification.
@@ -196,19 +240,35 @@
 
 impl Heard {
     pub fn read(text: &[u8]) -> serde_json::Result<Self> {
-        let value: Value = serde_json::from_slice(text)?;
-        if value["method"] == "call.ended" {
-            return Ok(Self::Ended(serde_json::from_value(value["params"].clone())?));
+        #[derive(Deserialize)]
+        struct Raw<'a> {
+            #[serde(borrow, default)]
+            result: Option<&'a RawValue>,
+            #[serde(default)]
+            error: Option<Error>,
+            #[serde(default)]
+            id: Value,
+            #[serde(borrow, default)]
+            method: Option<Cow<'a, str>>,
+            #[serde(borrow, default)]
+            params: Option<&'a RawValue>,
+        }
+        #[derive(Deserialize)]
+        struct Error {
+            code: i64,
+            message: String,
         }
-        if let Some(error) = value.get("error") {
-            let message = error["message"].as_str().unwrap_or_default().to_string();
-            let code = error["code"].as_i64().unwrap_or_default();
-            return Ok(Self::Fault { id: value["id"].clone(), code, message });
+        let raw: Raw = serde_json::from_slice(text)?;
+        if let (Some("call.ended"), Some(params)) = (raw.method.as_deref(), raw.params) {
+            return Ok(Self::Ended(serde_json::from_str(params.get())?));
         }
-        match value["result"].get("answer") {
-            Some(_) => Ok(Self::Answered(serde_json::from_value(value["result"].clone())?)),
-            None => Ok(Self::Done),
+        if let Some(Error { code, message }) = raw.error {
+            return Ok(Self::Fault { id: raw.id, code, message });
         }
+        Ok(match raw.result.map(|result| serde_json::from_str(result.get())) {
+            Some(Ok(answered)) => Self::Answered(answered),
+            _ => Self::Done,
+        })
     }
 }
 
--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -15,12 +15,12 @@
     Report, TurnedBack, m3ua,
 };
 
-use crate::audit::Audit;
 use crate::circuits::{Group, Use};
 use crate::legs::{Held, Leg, Out, Sink, Source};
 use crate::links::Link;
 use crate::plan::{HOPS, Timers};
 use crate::plant::{Answer, Plant};
+use crate::queries::Audit;
 use crate::state::Tally;
 use crate::timers::{Set, Timer, TimerQueue};
 
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -5,7 +5,7 @@
 //! | `plan` | what is read at start |
 //! | `plant` | what the office acts through, and what it tells its callers |
 //! | `circuits` | trunk groups, the states of their circuits, selection, dual seizure |
-//! | `audit` | circuits that one end holds busy and the other idle |
+//! | `queries` | circuits that one end holds busy and the other idle |
 //! | `legs` | the calls of this exchange and the circuits that each holds |
 //! | `links` | the M3UA state of the link to each other exchange |
 //! | `timers` | what rings when |
@@ -14,7 +14,6 @@
 //! | `desk` | what the decisions may do: `mintstall::host::Host` |
 //! | `state` | what is shown of it |
 
-mod audit;
 mod circuits;
 mod desk;
 mod legs;
@@ -22,6 +21,7 @@
 mod office;
 mod plan;
 mod plant;
+mod queries;
 mod signalling;
 mod state;
 mod timers;
