--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! A few offices on one table: what one sends lies in a queue until it is carried over.
 
+// Each test file uses its part of them.
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
