--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -72,12 +72,17 @@
             } else {
                 print!("{}", report.text(&day));
             }
-            if report.kept && report.crashes == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+            if in_order(&report) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
         Err(error) => failed(error),
     }
 }
 
+/// What exit code 0 promises.
+fn in_order(report: &Report) -> bool {
+    report.kept && report.crashes == 0
+}
+
 fn play(args: &DayArgs, day: &Day) -> Result<Report, String> {
     let capture = args.capture.as_deref().map(open_capture).transpose()?;
     // In virtual time only the rounding of times is allowed for.
@@ -124,3 +129,26 @@
     let file = File::create(path).map_err(|error| fail(error.to_string()))?;
     Capture::new(BufWriter::new(file)).map_err(|error| fail(error.to_string()))
 }
+
+#[cfg(test)]
+mod tests {
+    use mintstall_callapi::Final;
+
+    use super::*;
+
+    #[test]
+    fn a_broken_rule_or_a_controller_that_ended_unasked_is_not_in_order() {
+        let day = Day::default();
+        let report = |broken: bool| {
+            let mut auditor = Auditor::new(&day.rules, Duration::ZERO, Duration::ZERO);
+            let answer = Seen::Answered { office: 1, call: 1, exchange_call: 1, answer: Final::Fails };
+            if broken {
+                auditor.saw(Duration::ZERO, answer);
+            }
+            Report::new(&day, "virtual", Default::default(), auditor.finish(Duration::ZERO), &[])
+        };
+        assert!(in_order(&report(false)) && !in_order(&report(true)));
+        assert!(!in_order(&Report { crashes: 1, ..report(false) }));
+        assert!(report(true).text(&day).contains("BROKEN rule 1"));
+    }
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -14,6 +14,7 @@
 use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant};
 use mintstall_roster::{Ask, FeedNote, Held, Limits, Refusal, Reply, Roster, Standing, Told, Verdict};
 use serde_json::{Value, json};
+use tracing::{Span, debug, debug_span};
 
 use crate::config::Config;
 
@@ -50,6 +51,8 @@
     line: LineNo,
     call: u64,
     id: Option<Value>,
+    /// Spans the call from its offer to its end in the log.
+    span: Span,
 }
 
 pub struct Exchange {
@@ -129,6 +132,7 @@
                 }
                 Answer::Fails => Final::Fails,
             };
+            asker.span.in_scope(|| debug!(?answer, "answered"));
             if let Some(id) = &asker.id {
                 port.say(
                     asker.line,
@@ -146,6 +150,7 @@
                     CallEnd::Released => How::Released,
                     CallEnd::Cut => How::Cut,
                 };
+                asker.span.in_scope(|| debug!(?how, "ended"));
                 port.say(asker.line, &ended_text(&EndedNote { call: asker.call, how }));
             }
         }
@@ -262,7 +267,9 @@
         };
         let call = self.office.next_call();
         held.calls.insert(offer.call, call);
-        self.askers.insert(call, Asker { line, call: offer.call, id: id.clone() });
+        let span = debug_span!("call", id = call.0, line = line.0, call = offer.call, dest = offer.dest);
+        span.in_scope(|| debug!(kind = offer.call_type, number = offer.number, "offered"));
+        self.askers.insert(call, Asker { line, call: offer.call, id: id.clone(), span });
         self.with(port, |office, wire| office.offer(now, wire, call, order));
         Ok(())
     }
@@ -272,7 +279,9 @@
         let id = known.ok_or_else(|| Fault::new(code::UNKNOWN_CALL, format!("no call {call} is in hand")))?;
         // The final answer of a call that is given up goes out within, before the reply to this.
         self.with(port, |office, wire| office.hang_up(now, wire, id));
-        self.forget(id);
+        if let Some(asker) = self.forget(id) {
+            asker.span.in_scope(|| debug!("hung up"));
+        }
         Ok(())
     }
 
