--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,6 +7,7 @@
 
 use mintstall::host::{CallTypeData, OfficeData, OfficeNo, Repeats};
 use mintstall_isup::Cic;
+use mintstall_limits::Limits;
 use mintstall_office::{GroupPlan, NumberPlan, OfficePlan, Timers};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,11 @@
     /// Numbers of the own exchange that have few lines.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub numbers: Vec<Number>,
+    /// Whose subscribers call; offers name them by their place. None: all are one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub customers: Vec<Customer>,
+    #[serde(default)]
+    pub limits: LimitsPlan,
     #[serde(default)]
     pub rules: Rules,
     #[serde(default)]
@@ -110,6 +116,70 @@
     pub lines: u16,
 }
 
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    pub name: String,
+    /// Its part of what can be worked on while more is offered, beside those of the others.
+    pub share: f64,
+}
+
+/// What is let in before a call is offered to the decisions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitsPlan {
+    /// Subscriber lines at a time, opened a second, and at once.
+    pub sessions: usize,
+    pub opens_per_s: f64,
+    pub opens_at_once: f64,
+    /// Calls in hand on one line, and of one customer.
+    pub calls_a_session: usize,
+    pub calls_a_customer: usize,
+    /// Offers of one line a second, and at once.
+    pub offers_per_s: f64,
+    pub offers_at_once: f64,
+    /// Offers that wait for their final answer at a time; what comes beyond takes turns by customers' shares.
+    pub unanswered: usize,
+    /// Offers that may wait for their turn, and for which share of their callers' time.
+    pub waiting: usize,
+    pub wait_share: f64,
+}
+
+impl Default for LimitsPlan {
+    fn default() -> Self {
+        let limits = Limits::default();
+        Self {
+            sessions: limits.sessions,
+            opens_per_s: limits.opens_per_s,
+            opens_at_once: limits.opens_at_once,
+            calls_a_session: limits.calls_a_session,
+            calls_a_customer: limits.calls_a_customer,
+            offers_per_s: limits.offers_per_s,
+            offers_at_once: limits.offers_at_once,
+            unanswered: limits.unanswered,
+            waiting: limits.waiting,
+            wait_share: limits.wait_share,
+        }
+    }
+}
+
+impl LimitsPlan {
+    pub fn limits(&self) -> Limits {
+        Limits {
+            sessions: self.sessions,
+            opens_per_s: self.opens_per_s,
+            opens_at_once: self.opens_at_once,
+            calls_a_session: self.calls_a_session,
+            calls_a_customer: self.calls_a_customer,
+            offers_per_s: self.offers_per_s,
+            offers_at_once: self.offers_at_once,
+            unanswered: self.unanswered,
+            waiting: self.waiting,
+            wait_share: self.wait_share,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
@@ -320,6 +390,34 @@
             "rules.fall_multiple",
             format!("{multiple} is not above 0"),
         );
+        for (at, customer) in self.customers.iter().enumerate() {
+            let wrong = !(customer.share > 0.0 && customer.share.is_finite());
+            say(wrong, &format!("customers[{at}].share"), format!("{} is not above 0", customer.share));
+        }
+        let l = &self.limits;
+        let rates = [
+            ("opens_per_s", l.opens_per_s),
+            ("opens_at_once", l.opens_at_once),
+            ("offers_per_s", l.offers_per_s),
+            ("offers_at_once", l.offers_at_once),
+        ];
+        for (name, rate) in rates {
+            say(
+                !(rate > 0.0 && rate.is_finite()),
+                &format!("limits.{name}"),
+                format!("{rate} is not above 0"),
+            );
+        }
+        let counts =
+            [("sessions", l.sessions), ("calls_a_session", l.calls_a_session), ("unanswered", l.unanswered)];
+        for (name, count) in counts {
+            say(count == 0, &format!("limits.{name}"), "is 0".into());
+        }
+        say(
+            !(0.0..=1.0).contains(&l.wait_share),
+            "limits.wait_share",
+            format!("{} is no share", l.wait_share),
+        );
         say(self.most_calls == 0, "most_calls", "is 0".into());
         let t = &self.timers;
         let all = [
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,18 +1,21 @@
 //! Office, roster and subscriber lines together, without I/O: texts and octets in, texts and octets out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use mintstall::host::{
     CallId, CallType, CustomerNo, Dialled, ExchangeId, OfficeNo, RosterLine, Standing as HostStanding, Zone,
 };
 use mintstall_callapi::{
-    Answered, Asked, EndedNote, Fault, Final, How, LineCutter, Request, code, ended_text, fault_text,
+    Answered, Asked, EndedNote, Fault, Final, How, LineCutter, Offer, Request, code, ended_text, fault_text,
     result_text,
 };
 use mintstall_isup::Report;
+use mintstall_limits::{Admission, Opening, Refusal, SessionNo, Verdict};
 use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant};
-use mintstall_roster::{Ask, FeedNote, Held, Limits, Refusal, Reply, Roster, Standing, Told, Verdict};
+use mintstall_roster::{
+    Ask, FeedNote, Limits, Refusal as RosterRefusal, Reply, Roster, Standing, Told, Verdict as RosterVerdict,
+};
 use serde_json::{Value, json};
 use tracing::{Span, debug, debug_span};
 
@@ -38,25 +41,50 @@
 const LONGEST_TEXT: usize = 16 << 10;
 /// And of the directory: 2,048 entries of some 100 octets.
 const LONGEST_NEWS: usize = 1 << 20;
-/// Calls that one line may have in hand.
-const CALLS_A_LINE: usize = 10_000;
 
 struct Line {
     cutter: LineCutter,
     /// By the client's numbers. Emptied as calls end.
-    calls: BTreeMap<u64, CallId>,
+    calls: BTreeMap<u64, Held>,
+}
+
+/// Where a call of a line is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    /// It waits for its turn.
+    Waiting,
+    With(CallId),
+}
+
+/// An offer on its way in.
+struct Pending {
+    line: LineNo,
+    id: Option<Value>,
+    offer: Offer,
+    since: Duration,
 }
 
 struct Asker {
     line: LineNo,
+    customer: CustomerNo,
+    progress: Progress,
     call: u64,
     id: Option<Value>,
     /// Spans the call from its offer to its end in the log.
     span: Span,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Unanswered,
+    Stands,
+}
+
 pub struct Exchange {
     pub office: Office,
+    admission: Admission<Pending>,
+    /// Offers whose turn has come. Emptied before anything returns.
+    ready: VecDeque<Pending>,
     roster: Roster,
     feed: LineCutter,
     lines: BTreeMap<LineNo, Line>,
@@ -65,8 +93,8 @@
 }
 
 /// A roster's lines as the decisions read them.
-pub fn roster_lines(held: &[Held]) -> Vec<RosterLine> {
-    let line = |held: &Held| RosterLine {
+pub fn roster_lines(held: &[mintstall_roster::Held]) -> Vec<RosterLine> {
+    let line = |held: &mintstall_roster::Held| RosterLine {
         exchange: ExchangeId(held.entry.exchange),
         office: OfficeNo(held.entry.office),
         zone: Zone(held.entry.region),
@@ -108,8 +136,11 @@
 impl Exchange {
     /// `now` must be well above zero: it is the clock on which processors that started earlier are told.
     pub fn new(now: Duration, config: &Config, incarnation: u32, seed: u64) -> Self {
+        let shares = (0..).map(CustomerNo).zip(config.customers.iter().map(|customer| customer.share));
         Self {
             office: Office::new(now, &config.plan(), incarnation, seed),
+            admission: Admission::new(now, config.limits.limits(), shares.collect(), seed),
+            ready: VecDeque::new(),
             roster: Roster::new(Limits::default()),
             feed: LineCutter::new(LONGEST_NEWS),
             lines: BTreeMap::new(),
@@ -118,20 +149,20 @@
     }
 
     /// Runs something of the office and gives out what it answers.
-    fn with<R>(&mut self, port: &mut dyn Port, f: impl FnOnce(&mut Office, &mut Wire) -> R) -> R {
+    fn with<R>(
+        &mut self,
+        now: Duration,
+        port: &mut dyn Port,
+        f: impl FnOnce(&mut Office, &mut Wire) -> R,
+    ) -> R {
         let mut wire = Wire { port, answers: Vec::new(), ends: Vec::new() };
         let result = f(&mut self.office, &mut wire);
         let Wire { answers, ends, port } = wire;
         for (call, answer) in answers {
             let stands = answer == Answer::Stands;
-            let Some(asker) = self.askers.get(&call) else { continue };
-            let answer = match answer {
-                Answer::Stands => Final::Stands,
-                Answer::Refused { come_back } => {
-                    Final::Refused { come_back_ms: come_back.as_millis() as u32 }
-                }
-                Answer::Fails => Final::Fails,
-            };
+            let Some(asker) = self.askers.get_mut(&call) else { continue };
+            asker.progress = if stands { Progress::Stands } else { Progress::Unanswered };
+            let answer = final_answer(answer);
             asker.span.in_scope(|| debug!(?answer, "answered"));
             if let Some(id) = &asker.id {
                 port.say(
@@ -139,17 +170,16 @@
                     &result_text(id, Answered { call: asker.call, exchange_call: call.0, answer }),
                 );
             }
+            let (session, customer) = (SessionNo(asker.line.0), asker.customer);
+            let log = &mut |line: &str| port.note(line);
+            self.ready.extend(self.admission.answered(now, session, customer, stands, log));
             if !stands {
                 self.forget(call);
             }
         }
         for (call, end) in ends {
             if let Some(asker) = self.forget(call) {
-                let how = match end {
-                    CallEnd::HungUp => How::HungUp,
-                    CallEnd::Released => How::Released,
-                    CallEnd::Cut => How::Cut,
-                };
+                let how = how_ended(end);
                 asker.span.in_scope(|| debug!(?how, "ended"));
                 port.say(asker.line, &ended_text(&EndedNote { call: asker.call, how }));
             }
@@ -159,6 +189,9 @@
 
     fn forget(&mut self, call: CallId) -> Option<Asker> {
         let asker = self.askers.remove(&call)?;
+        if asker.progress == Progress::Stands {
+            self.admission.over(SessionNo(asker.line.0), asker.customer);
+        }
         if let Some(line) = self.lines.get_mut(&asker.line) {
             line.calls.remove(&asker.call);
         }
@@ -166,41 +199,126 @@
     }
 
     pub fn link_up(&mut self, now: Duration, port: &mut dyn Port, to: OfficeNo) {
-        self.with(port, |office, wire| office.link_up(now, wire, to));
+        self.with(now, port, |office, wire| office.link_up(now, wire, to));
     }
 
     pub fn link_down(&mut self, now: Duration, port: &mut dyn Port, to: OfficeNo) {
-        self.with(port, |office, wire| office.link_down(now, wire, to));
+        self.with(now, port, |office, wire| office.link_down(now, wire, to));
+        self.take_ready(now, port);
     }
 
     pub fn link_octets(&mut self, now: Duration, port: &mut dyn Port, from: OfficeNo, octets: &[u8]) {
-        self.with(port, |office, wire| office.octets(now, wire, from, octets));
+        self.with(now, port, |office, wire| office.octets(now, wire, from, octets));
+        self.take_ready(now, port);
     }
 
     pub fn ring(&mut self, now: Duration, port: &mut dyn Port) {
-        self.with(port, |office, wire| office.ring(now, wire));
+        for (pending, refusal) in self.admission.ring(now, &mut |text| port.note(text)) {
+            self.refuse(port, &pending, refusal);
+        }
+        self.with(now, port, |office, wire| office.ring(now, wire));
+        self.take_ready(now, port);
+    }
+
+    /// When [`Exchange::ring`] is next to be called.
+    pub fn next_alarm(&self) -> Option<Duration> {
+        [self.office.next_alarm(), self.admission.next_alarm()].into_iter().flatten().min()
+    }
+
+    /// No new calls from now on; those that wait for their turn are refused.
+    pub fn stop(&mut self, port: &mut dyn Port) {
+        self.office.stop();
+        let waiting = self.admission.drain();
+        waiting.iter().for_each(|(pending, refusal)| self.refuse(port, pending, *refusal));
     }
 
     /// All calls that are left are let go.
     pub fn release_all(&mut self, now: Duration, port: &mut dyn Port) {
-        self.with(port, |office, wire| office.release_all(now, wire));
+        self.with(now, port, |office, wire| office.release_all(now, wire));
     }
 
     // Subscriber lines.
 
-    pub fn line_open(&mut self, line: LineNo) {
-        self.lines.insert(line, Line { cutter: LineCutter::new(LONGEST_TEXT), calls: BTreeMap::new() });
+    /// A connection for calls, if there is room for one more; else what is to be said before it is closed.
+    pub fn line_open(&mut self, now: Duration) -> Result<LineNo, String> {
+        let fault = |text: String| fault_text(&Value::Null, &Fault::new(code::TOO_MANY, text));
+        match self.admission.open(now) {
+            Opening::Open(SessionNo(no)) => {
+                let line = Line { cutter: LineCutter::new(LONGEST_TEXT), calls: BTreeMap::new() };
+                self.lines.insert(LineNo(no), line);
+                Ok(LineNo(no))
+            }
+            Opening::Later(wait) => {
+                Err(fault(format!("too many lines open at once, come back in {} ms", wait.as_millis() + 1)))
+            }
+            Opening::Full => Err(fault(format!("{} lines are open", self.lines.len()))),
+        }
     }
 
     /// Who asked on this line is gone: what is in hand for it is hung up, and nobody is told.
     pub fn line_closed(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
         let Some(Line { calls, .. }) = self.lines.remove(&line) else { return };
-        for call in calls.into_values() {
-            self.askers.remove(&call);
-            self.with(port, |office, wire| office.hang_up(now, wire, call));
+        self.admission.close(now, SessionNo(line.0), &mut |text| port.note(text));
+        for held in calls.into_values() {
+            let Held::With(call) = held else { continue };
+            let asker = self.askers.remove(&call);
+            self.with(now, port, |office, wire| office.hang_up(now, wire, call));
+            if let Some(asker) = asker.filter(|asker| asker.progress == Progress::Unanswered) {
+                let log = &mut |text: &str| port.note(text);
+                let next = self.admission.answered(now, SessionNo(line.0), asker.customer, false, log);
+                self.ready.extend(next);
+            }
+        }
+        self.take_ready(now, port);
+    }
+
+    /// Offers whose turn has come go to the decisions, and what that answers may bring others their turn.
+    fn take_ready(&mut self, now: Duration, port: &mut dyn Port) {
+        while let Some(pending) = self.ready.pop_front() {
+            self.take(now, port, pending);
         }
     }
 
+    /// What was not let in: a call answered as refused where a later try may do better, else a fault of the client.
+    fn refuse(&mut self, port: &mut dyn Port, pending: &Pending, refusal: Refusal) {
+        let (line, call) = (pending.line, pending.offer.call);
+        if let Some(held) = self.lines.get_mut(&line)
+            && held.calls.get(&call) == Some(&Held::Waiting)
+        {
+            held.calls.remove(&call);
+        }
+        debug!(line = line.0, call, "not let in: {refusal}");
+        let Some(id) = &pending.id else { return };
+        match refusal {
+            Refusal::TooFast { come_back } | Refusal::Pressed { come_back } => {
+                let answer = Final::Refused { come_back_ms: come_back.as_millis() as u32 };
+                port.say(line, &result_text(id, Answered { call, exchange_call: 0, answer }));
+            }
+            other => port.say(line, &fault_text(id, &Fault::new(code::TOO_MANY, other.to_string()))),
+        }
+    }
+
+    /// An offer goes to the decisions, with the time that its caller has left.
+    fn take(&mut self, now: Duration, port: &mut dyn Port, pending: Pending) {
+        let Pending { line, id, offer, since } = pending;
+        let customer = CustomerNo(offer.customer);
+        let Some(held) = self.lines.get_mut(&line) else {
+            // Its line closed as its turn came: its place goes on.
+            let log = &mut |text: &str| port.note(text);
+            let next = self.admission.answered(now, SessionNo(line.0), customer, false, log);
+            return self.ready.extend(next);
+        };
+        let call = self.office.next_call();
+        held.calls.insert(offer.call, Held::With(call));
+        let span = debug_span!("call", id = call.0, line = line.0, call = offer.call, dest = offer.dest);
+        span.in_scope(|| debug!(kind = offer.call_type, number = offer.number, "offered"));
+        let progress = Progress::Unanswered;
+        self.askers.insert(call, Asker { line, customer, progress, call: offer.call, id, span });
+        let mut order = order(&offer);
+        order.left = order.left.saturating_sub(now.saturating_sub(since));
+        self.with(now, port, |office, wire| office.offer(now, wire, call, order));
+    }
+
     pub fn line_octets(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, octets: &[u8]) {
         let Some(held) = self.lines.get_mut(&line) else { return };
         // Taken out while its texts are acted on.
@@ -221,6 +339,7 @@
         if let Some(held) = self.lines.get_mut(&line) {
             held.cutter = cutter;
         }
+        self.take_ready(now, port);
     }
 
     fn text(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, text: &[u8]) {
@@ -246,39 +365,45 @@
         port: &mut dyn Port,
         line: LineNo,
         id: &Option<Value>,
-        offer: &mintstall_callapi::Offer,
+        offer: &Offer,
     ) -> Result<(), Fault> {
         let held = self.lines.get_mut(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
         if held.calls.contains_key(&offer.call) {
             return Err(Fault::new(code::NUMBER_IN_USE, format!("call {} is in hand already", offer.call)));
         }
-        if held.calls.len() >= CALLS_A_LINE {
-            return Err(Fault::new(code::TOO_MANY, format!("{CALLS_A_LINE} calls are in hand on this line")));
+        let pending = Pending { line, id: id.clone(), offer: offer.clone(), since: now };
+        let (customer, left) = (CustomerNo(offer.customer), Duration::from_millis(offer.time_left_ms.into()));
+        let log = &mut |text: &str| port.note(text);
+        let (verdict, displaced) = self.admission.offer(now, SessionNo(line.0), customer, left, pending, log);
+        match verdict {
+            Verdict::Take(pending) => self.take(now, port, pending),
+            Verdict::Waits => _ = held.calls.insert(offer.call, Held::Waiting),
+            Verdict::Refused(pending, refusal) => self.refuse(port, &pending, refusal),
         }
-        let order = Order {
-            call_type: CallType(offer.call_type),
-            customer: CustomerNo(offer.customer),
-            dest: OfficeNo(offer.dest),
-            dialled: Dialled(offer.number),
-            left: Duration::from_millis(offer.time_left_ms.into()),
-            advised: offer.advised.map(OfficeNo),
-            cut: offer.cut,
-            redial: offer.redial,
-        };
-        let call = self.office.next_call();
-        held.calls.insert(offer.call, call);
-        let span = debug_span!("call", id = call.0, line = line.0, call = offer.call, dest = offer.dest);
-        span.in_scope(|| debug!(kind = offer.call_type, number = offer.number, "offered"));
-        self.askers.insert(call, Asker { line, call: offer.call, id: id.clone(), span });
-        self.with(port, |office, wire| office.offer(now, wire, call, order));
+        displaced.iter().for_each(|(pending, refusal)| self.refuse(port, pending, *refusal));
         Ok(())
     }
 
     fn hang_up(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, call: u64) -> Result<(), Fault> {
         let known = self.lines.get(&line).and_then(|line| line.calls.get(&call)).copied();
-        let id = known.ok_or_else(|| Fault::new(code::UNKNOWN_CALL, format!("no call {call} is in hand")))?;
+        let unknown = || Fault::new(code::UNKNOWN_CALL, format!("no call {call} is in hand"));
+        let id = match known.ok_or_else(unknown)? {
+            Held::With(id) => id,
+            Held::Waiting => {
+                let which = |pending: &Pending| pending.line == line && pending.offer.call == call;
+                let pending = self.admission.withdraw(now, which, &mut |text| port.note(text));
+                self.lines.get_mut(&line).into_iter().for_each(|line| _ = line.calls.remove(&call));
+                if let Some(id) = pending.and_then(|pending| pending.id) {
+                    port.say(
+                        line,
+                        &result_text(&id, Answered { call, exchange_call: 0, answer: Final::Fails }),
+                    );
+                }
+                return Ok(());
+            }
+        };
         // The final answer of a call that is given up goes out within, before the reply to this.
-        self.with(port, |office, wire| office.hang_up(now, wire, id));
+        self.with(now, port, |office, wire| office.hang_up(now, wire, id));
         if let Some(asker) = self.forget(id) {
             asker.span.in_scope(|| debug!("hung up"));
         }
@@ -328,11 +453,11 @@
                 let office = self.office.own().0;
                 let (verdict, told) = self.roster.hear(now, news);
                 match verdict {
-                    Verdict::Taken { version } => port.reply(&Reply::Taken { office, version }.text()),
-                    Verdict::TurnedDown { version, why } => {
+                    RosterVerdict::Taken { version } => port.reply(&Reply::Taken { office, version }.text()),
+                    RosterVerdict::TurnedDown { version, why } => {
                         port.note(&format!("roster version {version} turned down: {why}"));
                         port.reply(&Reply::TurnedDown { office, version, why: why.to_string() }.text());
-                        if matches!(why, Refusal::Gap { .. } | Refusal::NothingHeld { .. }) {
+                        if matches!(why, RosterRefusal::Gap { .. } | RosterRefusal::NothingHeld { .. }) {
                             port.reply(&Reply::Want(Ask { office, held: None }).text());
                         }
                     }
@@ -342,7 +467,7 @@
                 new
             }
             FeedNote::Circuits { to, in_service } => {
-                self.with(port, |office, wire| office.circuits(now, wire, OfficeNo(*to), *in_service));
+                self.with(now, port, |office, wire| office.circuits(now, wire, OfficeNo(*to), *in_service));
                 false
             }
             FeedNote::Processor { rate, hold_back } => {
@@ -353,7 +478,7 @@
     }
 
     fn roster_told(&mut self, now: Duration, port: &mut dyn Port, told: &Told) {
-        self.with(port, |office, wire| match told {
+        self.with(now, port, |office, wire| match told {
             Told::Whole(held) => office.roster(now, wire, &roster_lines(held)),
             Told::Changes(held) => office.roster_changes(now, wire, &roster_lines(held)),
         });
@@ -399,6 +524,7 @@
             .collect();
         json!({
             "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "lines": self.lines.len(),
+            "admission": { "unanswered": self.admission.unanswered(), "waiting": self.admission.waiting() },
             "roster": { "version": self.roster.version(), "entries": self.roster.entries().count(),
                 "turned_down": self.roster.turned_down() },
             "groups": groups,
@@ -413,6 +539,36 @@
     }
 }
 
+/// A call as its subscriber's message asks for it.
+pub fn order(offer: &Offer) -> Order {
+    Order {
+        call_type: CallType(offer.call_type),
+        customer: CustomerNo(offer.customer),
+        dest: OfficeNo(offer.dest),
+        dialled: Dialled(offer.number),
+        left: Duration::from_millis(offer.time_left_ms.into()),
+        advised: offer.advised.map(OfficeNo),
+        cut: offer.cut,
+        redial: offer.redial,
+    }
+}
+
+pub fn final_answer(answer: Answer) -> Final {
+    match answer {
+        Answer::Stands => Final::Stands,
+        Answer::Refused { come_back } => Final::Refused { come_back_ms: come_back.as_millis() as u32 },
+        Answer::Fails => Final::Fails,
+    }
+}
+
+pub fn how_ended(end: CallEnd) -> How {
+    match end {
+        CallEnd::HungUp => How::HungUp,
+        CallEnd::Released => How::Released,
+        CallEnd::Cut => How::Cut,
+    }
+}
+
 /// A report in the thousandths that the signalling carries; what is no figure is not told.
 pub fn processor_report(rate: Option<f64>, hold_back: Option<f64>) -> Report {
     let milli = |value: f64| (value.is_finite() && value >= 0.0).then_some(value * 1e3);
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -1,7 +1,7 @@
 //! The mio loop: sockets, timers and signals around an [`Exchange`]. It decides nothing about calls.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -41,8 +41,6 @@
 /// Connections that have not said which exchange they are.
 const MOST_STRANGERS: usize = 64;
 const STRANGER_FOR: Duration = Duration::from_secs(5);
-/// Subscriber lines at a time.
-const MOST_LINES: usize = 10_000;
 const MOST_ADMINS: usize = 64;
 /// A reconnect waits a draw from half of this, doubled with each failure up to the last.
 const REDIAL_FIRST: Duration = Duration::from_millis(100);
@@ -215,7 +213,6 @@
     stopping: Option<Instant>,
     /// Read buffer, kept for its room.
     buffer: Vec<u8>,
-    line_count: u64,
 }
 
 fn listener(
@@ -275,7 +272,6 @@
             started: now,
             stopping: None,
             buffer: vec![0; 64 << 10],
-            line_count: 0,
         };
         shell.first_roster(config);
         Ok(shell)
@@ -347,7 +343,7 @@
 
     fn wait(&self) -> Option<Duration> {
         let now = self.now();
-        let alarm = self.exchange.office.next_alarm().map(|at| at.saturating_sub(now));
+        let alarm = self.exchange.next_alarm().map(|at| at.saturating_sub(now));
         let dial = self.redials.values().filter_map(|redial| redial.due).min();
         let dial = dial.map(|due| due.saturating_duration_since(Instant::now()));
         let strangers = self.wires.count(|purpose| matches!(purpose, Purpose::Stranger { .. })) > 0;
@@ -369,7 +365,7 @@
     fn signalled(&mut self) {
         if self.signals.pending().next().is_some() && self.stopping.is_none() {
             info!("stopping: no new calls, {} in hand", self.exchange.office.state().calls);
-            self.exchange.office.stop();
+            self.exchange.stop(&mut self.wires);
             self.stopping = Some(Instant::now());
             (self.links_in, self.lines_in) = (None, None);
         }
@@ -408,7 +404,7 @@
             let Some(Ok((stream, from))) = listener.as_ref().map(TcpListener::accept) else { return };
             let (most, count) = match on {
                 LINKS_IN => (MOST_STRANGERS, self.wires.count(|of| matches!(of, Purpose::Stranger { .. }))),
-                LINES_IN => (MOST_LINES, self.wires.lines.len()),
+                LINES_IN => (usize::MAX, 0),
                 _ => (MOST_ADMINS, self.wires.count(|of| matches!(of, Purpose::Admin(_)))),
             };
             if count >= most {
@@ -421,20 +417,26 @@
                     octets: Vec::new(),
                     since: Instant::now(),
                 },
-                LINES_IN => {
-                    self.line_count += 1;
-                    Purpose::Line(LineNo(self.line_count))
-                }
+                LINES_IN => match self.exchange.line_open(self.now()) {
+                    Ok(line) => Purpose::Line(line),
+                    Err(text) => {
+                        debug!(%from, "line turned away: {text}");
+                        // Best effort: whoever does not read it sees the close.
+                        let _ = (&stream).write_all(format!("{text}\n").as_bytes());
+                        continue;
+                    }
+                },
                 _ => Purpose::Admin(LineCutter::new(LONGEST_ADMIN_TEXT)),
             };
             match self.wires.add(stream, purpose) {
-                Ok(token) if on == LINES_IN => {
-                    let line = LineNo(self.line_count);
-                    self.wires.lines.insert(line, token);
-                    self.exchange.line_open(line);
-                    debug!(%from, line = line.0, "line open");
+                Ok(token) => {
+                    if let Some(Purpose::Line(line)) =
+                        self.wires.connections.get(&token).map(|of| &of.purpose)
+                    {
+                        self.wires.lines.insert(*line, token);
+                        debug!(%from, line = line.0, "line open");
+                    }
                 }
-                Ok(_) => {}
                 Err(error) => warn!(%from, "connection can't be watched: {error}"),
             }
         }
--- /dev/null
+++ b/crates/daemon/tests/admission.rs
@@ -0,0 +1,289 @@
+//! Offers that are let in, wait, or are refused, through the exchange core with a far exchange that answers when told to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mintstall::host::OfficeNo;
+use mintstall_callapi::{Asked, Final, Hangup, Heard, Offer, Request};
+use mintstall_daemon::Config;
+use mintstall_daemon::config::LimitsPlan;
+use mintstall_daemon::exchange::{Exchange, LineNo, Port};
+use mintstall_isup::{Body, Cic, Data, Deframer, Frame, Message, RangeStatus};
+use serde_json::json;
+
+#[derive(Default)]
+struct Wires {
+    said: BTreeMap<LineNo, Vec<Heard>>,
+    sent: Vec<Vec<u8>>,
+    notes: Vec<String>,
+}
+
+impl Port for Wires {
+    fn send(&mut self, _: OfficeNo, octets: &[u8]) {
+        self.sent.push(octets.to_vec());
+    }
+    fn close_link(&mut self, _: OfficeNo, why: &str) {
+        panic!("{why}");
+    }
+    fn say(&mut self, line: LineNo, text: &str) {
+        self.said.entry(line).or_default().push(Heard::read(text.as_bytes()).unwrap());
+    }
+    fn close_line(&mut self, _: LineNo, why: &str) {
+        panic!("{why}");
+    }
+    fn reply(&mut self, _: &str) {}
+    fn note(&mut self, line: &str) {
+        self.notes.push(line.to_string());
+    }
+}
+
+struct Room {
+    exchange: Exchange,
+    wires: Wires,
+    now: Duration,
+    /// Circuits of set-ups that wait for the far exchange.
+    set_ups: Vec<Cic>,
+}
+
+const FAR: OfficeNo = OfficeNo(2);
+
+impl Room {
+    fn new(limits: LimitsPlan) -> Self {
+        let config: Config = serde_json::from_value(json!({
+            "exchange": 1,
+            "signalling": { "listen": "127.0.0.1:1", "links": [{ "to": 2, "circuits": 310 }] },
+            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                             "mean_hold_ms": 10000 }],
+        }))
+        .unwrap();
+        let config = Config { limits, ..config };
+        assert_eq!(config.faults(), Vec::<String>::new());
+        let now = Duration::from_secs(3600);
+        let exchange = Exchange::new(now, &config, 2, 1);
+        let mut room = Self { exchange, wires: Wires::default(), now, set_ups: Vec::new() };
+        let entry =
+            |office: u16| json!({ "exchange": office, "office": office, "region": 0, "standing": "ready" });
+        let news = json!({ "version": 1, "entries": [entry(1), entry(2)] });
+        let note = mintstall_roster::FeedNote::Roster(serde_json::from_value(news).unwrap());
+        room.exchange.feed_note(now, &mut room.wires, &note);
+        room.exchange.link_up(now, &mut room.wires, FAR);
+        room.far();
+        room
+    }
+
+    /// Lets the far exchange read what was sent; set-ups are left for [`Room::stands`].
+    fn far(&mut self) {
+        while !self.wires.sent.is_empty() {
+            for octets in std::mem::take(&mut self.wires.sent) {
+                let mut frames = Deframer::default();
+                frames.push(&octets);
+                let frame = frames.next().unwrap().unwrap().to_vec();
+                let mut out = Vec::new();
+                match Frame::read(&frame).unwrap() {
+                    Frame::AspUp { .. } => {
+                        Frame::AspUpAck { asp: Some(2) }.write(&mut out);
+                        Frame::AspUp { asp: Some(2) }.write(&mut out);
+                        Frame::AspActive.write(&mut out);
+                    }
+                    Frame::AspActive => Frame::AspActiveAck.write(&mut out),
+                    Frame::Data(data) => {
+                        let Message { cic, body } = Message::read(data.user).unwrap();
+                        let back = match body {
+                            Body::Iam(_) => {
+                                self.set_ups.push(cic);
+                                None
+                            }
+                            Body::Grs { count } => Some(Body::Gra(RangeStatus { count, status: 0 })),
+                            Body::Rel(_) => {
+                                self.set_ups.retain(|other| *other != cic);
+                                Some(Body::Rlc { other: Vec::new() })
+                            }
+                            _ => None,
+                        };
+                        back.into_iter().for_each(|body| write(cic, body, &mut out));
+                    }
+                    _ => {}
+                }
+                self.exchange.link_octets(self.now, &mut self.wires, FAR, &out);
+            }
+        }
+    }
+
+    /// The far exchange answers its oldest set-up.
+    fn stands(&mut self) {
+        let cic = self.set_ups.remove(0);
+        let mut out = Vec::new();
+        write(cic, Body::Anm { report: None, other: Vec::new() }, &mut out);
+        self.exchange.link_octets(self.now, &mut self.wires, FAR, &out);
+        self.far();
+    }
+
+    fn line(&mut self) -> LineNo {
+        self.exchange.line_open(self.now).unwrap()
+    }
+
+    fn ask(&mut self, line: LineNo, request: Request) {
+        let text = Asked { id: Some(json!(1)), request }.text() + "\n";
+        self.exchange.line_octets(self.now, &mut self.wires, line, text.as_bytes());
+        self.far();
+    }
+
+    fn offer(&mut self, line: LineNo, call: u64, customer: u16) {
+        let offer = Offer {
+            call,
+            call_type: 0,
+            customer,
+            dest: 2,
+            number: 1000 + call,
+            time_left_ms: 3000,
+            advised: None,
+            cut: false,
+            redial: false,
+        };
+        self.ask(line, Request::Offer(offer));
+    }
+
+    /// The answers given on a line since last asked: call and answer.
+    fn answers(&mut self, line: LineNo) -> Vec<(u64, Final)> {
+        let said = self.wires.said.remove(&line).unwrap_or_default();
+        let answer = |heard| match heard {
+            Heard::Answered(answered) => Some((answered.call, answered.answer)),
+            _ => None,
+        };
+        said.into_iter().filter_map(answer).collect()
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(at) = self.exchange.next_alarm().filter(|at| *at <= end) {
+            self.now = at;
+            self.exchange.ring(at, &mut self.wires);
+            self.far();
+        }
+        self.now = end;
+    }
+
+    fn figures(&self) -> (u64, u64) {
+        let status = self.exchange.status();
+        let figure = |name: &str| status["admission"][name].as_u64().unwrap();
+        (figure("unanswered"), figure("waiting"))
+    }
+}
+
+fn write(cic: Cic, body: Body, out: &mut Vec<u8>) {
+    let mut user = Vec::new();
+    Message::new(cic, body).write(&mut user);
+    Frame::Data(Data { opc: 2, dpc: 1, service: 5, network: 2, priority: 0, sls: 0, user: &user }).write(out);
+}
+
+fn unanswered(count: usize) -> LimitsPlan {
+    LimitsPlan { unanswered: count, ..LimitsPlan::default() }
+}
+
+#[test]
+fn offers_beyond_what_may_be_unanswered_have_their_turn_as_answers_come() {
+    let mut room = Room::new(unanswered(2));
+    let line = room.line();
+    (1..=4).for_each(|call| room.offer(line, call, 0));
+    assert_eq!((room.set_ups.len(), room.figures()), (2, (2, 2)));
+    room.stands();
+    assert_eq!((room.set_ups.len(), room.figures()), (2, (2, 1)));
+    (0..3).for_each(|_| room.stands());
+    assert_eq!(room.answers(line).len(), 4);
+    assert_eq!(room.figures(), (0, 0));
+    assert_eq!(room.wires.notes.iter().filter(|note| note.contains("admission")).count(), 2);
+}
+
+#[test]
+fn a_quiet_customer_is_served_beside_one_that_offers_ten_times_as_much() {
+    let mut room = Room::new(unanswered(1));
+    let (greedy, quiet) = (room.line(), room.line());
+    (1..=50).for_each(|call| room.offer(greedy, call, 1));
+    room.offer(quiet, 1, 2);
+    (0..3).for_each(|_| room.stands());
+    assert_eq!(room.answers(quiet), [(1, Final::Stands)]);
+}
+
+#[test]
+fn an_offer_that_waits_too_long_is_refused_once_with_a_time_to_come_back() {
+    let mut room = Room::new(unanswered(1));
+    let line = room.line();
+    room.offer(line, 1, 0);
+    room.offer(line, 2, 0);
+    room.pass(Duration::from_millis(760));
+    let answers = room.answers(line);
+    assert!(
+        matches!(answers[..], [(2, Final::Refused { come_back_ms })] if come_back_ms >= 500),
+        "{answers:?}"
+    );
+    room.stands();
+    assert_eq!(room.answers(line), [(1, Final::Stands)]);
+    room.pass(Duration::from_secs(5));
+    assert_eq!((room.answers(line), room.figures()), (vec![], (0, 0)));
+}
+
+#[test]
+fn a_line_that_closes_leaves_no_place_taken_and_the_next_has_its_turn() {
+    let mut room = Room::new(unanswered(1));
+    let (gone, stays) = (room.line(), room.line());
+    (1..=3).for_each(|call| room.offer(gone, call, 0));
+    room.offer(stays, 1, 1);
+    room.exchange.line_closed(room.now, &mut room.wires, gone);
+    room.far();
+    assert_eq!((room.set_ups.len(), room.figures()), (1, (1, 0)), "the other line's call is out");
+    room.stands();
+    assert_eq!(room.answers(stays), [(1, Final::Stands)]);
+    room.ask(stays, Request::Hangup(Hangup { call: 1 }));
+    let status = room.exchange.status();
+    assert_eq!((&status["calls"], room.figures()), (&json!(0), (0, 0)));
+}
+
+#[test]
+fn giving_up_while_waiting_is_answered_at_once_and_costs_no_seizure() {
+    let mut room = Room::new(unanswered(1));
+    let line = room.line();
+    room.offer(line, 1, 0);
+    room.offer(line, 2, 0);
+    room.ask(line, Request::Hangup(Hangup { call: 2 }));
+    assert_eq!(room.answers(line), [(2, Final::Fails)]);
+    room.stands();
+    assert_eq!((room.set_ups.len(), room.figures()), (0, (0, 0)));
+}
+
+#[test]
+fn a_line_that_offers_too_fast_is_refused_and_its_calls_in_hand_are_not() {
+    let limits = LimitsPlan { offers_per_s: 10.0, offers_at_once: 3.0, ..LimitsPlan::default() };
+    let mut room = Room::new(limits);
+    let line = room.line();
+    (1..=5).for_each(|call| room.offer(line, call, 0));
+    let refused: Vec<_> = room.answers(line).into_iter().map(|(call, _)| call).collect();
+    assert_eq!((room.set_ups.len(), refused), (3, vec![4, 5]));
+    (0..3).for_each(|_| room.stands());
+    assert_eq!(room.answers(line).len(), 3);
+}
+
+#[test]
+fn an_accept_storm_is_told_when_to_come_back() {
+    let limits = LimitsPlan { opens_per_s: 10.0, opens_at_once: 2.0, sessions: 3, ..LimitsPlan::default() };
+    let mut room = Room::new(limits);
+    assert!(room.exchange.line_open(room.now).is_ok() && room.exchange.line_open(room.now).is_ok());
+    assert!(room.exchange.line_open(room.now).unwrap_err().contains("come back in"));
+    room.now += Duration::from_secs(1);
+    assert!(room.exchange.line_open(room.now).is_ok());
+    assert!(room.exchange.line_open(room.now).unwrap_err().contains("3 lines are open"));
+}
+
+#[test]
+fn stopping_refuses_what_waits_and_answers_what_is_out() {
+    let mut room = Room::new(unanswered(1));
+    let line = room.line();
+    room.offer(line, 1, 0);
+    room.offer(line, 2, 0);
+    room.exchange.stop(&mut room.wires);
+    assert!(matches!(room.answers(line)[..], [(2, Final::Refused { .. })]));
+    room.offer(line, 3, 0);
+    room.stands();
+    let answers: BTreeMap<_, _> = room.answers(line).into_iter().collect();
+    assert_eq!(answers.get(&1), Some(&Final::Stands));
+    assert!(matches!(answers.get(&3), Some(Final::Refused { .. })), "{answers:?}");
+}
--- a/crates/lab/benches/ordinary_call.rs
+++ b/crates/lab/benches/ordinary_call.rs
@@ -375,7 +375,7 @@
     let far_no = mintstall::host::OfficeNo(2);
     let mut far = Far { out: Vec::new(), answers: 0 };
     exchange.feed_note(now, &mut far, &mintstall_roster::FeedNote::Roster(news));
-    exchange.line_open(LineNo(1));
+    exchange.line_open(now).expect("a line");
     exchange.link_up(now, &mut far, far_no);
     let mut turn = |exchange: &mut Exchange, far: &mut Far, text: &str| {
         now += Duration::from_millis(1);
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use mintstall_daemon::config::{
-    Admin, CallType, Config, Directory, Link, Number, Rules, Signalling, Subscribers, TimersMs,
+    Admin, CallType, Config, Customer, Directory, LimitsPlan, Link, Number, Rules, Signalling, Subscribers,
+    TimersMs,
 };
 use mintstall_standin::{Day, Fault, World};
 
@@ -51,6 +52,12 @@
         admin: places.admin.map(|listen| Admin { listen }),
         call_types: call_types.collect(),
         numbers,
+        customers: day
+            .customers
+            .iter()
+            .map(|of| Customer { name: of.name.clone(), share: of.share })
+            .collect(),
+        limits: LimitsPlan::default(),
         rules: Rules {
             seizures: day.seizures,
             may_cancel: true,
--- a/crates/lab/src/virtual_day.rs
+++ b/crates/lab/src/virtual_day.rs
@@ -4,10 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use mintstall::host::{CallId, CallType, CustomerNo, Dialled, OfficeNo};
-use mintstall_callapi::{Final, How};
-use mintstall_daemon::{exchange::processor_report, roster_lines};
-use mintstall_office::{Answer, CallEnd, Office, Order, Plant};
+use mintstall::host::{CallId, OfficeNo};
+use mintstall_callapi::Final;
+use mintstall_daemon::exchange::{final_answer, how_ended, order, processor_report};
+use mintstall_daemon::roster_lines;
+use mintstall_office::{Answer, CallEnd, Office, Plant};
 use mintstall_roster::{Limits, Roster, Told};
 use mintstall_standin::{Act, Day, Score, Wiring, Witness, World};
 
@@ -218,17 +219,7 @@
                 let call = seat.office.next_call();
                 seat.calls.insert(offer.call, call);
                 seat.names.insert(call, offer.call);
-                let order = Order {
-                    call_type: CallType(offer.call_type),
-                    customer: CustomerNo(offer.customer),
-                    dest: OfficeNo(offer.dest),
-                    dialled: Dialled(offer.number),
-                    left: Duration::from_millis(offer.time_left_ms.into()),
-                    advised: offer.advised.map(OfficeNo),
-                    cut: offer.cut,
-                    redial: offer.redial,
-                };
-                seat.office.offer(now, plant, call, order);
+                seat.office.offer(now, plant, call, order(&offer));
             }),
             Act::HangUp { office, call } => {
                 let seat = self.seats[usize::from(office) - 1].as_ref();
@@ -299,13 +290,7 @@
                 Did::Answered(call, answer) => {
                     let Some(seat) = self.seats[usize::from(no) - 1].as_mut() else { continue };
                     let Some(name) = seat.names.get(&call).copied() else { continue };
-                    let answer = match answer {
-                        Answer::Stands => Final::Stands,
-                        Answer::Refused { come_back } => {
-                            Final::Refused { come_back_ms: come_back.as_millis() as u32 }
-                        }
-                        Answer::Fails => Final::Fails,
-                    };
+                    let answer = final_answer(answer);
                     if answer != Final::Stands {
                         seat.names.remove(&call);
                         seat.calls.remove(&name);
@@ -318,12 +303,7 @@
                     let Some(seat) = self.seats[usize::from(no) - 1].as_mut() else { continue };
                     let Some(name) = seat.names.remove(&call) else { continue };
                     seat.calls.remove(&name);
-                    let how = match end {
-                        CallEnd::HungUp => How::HungUp,
-                        CallEnd::Released => How::Released,
-                        CallEnd::Cut => How::Cut,
-                    };
-                    self.world.ended(now, no, name, how, w);
+                    self.world.ended(now, no, name, how_ended(end), w);
                 }
             }
         }
--- /dev/null
+++ b/crates/limits/src/gate.rs
@@ -0,0 +1,259 @@
+//! Sessions: how many there may be, how fast they open, and what each and each customer may have in hand.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mintstall::chance::Chance;
+use mintstall::host::CustomerNo;
+use thiserror::Error;
+
+use crate::bucket::Bucket;
+
+/// One connection on which calls are asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionNo(pub u64);
+
+/// What may be in hand, and how fast it may come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub sessions: usize,
+    /// Sessions opened a second, and at once: an accept storm is paced, those already open keep their service.
+    pub opens_per_s: f64,
+    pub opens_at_once: f64,
+    pub calls_a_session: usize,
+    pub calls_a_customer: usize,
+    /// Offers of one session a second, and at once.
+    pub offers_per_s: f64,
+    pub offers_at_once: f64,
+    /// Offers that may be with the decisions, not answered yet; what comes beyond takes turns.
+    pub unanswered: usize,
+    /// Offers that may wait for their turn, and for which share of their callers' time.
+    pub waiting: usize,
+    pub wait_share: f64,
+}
+
+impl Default for Limits {
+    /// For a release night on one controller: ten thousand sessions, of which a client that behaves notices nothing.
+    fn default() -> Self {
+        Self {
+            sessions: 10_000,
+            opens_per_s: 2_000.0,
+            opens_at_once: 4_000.0,
+            calls_a_session: 10_000,
+            calls_a_customer: 20_000,
+            offers_per_s: 1_000.0,
+            offers_at_once: 2_000.0,
+            unanswered: 4_000,
+            waiting: 8_000,
+            wait_share: 0.25,
+        }
+    }
+}
+
+/// Why something was not let in. `come_back`: when it may be, jittered so that those refused do not return together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    #[error("no such session")]
+    NoSession,
+    #[error("offers come too fast on this session")]
+    TooFast { come_back: Duration },
+    #[error("{most} calls are in hand on this session")]
+    SessionCalls { most: usize },
+    #[error("{most} calls are in hand for this customer")]
+    CustomerCalls { most: usize },
+    #[error("more calls are offered than can be worked on")]
+    Pressed { come_back: Duration },
+}
+
+/// What becomes of a connection that wants to be a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    Open(SessionNo),
+    /// Too many open at once: to be looked at again after this.
+    Later(Duration),
+    Full,
+}
+
+#[derive(Debug)]
+struct Session {
+    offers: Bucket,
+    /// Calls in hand by customer. Emptied as calls end.
+    calls: BTreeMap<CustomerNo, usize>,
+}
+
+/// Who is there and what they have in hand.
+#[derive(Debug)]
+pub struct Gate {
+    limits: Limits,
+    chance: Chance,
+    opens: Bucket,
+    next: u64,
+    /// Emptied as sessions close; at most `limits.sessions`.
+    sessions: BTreeMap<SessionNo, Session>,
+    /// Calls in hand. Emptied as calls end.
+    customers: BTreeMap<CustomerNo, usize>,
+}
+
+/// Those told to come back do so within this share more than the least.
+const SPREAD: f64 = 0.5;
+
+impl Gate {
+    pub fn new(now: Duration, limits: Limits, seed: u64) -> Self {
+        Self {
+            opens: Bucket::new(now, limits.opens_per_s, limits.opens_at_once),
+            limits,
+            chance: Chance::new(seed),
+            next: 0,
+            sessions: BTreeMap::new(),
+            customers: BTreeMap::new(),
+        }
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    pub fn calls(&self, customer: CustomerNo) -> usize {
+        self.customers.get(&customer).copied().unwrap_or(0)
+    }
+
+    pub fn open(&mut self, now: Duration) -> Opening {
+        if self.sessions.len() >= self.limits.sessions {
+            return Opening::Full;
+        }
+        if let Err(wait) = self.opens.take(now) {
+            return Opening::Later(wait);
+        }
+        self.next += 1;
+        let no = SessionNo(self.next);
+        let offers = Bucket::new(now, self.limits.offers_per_s, self.limits.offers_at_once);
+        self.sessions.insert(no, Session { offers, calls: BTreeMap::new() });
+        Opening::Open(no)
+    }
+
+    /// An offer: taken in hand, or refused. What is taken is given back by [`Gate::over`].
+    pub fn offer(&mut self, now: Duration, session: SessionNo, customer: CustomerNo) -> Result<(), Refusal> {
+        let (in_session, in_all) = (self.limits.calls_a_session, self.limits.calls_a_customer);
+        let of_customer = self.calls(customer);
+        let held = self.sessions.get_mut(&session).ok_or(Refusal::NoSession)?;
+        if let Err(wait) = held.offers.take(now) {
+            return Err(Refusal::TooFast { come_back: self.spread(wait) });
+        }
+        if held.calls.values().sum::<usize>() >= in_session {
+            return Err(Refusal::SessionCalls { most: in_session });
+        }
+        if of_customer >= in_all {
+            return Err(Refusal::CustomerCalls { most: in_all });
+        }
+        *held.calls.entry(customer).or_default() += 1;
+        *self.customers.entry(customer).or_default() += 1;
+        Ok(())
+    }
+
+    /// A call that was taken in hand is over.
+    pub fn over(&mut self, session: SessionNo, customer: CustomerNo) {
+        let Some(held) = self.sessions.get_mut(&session) else { return };
+        if less(&mut held.calls, customer, 1) {
+            less(&mut self.customers, customer, 1);
+        }
+    }
+
+    /// The session is gone, and with it all it had in hand.
+    pub fn close(&mut self, session: SessionNo) {
+        let calls = self.sessions.remove(&session).map(|held| held.calls).unwrap_or_default();
+        calls.into_iter().for_each(|(customer, count)| _ = less(&mut self.customers, customer, count));
+    }
+
+    /// A time to come back, spread over what follows it.
+    pub fn spread(&mut self, least: Duration) -> Duration {
+        Duration::try_from_secs_f64(least.as_secs_f64() * (1.0 + SPREAD * self.chance.below_one()))
+            .unwrap_or(least)
+    }
+}
+
+/// Takes off a count, and the entry with the last of it. `false`: there was none.
+fn less(counts: &mut BTreeMap<CustomerNo, usize>, customer: CustomerNo, by: usize) -> bool {
+    let Some(count) = counts.get_mut(&customer) else { return false };
+    *count = count.saturating_sub(by);
+    if *count == 0 {
+        counts.remove(&customer);
+    }
+    true
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Duration = Duration::from_secs(5);
+    const ONE: CustomerNo = CustomerNo(1);
+
+    fn gate(change: impl FnOnce(&mut Limits)) -> Gate {
+        let mut limits = Limits::default();
+        change(&mut limits);
+        Gate::new(NOW, limits, 1)
+    }
+
+    fn open(gate: &mut Gate) -> SessionNo {
+        match gate.open(NOW) {
+            Opening::Open(no) => no,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn an_accept_storm_is_paced_and_ends_at_the_limit() {
+        let mut gate =
+            gate(|limits| (limits.sessions, limits.opens_per_s, limits.opens_at_once) = (30, 10.0, 20.0));
+        let opened = (0..100).filter(|_| matches!(gate.open(NOW), Opening::Open(_))).count();
+        assert_eq!(opened, 20);
+        let Opening::Later(wait) = gate.open(NOW) else { panic!("not paced") };
+        assert!(matches!(gate.open(NOW + wait + Duration::from_micros(1)), Opening::Open(_)));
+        let later = NOW + Duration::from_secs(60);
+        assert_eq!((0..100).filter(|_| matches!(gate.open(later), Opening::Open(_))).count(), 9);
+        assert_eq!(gate.open(later), Opening::Full);
+    }
+
+    #[test]
+    fn a_session_at_ten_times_its_rate_is_held_to_it_and_the_quiet_one_is_not() {
+        let mut gate = gate(|limits| (limits.offers_per_s, limits.offers_at_once) = (10.0, 10.0));
+        let (greedy, quiet) = (open(&mut gate), open(&mut gate));
+        let (mut of_greedy, mut of_quiet) = (0, 0);
+        for ms in 0..10_000 {
+            let now = NOW + Duration::from_millis(ms);
+            of_greedy += u32::from(ms % 10 == 0 && gate.offer(now, greedy, ONE).is_ok());
+            of_quiet += u32::from(ms % 200 == 0 && gate.offer(now, quiet, ONE).is_ok());
+        }
+        assert!((105..=111).contains(&of_greedy), "{of_greedy}");
+        assert_eq!(of_quiet, 50);
+    }
+
+    #[test]
+    fn what_a_session_had_in_hand_is_given_back_when_it_goes() {
+        let mut gate = gate(|limits| (limits.calls_a_session, limits.calls_a_customer) = (3, 5));
+        let (one, other) = (open(&mut gate), open(&mut gate));
+        assert!((0..3).all(|_| gate.offer(NOW, one, ONE).is_ok()));
+        assert_eq!(gate.offer(NOW, one, ONE), Err(Refusal::SessionCalls { most: 3 }));
+        assert!((0..2).all(|_| gate.offer(NOW, other, ONE).is_ok()));
+        assert_eq!(gate.offer(NOW, other, ONE), Err(Refusal::CustomerCalls { most: 5 }));
+        gate.over(other, ONE);
+        gate.over(other, CustomerNo(9));
+        gate.close(one);
+        assert_eq!((gate.calls(ONE), gate.sessions()), (1, 1));
+        assert_eq!(gate.offer(NOW, one, ONE), Err(Refusal::NoSession));
+        gate.close(other);
+        assert!(gate.customers.is_empty());
+    }
+
+    #[test]
+    fn those_told_to_come_back_do_not_return_together() {
+        let mut gate = gate(|_| {});
+        let least = Duration::from_millis(100);
+        let told: std::collections::BTreeSet<_> = (0..50).map(|_| gate.spread(least)).collect();
+        assert!(told.len() > 40 && told.iter().all(|told| (least..least * 3 / 2).contains(told)));
+    }
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,21 @@
+//! Admission of sessions and offers, decided without I/O.
+//!
+//! | file | holds |
+//! | --- | --- |
+//! | `bucket` | rates: so many a second, so many at once |
+//! | `gate` | sessions and what each, and each customer, may have in hand |
+//! | `turns` | whose turn it is when offers wait: deficit round robin by customers' shares |
+//! | `admission` | the two together: taken, waits, or refused with a time to come back |
+//! | `backlog` | what waits to be said to a session, and what is kept for one that was cut |
+
+mod admission;
+mod backlog;
+mod bucket;
+mod gate;
+mod turns;
+
+pub use admission::{Admission, Verdict};
+pub use backlog::{Backlog, Kept, Overflow};
+pub use bucket::Bucket;
+pub use gate::{Gate, Limits, Opening, Refusal, SessionNo};
+pub use turns::{Displaced, Turns};
