A call's trace: every step from offer to end, by number, at each exchange on its way

Change: the office remembers the last calls step by step in bounded memory; 'mintstall trace' and the admin method 'trace' tell them, at tandems and destinations by the exchange that took the call.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -60,6 +60,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Asks a running controller what became of one of its last calls, step by step.
+    Trace {
+        /// Its admin address, as `admin.listen` says.
+        admin: SocketAddr,
+        /// The call's number at the exchange that took it: `exchange_call` of its answer.
+        call: u64,
+        /// The exchange that took it, if another: tandems and destinations know it by that.
+        #[arg(long)]
+        origin: Option<u16>,
+        #[arg(long)]
+        json: bool,
+    },
     /// Writes completions for a shell to standard output.
     Completions { shell: clap_complete::Shell },
     /// Tells the version.
@@ -114,6 +126,7 @@
         Command::Config { command: ConfigCommand::Schema } => schema::<Config>(),
         Command::Day(args) => day::day(&args),
         Command::Status { admin, json } => status(admin, json),
+        Command::Trace { admin, call, origin, json } => trace(admin, call, origin, json),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "mintstall", &mut io::stdout());
             ExitCode::SUCCESS
@@ -154,6 +167,43 @@
     }
 }
 
+fn trace(admin: SocketAddr, call: u64, origin: Option<u16>, whole: bool) -> ExitCode {
+    let params = json!({ "call": call, "origin": origin });
+    let traces = match mintstall_lab::loopback::ask(admin, "trace", &params) {
+        Ok(traces) => traces,
+        Err(error) => return failed(format!("{admin}: {error}")),
+    };
+    if whole {
+        println!("{}", serde_json::to_string_pretty(&traces).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
+    let traces = traces.as_array().cloned().unwrap_or_default();
+    if traces.is_empty() {
+        return failed(format!("call {call} is not among the last calls there"));
+    }
+    for trace in &traces {
+        println!(
+            "call {} of exchange {} to {} at {}",
+            trace["origin_call"], trace["origin"], trace["number"], trace["dest"]
+        );
+        for step in trace["steps"].as_array().into_iter().flatten() {
+            let more = step
+                .as_object()
+                .into_iter()
+                .flatten()
+                .filter(|(name, _)| !["step", "at_ms"].contains(&name.as_str()));
+            let more: Vec<String> = more.map(|(name, value)| format!("{name} {value}")).collect();
+            println!(
+                "{:>12.3} ms  {:<18} {}",
+                step["at_ms"].as_f64().unwrap_or(0.0),
+                step["step"].as_str().unwrap_or(""),
+                more.join(", ")
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn status(admin: SocketAddr, whole: bool) -> ExitCode {
     let status = match mintstall_lab::loopback::status(admin) {
         Ok(status) => status,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -44,6 +44,9 @@
     /// Calls in hand at a time, those in transit too; what comes beyond is refused.
     #[serde(default = "most_calls")]
     pub most_calls: usize,
+    /// Calls of which what became of them is remembered, step by step, some 500 octets each.
+    #[serde(default = "traces")]
+    pub traces: usize,
     /// Starts the random numbers; none: drawn anew at each start.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed: Option<u64>,
@@ -258,6 +261,11 @@
     1
 }
 
+/// The last ten seconds or more at a hundred calls a second.
+fn traces() -> usize {
+    2000
+}
+
 /// 20,000 calls take some tens of MiB.
 fn most_calls() -> usize {
     20_000
@@ -418,6 +426,7 @@
             "limits.wait_share",
             format!("{} is no share", l.wait_share),
         );
+        say(self.traces > 1_000_000, "traces", format!("{} are more than 1000000", self.traces));
         say(self.most_calls == 0, "most_calls", "is 0".into());
         let t = &self.timers;
         let all = [
@@ -490,6 +499,7 @@
                 audit: ms(t.audit_ms),
             },
             most_calls: self.most_calls,
+            traces: self.traces,
         }
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -12,7 +12,7 @@
 };
 use mintstall_isup::Report;
 use mintstall_limits::{Admission, Opening, Refusal, SessionNo, Verdict};
-use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant};
+use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant, Step, Trace};
 use mintstall_roster::{
     Ask, FeedNote, Limits, Refusal as RosterRefusal, Reply, Roster, Standing, Told, Verdict as RosterVerdict,
 };
@@ -505,8 +505,16 @@
 
     // What is shown.
 
+    /// What became here of a call that an exchange took; of one taken here, where none is named.
+    pub fn traces(&self, origin: Option<u16>, call: u64) -> Vec<Value> {
+        match origin.filter(|origin| *origin != self.office.own().0) {
+            Some(origin) => self.office.traces_of(OfficeNo(origin), call).map(trace_json).collect(),
+            None => self.office.trace(CallId(call)).into_iter().map(trace_json).collect(),
+        }
+    }
+
     pub fn status(&self) -> Value {
-        let OfficeState { own, tally, calls, owed, timers, groups } = self.office.state();
+        let OfficeState { own, tally, calls, owed, timers, traces, groups } = self.office.state();
         let groups: Vec<Value> = groups
             .iter()
             .map(|group| {
@@ -523,7 +531,7 @@
             })
             .collect();
         json!({
-            "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "lines": self.lines.len(),
+            "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "traces": traces, "lines": self.lines.len(),
             "admission": { "unanswered": self.admission.unanswered(), "waiting": self.admission.waiting() },
             "roster": { "version": self.roster.version(), "entries": self.roster.entries().count(),
                 "turned_down": self.roster.turned_down() },
@@ -539,6 +547,44 @@
     }
 }
 
+/// A trace as JSON: times in milliseconds since its first step.
+fn trace_json(trace: &Trace) -> Value {
+    let first = trace.steps.first().map_or(Duration::ZERO, |(at, _)| *at);
+    let steps = trace.steps.iter().map(|(at, step)| {
+        let mut json = step_json(step);
+        json["at_ms"] = json!(at.saturating_sub(first).as_micros() as f64 / 1e3);
+        json
+    });
+    json!({
+        "call": trace.call.0, "origin": trace.identity.origin, "origin_call": trace.identity.call,
+        "type": trace.identity.call_type, "customer": trace.identity.customer,
+        "dest": trace.dest.0, "number": trace.dialled, "left_out": trace.left_out,
+        "steps": steps.collect::<Vec<_>>(),
+    })
+}
+
+fn step_json(step: &Step) -> Value {
+    let ms = |span: &Duration| span.as_micros() as f64 / 1e3;
+    match step {
+        Step::Offered { left } => json!({ "step": "offered", "left_ms": ms(left) }),
+        Step::Arrived { from, cic } => json!({ "step": "arrived", "from": from.0, "circuit": cic.0 }),
+        Step::Seized { no, exchange, to, cic, circuits, limit } => json!({
+            "step": "seized", "seizure": no.0, "exchange": exchange.0, "to": to.0, "circuit": cic.0,
+            "circuits": circuits, "limit_ms": ms(limit),
+        }),
+        Step::Alerted { no } => json!({ "step": "address complete", "seizure": no.0 }),
+        Step::SeizureEnded { no, cause, after } => {
+            json!({ "step": "seizure ended", "seizure": no.0, "cause": format!("{cause:?}"), "after_ms": ms(after) })
+        }
+        Step::Stands => json!({ "step": "stands" }),
+        Step::StandsHere => json!({ "step": "stands here" }),
+        Step::Answered(answer) => json!({ "step": "answered", "answer": final_answer(*answer) }),
+        Step::TurnedBack(cause) => json!({ "step": "turned back", "cause": cause.value() }),
+        Step::CallerGone(cause) => json!({ "step": "caller gone", "cause": cause.value() }),
+        Step::Ended(end) => json!({ "step": "ended", "how": how_ended(*end) }),
+    }
+}
+
 /// A call as its subscriber's message asks for it.
 pub fn order(offer: &Offer) -> Order {
     Order {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -669,6 +669,14 @@
             status["up_ms"] = json!(started.elapsed().as_millis() as u64);
             result_text(&id, status)
         }
+        Some("trace") => {
+            let params = &asked["params"];
+            let origin = params["origin"].as_u64().map(|origin| u16::try_from(origin).unwrap_or(u16::MAX));
+            match params["call"].as_u64() {
+                Some(call) => result_text(&id, exchange.traces(origin, call)),
+                None => fault_text(&id, &Fault::new(code::INVALID_PARAMS, "params.call is no number")),
+            }
+        }
         Some(method) => fault_text(&id, &Fault::new(code::NO_SUCH_METHOD, format!("no method {method:?}"))),
         None => fault_text(&id, &Fault::new(code::INVALID_REQUEST, "method is missing")),
     }
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -81,6 +81,7 @@
             ..TimersMs::default()
         },
         most_calls: 20_000,
+        traces: 1000,
         seed: Some(day.seed.wrapping_mul(1009).wrapping_add(office.into())),
     }
 }
--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -23,6 +23,7 @@
 use crate::queries::Audit;
 use crate::state::Tally;
 use crate::timers::{Set, Timer, TimerQueue};
+use crate::trace::{Step as Traced, Traces};
 
 pub(crate) type Step = Box<dyn FnOnce(&mut Controller, &mut Working)>;
 
@@ -53,6 +54,7 @@
     /// Calls of subscribers whose final answer is owed.
     pub owed: usize,
     pub tally: Tally,
+    pub traces: Traces,
     /// Octets being written, kept for their room.
     pub frame: Vec<u8>,
     pub message: Vec<u8>,
@@ -124,6 +126,10 @@
         self.plant.send(to, &self.desk.frame);
     }
 
+    pub fn trace(&mut self, call: CallId, step: Traced) {
+        self.desk.traces.step(self.now, call, step);
+    }
+
     pub fn put(&mut self, held: &Held, used: Use) {
         if let Some(group) = self.desk.groups.get_mut(&held.to) {
             held.places.iter().for_each(|place| group.put(*place, used));
@@ -186,6 +192,7 @@
             if let Some(leg) = w.desk.legs.get_mut(&call) {
                 leg.last = Some(cause);
             }
+            w.trace(call, Traced::SeizureEnded { no: seizure, cause, after });
             controller.ended(w.now, w, &Ended { call, seizure, exchange, cause, after, closed });
             w.desk.finish(call);
         }));
@@ -199,10 +206,12 @@
                 let tally = &mut self.desk.tally;
                 *(if answer == Answer::Fails { &mut tally.failed } else { &mut tally.refused }) += 1;
                 self.desk.owed -= 1;
+                self.trace(call, Traced::Answered(answer));
                 self.plant.answer(call, answer);
             }
             Source::Trunk(held) => {
                 let rel = turn_back(leg.last);
+                self.trace(call, Traced::TurnedBack(rel.cause.cause));
                 self.release_held(&held, rel);
             }
             Source::Gone => {}
@@ -239,7 +248,7 @@
             return self.ends_later(call, no, to, Duration::ZERO, Cause::NotSent { own_down: false });
         };
         let held = Held { to: office, places };
-        let limit = self.desk.timers.set(now + limit.min(self.desk.t.t7), Timer::Limit(call, no));
+        let set = self.desk.timers.set(now + limit.min(self.desk.t.t7), Timer::Limit(call, no));
         let mut identity = leg.identity;
         let hops = match leg.source {
             Source::Trunk(_) => 0,
@@ -267,8 +276,15 @@
             other: Vec::new(),
         };
         let first = Cic::at(held.first());
+        let circuits = held.places.len() as u16;
+        let span = limit.min(self.desk.t.t7);
         self.desk.tally.seizures += 1;
-        leg.sink = Sink::Seized(Out { no, exchange: to, held: held.clone(), at: now, limit: Some(limit) });
+        self.desk.traces.step(
+            now,
+            call,
+            Traced::Seized { no, exchange: to, to: office, cic: first, circuits, limit: span },
+        );
+        leg.sink = Sink::Seized(Out { no, exchange: to, held: held.clone(), at: now, limit: Some(set) });
         self.put(&held, Use::SeizedOut(call));
         self.send(office, first, Body::Iam(iam));
     }
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `office` | what callers, roster and clock tell |
 //! | `signalling` | what the other exchanges tell |
 //! | `desk` | what the decisions may do: `mintstall::host::Host` |
+//! | `trace` | what became of the last calls, step by step |
 //! | `state` | what is shown of it |
 
 mod circuits;
@@ -25,8 +26,10 @@
 mod signalling;
 mod state;
 mod timers;
+mod trace;
 
 pub use office::{Office, Order};
 pub use plan::{GroupPlan, NumberPlan, OfficePlan, Timers};
 pub use plant::{Answer, CallEnd, Plant};
 pub use state::{GroupState, LinkState, OfficeState, Tally};
+pub use trace::{Step, Trace};
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -20,6 +20,7 @@
 use crate::plant::{Answer, CallEnd, Plant};
 use crate::state::Tally;
 use crate::timers::{Timer, TimerQueue};
+use crate::trace::{Step, Trace, Traces};
 
 /// A call as a subscriber asks for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +86,7 @@
             next_call: u64::from(incarnation >> 1) << 32,
             owed: 0,
             tally: Tally::default(),
+            traces: Traces::new(plan.traces),
             frame: Vec::new(),
             message: Vec::new(),
         };
@@ -154,6 +156,16 @@
         self.desk.report = Some(report);
     }
 
+    /// What became of one of the last calls.
+    pub fn trace(&self, call: CallId) -> Option<&Trace> {
+        self.desk.traces.get(call)
+    }
+
+    /// What became here of a call that an exchange took, this one or another.
+    pub fn traces_of(&self, origin: OfficeNo, call: u64) -> impl Iterator<Item = &Trace> {
+        self.desk.traces.of(origin, call)
+    }
+
     /// A number for the next call, never used twice.
     pub fn next_call(&mut self) -> CallId {
         self.desk.next_call += 1;
@@ -187,6 +199,8 @@
                 redial: order.redial,
             };
             w.desk.owed += 1;
+            let step = Step::Offered { left: order.left };
+            w.desk.traces.begin(now, call, identity, order.dest, order.dialled.0, step);
             let guard = w.desk.timers.set(until, Timer::Guard(call));
             w.desk.legs.insert(
                 call,
@@ -269,6 +283,7 @@
                 w.caller_gone(controller, call, failure(Q850::OutOfOrder));
                 if standing {
                     w.desk.tally.cut += 1;
+                    w.trace(call, Step::Ended(CallEnd::Cut));
                     w.plant.ended(call, CallEnd::Cut);
                 }
             });
@@ -360,6 +375,7 @@
     /// answer is owed gets it at once.
     pub fn caller_gone(&mut self, controller: &mut Controller, call: CallId, rel: Rel) {
         let now = self.now;
+        self.trace(call, Step::CallerGone(rel.cause.cause));
         let Some(leg) = self.desk.legs.get_mut(&call) else { return };
         match std::mem::replace(&mut leg.sink, Sink::Open) {
             Sink::Here => {
@@ -383,6 +399,7 @@
                     Source::Subscriber => {
                         self.desk.owed -= 1;
                         self.desk.tally.failed += 1;
+                        self.trace(call, Step::Answered(Answer::Fails));
                         self.plant.answer(call, Answer::Fails);
                     }
                     Source::Trunk(held) => self.let_go(&held, &rel),
@@ -426,6 +443,7 @@
             Sink::Seized(out) if out.no == no => {
                 leg.last = Some(Cause::TimedOut);
                 self.desk.tally.timed_out += 1;
+                self.trace(call, Step::SeizureEnded { no, cause: Cause::TimedOut, after: self.now - out.at });
                 self.release_held(&out.held, failure(Q850::RecoveryOnTimer));
                 let closed = self.desk.closed(call);
                 let now = self.now;
--- a/crates/office/src/plan.rs
+++ b/crates/office/src/plan.rs
@@ -17,6 +17,8 @@
     pub timers: Timers,
     /// Calls and calls in transit that may be in hand at a time; what comes beyond is refused.
     pub most_calls: usize,
+    /// Calls of which what became of them is remembered, step by step; some 500 octets each.
+    pub traces: usize,
 }
 
 /// The trunk group to one other exchange.
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -20,6 +20,7 @@
 use crate::plan::ANSWER_WAY;
 use crate::plant::{Answer, CallEnd, Plant};
 use crate::timers::Timer;
+use crate::trace::Step;
 
 /// No charge, subscriber free, ISUP all the way, terminating access ISDN.
 const BACKWARD: [u8; 2] = [0x16, 0x34];
@@ -126,6 +127,10 @@
             Body::Acm { report, .. } => {
                 self.reported(controller, from, &report);
                 if let Use::SeizedOut(call) = used {
+                    if let Some(Leg { sink: Sink::Seized(out), .. }) = self.desk.legs.get(&call) {
+                        let no = out.no;
+                        self.trace(call, Step::Alerted { no });
+                    }
                     self.pass_back(
                         call,
                         Body::Acm { backward: BACKWARD, report: self.desk.report, other: Vec::new() },
@@ -280,6 +285,7 @@
         let now = self.now;
         let Some(leg) = self.desk.legs.get_mut(&call) else { return };
         let Sink::Seized(out) = std::mem::replace(&mut leg.sink, Sink::Open) else { return };
+        self.desk.traces.step(now, call, Step::Stands);
         let (exchange, seizure, after, held) = (out.exchange, out.no, now - out.at, out.held.clone());
         let set = [leg.guard.take(), leg.alarm.take(), out.limit];
         set.into_iter().flatten().for_each(|set| self.desk.timers.stop(set));
@@ -289,6 +295,7 @@
             Source::Subscriber => {
                 self.desk.owed -= 1;
                 self.desk.tally.stood += 1;
+                self.desk.traces.step(now, call, Step::Answered(Answer::Stands));
                 self.plant.answer(call, Answer::Stands);
                 None
             }
@@ -334,6 +341,11 @@
         match std::mem::replace(&mut leg.sink, Sink::Open) {
             Sink::Seized(out) if here(&out.held) => {
                 leg.last = Some(cause);
+                self.desk.traces.step(
+                    now,
+                    call,
+                    Step::SeizureEnded { no: out.no, cause, after: now - out.at },
+                );
                 out.limit.into_iter().for_each(|set| self.desk.timers.stop(set));
                 then(&out.held, self);
                 let closed = self.desk.closed(call);
@@ -347,7 +359,9 @@
                     None => {
                         let cut = cause != Cause::Done;
                         self.desk.tally.cut += u64::from(cut);
-                        self.plant.ended(call, if cut { CallEnd::Cut } else { CallEnd::Released });
+                        let end = if cut { CallEnd::Cut } else { CallEnd::Released };
+                        self.trace(call, Step::Ended(end));
+                        self.plant.ended(call, end);
                     }
                 }
                 self.desk.drop_leg(call);
@@ -457,6 +471,8 @@
             return self.terminate(call, leg, held);
         }
         self.desk.tally.transit += 1;
+        let arrived = Step::Arrived { from, cic: Cic::at(first) };
+        self.desk.traces.begin(self.now, call, identity, OfficeNo(dest), dialled, arrived);
         leg.guard = Some(self.desk.timers.set(leg.until, Timer::Guard(call)));
         self.desk.legs.insert(call, leg);
         self.put(&held, Use::SeizedIn(call));
@@ -478,6 +494,9 @@
             *taken += 1;
         }
         self.desk.tally.terminated += 1;
+        let arrived = Step::Arrived { from: held.to, cic };
+        self.desk.traces.begin(self.now, call, leg.identity, leg.dest, leg.dialled, arrived);
+        self.trace(call, Step::StandsHere);
         leg.sink = Sink::Here;
         self.desk.legs.insert(call, leg);
         self.put(&held, Use::StandingIn(call));
--- a/crates/office/src/state.rs
+++ b/crates/office/src/state.rs
@@ -62,6 +62,7 @@
     pub calls: usize,
     pub owed: usize,
     pub timers: usize,
+    pub traces: usize,
     pub groups: Vec<GroupState>,
 }
 
@@ -107,6 +108,7 @@
             calls: self.desk.legs.len(),
             owed: self.desk.owed,
             timers: self.desk.timers.len(),
+            traces: self.desk.traces.len(),
             groups: groups.collect(),
         }
     }
--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -73,6 +73,7 @@
         numbers: vec![NumberPlan { dialled: 77, lines: 1 }],
         timers: Timers { t1: ms(1000), t5: ms(5000), ..Timers::default() },
         most_calls: 1000,
+        traces: 100,
     }
 }
 
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -427,3 +427,56 @@
     assert!(!table.take(1, 2).iter().any(|octets| name(octets).as_deref() == Some("IAM")));
     assert!(matches!(table.answers(1)[..], [(answered, Answer::Refused { .. })] if answered == call));
 }
+
+#[test]
+fn a_call_is_followed_by_its_number_from_the_caller_over_the_tandem_to_the_number_called() {
+    use mintstall_office::Step;
+    let mut table = Table::new(3, 4);
+    let calls: Vec<_> = (0..5)
+        .map(|no| {
+            let call = table.call(1, 2, no, 0);
+            table.carry();
+            call
+        })
+        .collect();
+    let round = calls[4];
+    let kinds = |table: &Table, own: u16| -> Vec<String> {
+        let office = &table.offices[&own].0;
+        let traces: Vec<_> = office.traces_of(OfficeNo(1), round.0).collect();
+        assert_eq!(traces.len(), 1, "at {own}");
+        assert!(traces[0].seizures_out() <= 1);
+        let kind = |step: &Step| format!("{step:?}").split([' ', '(']).next().unwrap_or_default().to_string();
+        traces[0].steps.iter().map(|(_, step)| kind(step)).collect()
+    };
+    table.with(1, |office, now, wires| office.hang_up(now, wires, round));
+    table.carry();
+    assert_eq!(kinds(&table, 1), ["Offered", "Seized", "Alerted", "Stands", "Answered", "CallerGone"]);
+    assert_eq!(kinds(&table, 3), ["Arrived", "Seized", "Alerted", "Stands", "CallerGone"]);
+    assert_eq!(kinds(&table, 2), ["Arrived", "StandsHere", "CallerGone"]);
+}
+
+#[test]
+fn a_trace_tells_every_seizure_and_why_it_ended_and_one_answer() {
+    use mintstall_office::Step;
+    let mut table = Table::new(2, 31);
+    let call = table.call(1, 2, 5, 0);
+    table.take(1, 2);
+    for _ in 0..60 {
+        table.pass(ms(50));
+        // The far end says nothing to set-ups, and completes releases.
+        for octets in table.take(1, 2) {
+            if name(&octets).as_deref() == Some("REL") {
+                (0..31).for_each(|place| {
+                    table.give(2, 1, &frame(2, 1, Cic::at(place), Body::Rlc { other: Vec::new() }));
+                });
+            }
+        }
+    }
+    let trace = table.offices[&1].0.trace(call).unwrap().clone();
+    let seized = trace.steps.iter().filter(|(_, step)| matches!(step, Step::Seized { .. })).count();
+    let ended = trace.steps.iter().filter(|(_, step)| matches!(step, Step::SeizureEnded { .. })).count();
+    let answered = trace.steps.iter().filter(|(_, step)| matches!(step, Step::Answered(_))).count();
+    assert!(seized >= 1 && seized == ended && trace.seizures_out() == 1, "{trace:?}");
+    assert_eq!(answered, 1);
+    assert!(matches!(trace.last(), Some((_, Step::Answered(_)))));
+}
