Tokens with scopes and customers, read again on SIGHUP; session.hello

Change: crates/limits/auth holds digests, compares in constant time, and is asked at each request, so a token withdrawn in mid-session ends what the session may do; a file that makes no sense leaves the tokens of before in force.

--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -51,10 +51,35 @@
     pub call: u64,
 }
 
+/// `session.hello`: says who asks, where the controller wants to know.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Hello {
+    /// What the client calls itself, for the log.
+    pub client: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<String>,
+}
+
+/// The result of `session.hello`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Welcome {
+    pub server: String,
+    pub version: String,
+    pub exchange: u16,
+    /// The token's name, where one was presented.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<String>,
+    /// Calls that may be in hand on this line.
+    pub calls_a_session: usize,
+}
+
 /// What a client asks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "method", content = "params")]
 pub enum Request {
+    #[serde(rename = "session.hello")]
+    Hello(Hello),
     #[serde(rename = "call.offer")]
     Offer(Offer),
     #[serde(rename = "call.hangup")]
@@ -125,6 +150,8 @@
     pub const NUMBER_IN_USE: i32 = -32002;
     /// Too many calls on this line wait for an answer.
     pub const TOO_MANY: i32 = -32003;
+    /// The session's token does not allow it, or there is none.
+    pub const DENIED: i32 = -32004;
 }
 
 impl Fault {
@@ -151,6 +178,7 @@
         let Some(method) = raw.method else { return Err(fail(code::INVALID_REQUEST, "method is missing")) };
         let params = raw.params.map_or("null", RawValue::get);
         let request = match &*method {
+            "session.hello" => serde_json::from_str(params).map(Request::Hello),
             "call.offer" => serde_json::from_str(params).map(Request::Offer),
             "call.hangup" => serde_json::from_str(params).map(Request::Hangup),
             other => return Err(fail(code::NO_SUCH_METHOD, &format!("no method {other:?}"))),
@@ -276,6 +304,7 @@
 pub fn schema() -> Value {
     json!({
         "request": schemars::schema_for!(Request),
+        "session.hello result": schemars::schema_for!(Welcome),
         "call.offer result": schemars::schema_for!(Answered),
         "call.ended": schemars::schema_for!(EndedNote),
     })
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
-use mintstall_daemon::{Config, Shell};
+use mintstall_daemon::{Config, Shell, ShellError};
 use serde_json::json;
 
 #[derive(Parser)]
@@ -72,6 +72,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// Writes what a token file holds of a token, which is read from standard input.
+    TokenDigest,
     /// Writes completions for a shell to standard output.
     Completions { shell: clap_complete::Shell },
     /// Tells the version.
@@ -127,6 +129,14 @@
         Command::Day(args) => day::day(&args),
         Command::Status { admin, json } => status(admin, json),
         Command::Trace { admin, call, origin, json } => trace(admin, call, origin, json),
+        Command::TokenDigest => {
+            let mut token = String::new();
+            if let Err(error) = io::stdin().read_line(&mut token) {
+                return bad_input(error);
+            }
+            println!("{}", mintstall_limits::digest_text(token.trim_end_matches(['\r', '\n'])));
+            ExitCode::SUCCESS
+        }
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "mintstall", &mut io::stdout());
             ExitCode::SUCCESS
@@ -156,6 +166,7 @@
     };
     let shell = match Shell::open(&config) {
         Ok(shell) => shell,
+        Err(error @ ShellError::Tokens(_)) => return bad_input(error),
         Err(error) => return failed(error),
     };
     let [signalling, subscribers, admin] = shell.addresses();
@@ -167,9 +178,14 @@
     }
 }
 
+/// The token for admin ports: from the environment, so that it stands in no list of processes.
+fn token() -> Option<String> {
+    std::env::var("MINTSTALL_TOKEN").ok()
+}
+
 fn trace(admin: SocketAddr, call: u64, origin: Option<u16>, whole: bool) -> ExitCode {
     let params = json!({ "call": call, "origin": origin });
-    let traces = match mintstall_lab::loopback::ask(admin, "trace", &params) {
+    let traces = match mintstall_lab::loopback::ask(admin, "trace", &params, token().as_deref()) {
         Ok(traces) => traces,
         Err(error) => return failed(format!("{admin}: {error}")),
     };
@@ -205,10 +221,11 @@
 }
 
 fn status(admin: SocketAddr, whole: bool) -> ExitCode {
-    let status = match mintstall_lab::loopback::status(admin) {
-        Ok(status) => status,
-        Err(error) => return failed(format!("{admin}: {error}")),
-    };
+    let status =
+        match mintstall_lab::loopback::ask(admin, "status", &serde_json::Value::Null, token().as_deref()) {
+            Ok(status) => status,
+            Err(error) => return failed(format!("{admin}: {error}")),
+        };
     if whole {
         println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
         return ExitCode::SUCCESS;
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -89,7 +89,11 @@
 
 impl Controller {
     fn start(name: &str, link: SocketAddr) -> Self {
-        let config = json!({
+        Self::start_with(name, link, json!({}))
+    }
+
+    fn start_with(name: &str, link: SocketAddr, more: Value) -> Self {
+        let mut config = json!({
             "exchange": 1,
             "signalling": { "listen": "127.0.0.1:0", "links": [{ "to": 2, "circuits": 31, "connect": link }] },
             "subscribers": { "listen": "127.0.0.1:0" },
@@ -97,6 +101,7 @@
             "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
                              "mean_hold_ms": 10000 }],
         });
+        more.as_object().unwrap().iter().for_each(|(field, value)| config[field] = value.clone());
         let path = file(name, &config.to_string());
         let mut child = Command::new(env!("CARGO_BIN_EXE_mintstall"))
             .args(["run", "--config", path.to_str().unwrap()])
@@ -228,3 +233,61 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
     assert!(far.join().unwrap() > 0, "the calls were on their way");
 }
+
+#[test]
+fn a_token_is_asked_for_scoped_and_withdrawn_in_mid_session() {
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let digest = |token: &str| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mintstall"))
+            .arg("token-digest")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        child.stdin.take().unwrap().write_all(format!("{token}\n").as_bytes()).unwrap();
+        String::from_utf8(child.wait_with_output().unwrap().stdout).unwrap().trim().to_string()
+    };
+    let apps = json!({ "name": "apps", "sha256": digest("secret-a"), "scopes": ["offer"], "customers": [0] });
+    let staff = json!({ "name": "staff", "sha256": digest("secret-s"), "scopes": ["admin"] });
+    let tokens = file("tokens.json", &json!({ "tokens": [apps, staff] }).to_string());
+    let controller = Controller::start_with("tokens-config.json", nobody, json!({ "tokens": tokens }));
+    let mut line = controller.connect("subscribers");
+    let offer = |call: u64, customer: u16| {
+        json!({ "jsonrpc": "2.0", "id": call, "method": "call.offer", "params": { "call": call, "customer": customer,
+            "dest": 2, "number": 7, "time_left_ms": 2000 } })
+        .to_string()
+    };
+    let hello = |token: &str| {
+        json!({ "jsonrpc": "2.0", "id": 0, "method": "session.hello", "params": { "client": "test", "token": token } })
+            .to_string()
+    };
+    assert_eq!(ask(&mut line, &offer(1, 0))["error"]["code"], -32004);
+    assert_eq!(ask(&mut line, &hello("secret"))["error"]["code"], -32004);
+    assert_eq!(ask(&mut line, &hello("secret-a"))["result"]["token"], "apps");
+    assert_eq!(ask(&mut line, &offer(2, 0))["result"]["answer"], "refused");
+    assert_eq!(ask(&mut line, &offer(3, 1))["error"]["code"], -32004, "another customer");
+    // The admin port wants a token of its own.
+    let mut admin = controller.connect("admin");
+    assert_eq!(ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#)["error"]["code"], -32004);
+    let status =
+        |token: &str| json!({ "jsonrpc": "2.0", "id": 1, "method": "status", "token": token }).to_string();
+    assert_eq!(ask(&mut admin, &status("secret-a"))["error"]["code"], -32004);
+    assert_eq!(ask(&mut admin, &status("secret-s"))["result"]["exchange"], 1);
+    // A file that makes no sense changes nothing; one without the token ends the session's rights.
+    let hang_up = || {
+        let pid = controller.child.id().to_string();
+        assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+    };
+    std::fs::write(&tokens, "{").unwrap();
+    hang_up();
+    assert_eq!(ask(&mut line, &offer(4, 0))["result"]["answer"], "refused");
+    std::fs::write(&tokens, json!({ "tokens": [staff] }).to_string()).unwrap();
+    hang_up();
+    // The signal is acted on between two turns of the loop; the first answers may still come from before it.
+    let denied = (5..200).any(|call| {
+        std::thread::sleep(Duration::from_millis(20));
+        ask(&mut line, &offer(call, 0))["error"]["message"] == "the token was withdrawn"
+    });
+    assert!(denied);
+    assert_eq!(controller.stop(), Some(0));
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,7 +7,7 @@
 
 use mintstall::host::{CallTypeData, OfficeData, OfficeNo, Repeats};
 use mintstall_isup::Cic;
-use mintstall_limits::Limits;
+use mintstall_limits::{Limits, TokenFile, Tokens};
 use mintstall_office::{GroupPlan, NumberPlan, OfficePlan, Timers};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,9 @@
     pub customers: Vec<Customer>,
     #[serde(default)]
     pub limits: LimitsPlan,
+    /// The file of tokens; read again on SIGHUP. None: nobody is asked for one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens: Option<PathBuf>,
     #[serde(default)]
     pub rules: Rules,
     #[serde(default)]
@@ -282,6 +285,12 @@
     Faults { path: PathBuf, faults: Vec<String> },
 }
 
+/// Reads a file of tokens.
+pub fn read_tokens(path: &Path) -> Result<Tokens, ConfigError> {
+    let file: TokenFile = read_json(path)?;
+    Tokens::read(&file).map_err(|faults| ConfigError::Faults { path: path.into(), faults })
+}
+
 /// Reads any JSON file of ours, with the place of what makes no sense in it.
 pub fn read_json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
     let text = std::fs::read_to_string(path)
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,11 +7,11 @@
     CallId, CallType, CustomerNo, Dialled, ExchangeId, OfficeNo, RosterLine, Standing as HostStanding, Zone,
 };
 use mintstall_callapi::{
-    Answered, Asked, EndedNote, Fault, Final, How, LineCutter, Offer, Request, code, ended_text, fault_text,
-    result_text,
+    Answered, Asked, EndedNote, Fault, Final, Hello, How, LineCutter, Offer, Request, Welcome, code,
+    ended_text, fault_text, result_text,
 };
 use mintstall_isup::Report;
-use mintstall_limits::{Admission, Opening, Refusal, SessionNo, Verdict};
+use mintstall_limits::{Admission, Denied, Opening, Refusal, Scope, SessionNo, Tokens, Verdict};
 use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant, Step, Trace};
 use mintstall_roster::{
     Ask, FeedNote, Limits, Refusal as RosterRefusal, Reply, Roster, Standing, Told, Verdict as RosterVerdict,
@@ -44,6 +44,8 @@
 
 struct Line {
     cutter: LineCutter,
+    /// The name of the token that it presented.
+    token: Option<String>,
     /// By the client's numbers. Emptied as calls end.
     calls: BTreeMap<u64, Held>,
 }
@@ -83,6 +85,7 @@
 pub struct Exchange {
     pub office: Office,
     admission: Admission<Pending>,
+    tokens: Tokens,
     /// Offers whose turn has come. Emptied before anything returns.
     ready: VecDeque<Pending>,
     roster: Roster,
@@ -140,6 +143,7 @@
         Self {
             office: Office::new(now, &config.plan(), incarnation, seed),
             admission: Admission::new(now, config.limits.limits(), shares.collect(), seed),
+            tokens: Tokens::open(),
             ready: VecDeque::new(),
             roster: Roster::new(Limits::default()),
             feed: LineCutter::new(LONGEST_NEWS),
@@ -244,7 +248,8 @@
         let fault = |text: String| fault_text(&Value::Null, &Fault::new(code::TOO_MANY, text));
         match self.admission.open(now) {
             Opening::Open(SessionNo(no)) => {
-                let line = Line { cutter: LineCutter::new(LONGEST_TEXT), calls: BTreeMap::new() };
+                let line =
+                    Line { cutter: LineCutter::new(LONGEST_TEXT), token: None, calls: BTreeMap::new() };
                 self.lines.insert(LineNo(no), line);
                 Ok(LineNo(no))
             }
@@ -279,6 +284,38 @@
         }
     }
 
+    /// The tokens in force from now on; what stands is left alone.
+    pub fn set_tokens(&mut self, tokens: Tokens) {
+        self.tokens = tokens;
+    }
+
+    /// Whether a token allows something on the admin port.
+    pub fn admin_may(&self, token: Option<&str>) -> Result<(), Denied> {
+        if !self.tokens.asks() {
+            return Ok(());
+        }
+        let grant = self.tokens.present(token.ok_or(Denied::NoToken)?)?;
+        if grant.may(Scope::Admin) { Ok(()) } else { Err(Denied::Scope) }
+    }
+
+    fn hello(&mut self, line: LineNo, hello: &Hello) -> Result<Welcome, Fault> {
+        let held = self.lines.get_mut(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        if self.tokens.asks() {
+            let token = hello.token.as_deref().ok_or(Denied::NoToken);
+            let grant = token.and_then(|token| self.tokens.present(token));
+            let grant = grant.map_err(|denied| Fault::new(code::DENIED, denied.to_string()))?;
+            held.token = Some(grant.name.clone());
+        }
+        debug!(line = line.0, client = hello.client, token = held.token, "hello");
+        Ok(Welcome {
+            server: "mintstall".into(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            exchange: self.office.own().0,
+            token: held.token.clone(),
+            calls_a_session: self.admission.gate.limits().calls_a_session,
+        })
+    }
+
     /// What was not let in: a call answered as refused where a later try may do better, else a fault of the client.
     fn refuse(&mut self, port: &mut dyn Port, pending: &Pending, refusal: Refusal) {
         let (line, call) = (pending.line, pending.offer.call);
@@ -348,6 +385,9 @@
             Err((id, fault)) => return port.say(line, &fault_text(&id, &fault)),
         };
         let done = match request {
+            Request::Hello(hello) => self.hello(line, &hello).map(|welcome| {
+                id.iter().for_each(|id| port.say(line, &result_text(id, &welcome)));
+            }),
             Request::Offer(offer) => self.offer(now, port, line, &id, &offer),
             Request::Hangup(hangup) => self.hang_up(now, port, line, hangup.call).map(|()| {
                 let result = json!({ "call": hangup.call });
@@ -368,6 +408,9 @@
         offer: &Offer,
     ) -> Result<(), Fault> {
         let held = self.lines.get_mut(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        let allowed =
+            self.tokens.check(held.token.as_deref(), Scope::Offer, Some(CustomerNo(offer.customer)));
+        allowed.map_err(|denied| Fault::new(code::DENIED, denied.to_string()))?;
         if held.calls.contains_key(&offer.call) {
             return Err(Fault::new(code::NUMBER_IN_USE, format!("call {} is in hand already", offer.call)));
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -13,12 +13,12 @@
 use mio::{Events, Interest, Poll, Token};
 use rand::Rng;
 use serde_json::{Value, json};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use thiserror::Error;
 use tracing::{debug, info, warn};
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError, read_tokens};
 use crate::exchange::{Exchange, LineNo, Port};
 use crate::wires::Outbox;
 
@@ -28,8 +28,8 @@
     Listen { what: &'static str, addr: SocketAddr, error: io::Error },
     #[error("no event loop: {0}")]
     Poll(io::Error),
-    #[error("{path}: {error}")]
-    Keep { path: PathBuf, error: io::Error },
+    #[error(transparent)]
+    Tokens(#[from] ConfigError),
 }
 
 /// The clock starts an hour in: processors that started before this process are told by their age.
@@ -209,6 +209,7 @@
     admins_in: Option<TcpListener>,
     redials: BTreeMap<Dialled, Redial>,
     keep: Option<PathBuf>,
+    tokens: Option<PathBuf>,
     started: Instant,
     stopping: Option<Instant>,
     /// Read buffer, kept for its room.
@@ -236,7 +237,7 @@
     /// Opens all that the configuration names. The configuration has no faults.
     pub fn open(config: &Config) -> Result<Self, ShellError> {
         let poll = Poll::new().map_err(ShellError::Poll)?;
-        let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(ShellError::Poll)?;
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(ShellError::Poll)?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(ShellError::Poll)?;
         let links_in = listener(&poll, "signalling.listen", config.signalling.listen, LINKS_IN)?;
         let lines_in = listener(&poll, "subscribers.listen", config.subscribers.listen, LINES_IN)?;
@@ -269,10 +270,14 @@
             admins_in,
             redials: links.chain(directory).collect(),
             keep: config.directory.as_ref().and_then(|directory| directory.keep.clone()),
+            tokens: config.tokens.clone(),
             started: now,
             stopping: None,
             buffer: vec![0; 64 << 10],
         };
+        if let Some(path) = &config.tokens {
+            shell.exchange.set_tokens(read_tokens(path)?);
+        }
         shell.first_roster(config);
         Ok(shell)
     }
@@ -363,7 +368,11 @@
     }
 
     fn signalled(&mut self) {
-        if self.signals.pending().next().is_some() && self.stopping.is_none() {
+        let signals: Vec<_> = self.signals.pending().collect();
+        if signals.contains(&SIGHUP) {
+            self.read_tokens();
+        }
+        if signals.iter().any(|signal| *signal != SIGHUP) && self.stopping.is_none() {
             info!("stopping: no new calls, {} in hand", self.exchange.office.state().calls);
             self.exchange.stop(&mut self.wires);
             self.stopping = Some(Instant::now());
@@ -371,6 +380,18 @@
         }
     }
 
+    /// The tokens as their file has them now; a file that makes no sense leaves those in force.
+    fn read_tokens(&mut self) {
+        let Some(path) = &self.tokens else { return };
+        match read_tokens(path) {
+            Ok(tokens) => {
+                info!(path = %path.display(), "tokens read");
+                self.exchange.set_tokens(tokens);
+            }
+            Err(error) => warn!("{error}; the tokens of before stay in force"),
+        }
+    }
+
     /// Whether all that was taken is answered and written.
     fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
@@ -663,6 +684,9 @@
         Err(error) => return fault_text(&Value::Null, &Fault::new(code::PARSE, error.to_string())),
     };
     let id = asked.get("id").cloned().unwrap_or(Value::Null);
+    if let Err(denied) = exchange.admin_may(asked["token"].as_str()) {
+        return fault_text(&id, &Fault::new(code::DENIED, denied.to_string()));
+    }
     match asked["method"].as_str() {
         Some("status") => {
             let mut status = exchange.status();
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -542,15 +542,15 @@
 
 /// Asks a controller's admin port for its status.
 pub fn status(admin: SocketAddr) -> io::Result<Value> {
-    ask(admin, "status", &Value::Null)
+    ask(admin, "status", &Value::Null, None)
 }
 
 /// Asks a controller's admin port.
-pub fn ask(admin: SocketAddr, method: &str, params: &Value) -> io::Result<Value> {
+pub fn ask(admin: SocketAddr, method: &str, params: &Value, token: Option<&str>) -> io::Result<Value> {
     let limit = Duration::from_secs(5);
     let mut stream = std::net::TcpStream::connect_timeout(&admin, limit)?;
     stream.set_read_timeout(Some(limit))?;
-    let request = json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": params });
+    let request = json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": params, "token": token });
     stream.write_all(format!("{request}\n").as_bytes())?;
     let mut line = String::new();
     BufReader::new(stream).read_line(&mut line)?;
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -58,6 +58,7 @@
             .map(|of| Customer { name: of.name.clone(), share: of.share })
             .collect(),
         limits: LimitsPlan::default(),
+        tokens: None,
         rules: Rules {
             seizures: day.seizures,
             may_cancel: true,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,15 +6,18 @@
 //! | `gate` | sessions and what each, and each customer, may have in hand |
 //! | `turns` | whose turn it is when offers wait: deficit round robin by customers' shares |
 //! | `admission` | the two together: taken, waits, or refused with a time to come back |
+//! | `auth` | tokens, their scopes and customers |
 //! | `backlog` | what waits to be said to a session, and what is kept for one that was cut |
 
 mod admission;
+mod auth;
 mod backlog;
 mod bucket;
 mod gate;
 mod turns;
 
 pub use admission::{Admission, Verdict};
+pub use auth::{Denied, Grant, Scope, TokenEntry, TokenFile, Tokens, digest_text};
 pub use backlog::{Backlog, Kept, Overflow};
 pub use bucket::Bucket;
 pub use gate::{Gate, Limits, Opening, Refusal, SessionNo};
