Sessions taken up again after a cut, with their calls and the answers that came meanwhile

Change: crates/limits/resume decides which sessions are kept, for whom and until when; session.hello asks for it and takes one up by its key and token; what was not said follows the welcome; one that nobody comes back for is hung up.

--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -59,6 +59,12 @@
     pub client: String,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub token: Option<String>,
+    /// Keep the session for a while after a cut: the result tells its key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub resumable: bool,
+    /// The key of a session that was cut, to be taken up here; nothing may have been asked for before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub resume: Option<String>,
 }
 
 /// The result of `session.hello`.
@@ -72,6 +78,12 @@
     pub token: Option<String>,
     /// Calls that may be in hand on this line.
     pub calls_a_session: usize,
+    /// The session's key, where it is resumable, and how long it is kept after a cut, milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<String>,
+    pub kept_ms: u64,
+    /// Calls in hand that were taken up with the session. What was not said while it was cut follows this.
+    pub calls: Vec<u64>,
 }
 
 /// What a client asks.
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -149,6 +149,10 @@
     /// Offers that may wait for their turn, and for which share of their callers' time.
     pub waiting: usize,
     pub wait_share: f64,
+    /// How long a resumable session is kept after a cut, how many at a time, and how many texts for each.
+    pub resume_ms: u64,
+    pub resume_sessions: usize,
+    pub resume_texts: usize,
 }
 
 impl Default for LimitsPlan {
@@ -165,6 +169,9 @@
             unanswered: limits.unanswered,
             waiting: limits.waiting,
             wait_share: limits.wait_share,
+            resume_ms: 30_000,
+            resume_sessions: 10_000,
+            resume_texts: 1_000,
         }
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -11,11 +11,16 @@
     ended_text, fault_text, result_text,
 };
 use mintstall_isup::Report;
-use mintstall_limits::{Admission, Denied, Opening, Refusal, Scope, SessionNo, Tokens, Verdict};
+use mintstall_limits::{
+    Admission, Backlog, Denied, Fate, Opening, Refusal, Resumable, Scope, SessionKey, SessionNo, Tokens,
+    Verdict,
+};
 use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant, Step, Trace};
 use mintstall_roster::{
     Ask, FeedNote, Limits, Refusal as RosterRefusal, Reply, Roster, Standing, Told, Verdict as RosterVerdict,
 };
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use tracing::{Span, debug, debug_span};
 
@@ -44,8 +49,12 @@
 
 struct Line {
     cutter: LineCutter,
+    /// The session whose it is: that of the connection, or one taken up.
+    session: SessionNo,
     /// The name of the token that it presented.
     token: Option<String>,
+    /// What waits to be said once its session is taken up again; none while it has a connection.
+    backlog: Option<Backlog<String>>,
     /// By the client's numbers. Emptied as calls end.
     calls: BTreeMap<u64, Held>,
 }
@@ -61,6 +70,7 @@
 /// An offer on its way in.
 struct Pending {
     line: LineNo,
+    session: SessionNo,
     id: Option<Value>,
     offer: Offer,
     since: Duration,
@@ -68,6 +78,7 @@
 
 struct Asker {
     line: LineNo,
+    session: SessionNo,
     customer: CustomerNo,
     progress: Progress,
     call: u64,
@@ -86,8 +97,14 @@
     pub office: Office,
     admission: Admission<Pending>,
     tokens: Tokens,
+    resumable: Resumable,
+    /// Draws the keys of sessions.
+    keys: StdRng,
+    resume_texts: usize,
     /// Offers whose turn has come. Emptied before anything returns.
     ready: VecDeque<Pending>,
+    /// What a session that is taken up is told after its welcome. Emptied with it.
+    owed_texts: Vec<String>,
     roster: Roster,
     feed: LineCutter,
     lines: BTreeMap<LineNo, Line>,
@@ -144,7 +161,14 @@
             office: Office::new(now, &config.plan(), incarnation, seed),
             admission: Admission::new(now, config.limits.limits(), shares.collect(), seed),
             tokens: Tokens::open(),
+            resumable: Resumable::new(
+                Duration::from_millis(config.limits.resume_ms),
+                config.limits.resume_sessions,
+            ),
+            keys: StdRng::from_os_rng(),
+            resume_texts: config.limits.resume_texts,
             ready: VecDeque::new(),
+            owed_texts: Vec::new(),
             roster: Roster::new(Limits::default()),
             feed: LineCutter::new(LONGEST_NEWS),
             lines: BTreeMap::new(),
@@ -168,13 +192,11 @@
             asker.progress = if stands { Progress::Stands } else { Progress::Unanswered };
             let answer = final_answer(answer);
             asker.span.in_scope(|| debug!(?answer, "answered"));
+            let (session, customer, line) = (asker.session, asker.customer, asker.line);
             if let Some(id) = &asker.id {
-                port.say(
-                    asker.line,
-                    &result_text(id, Answered { call: asker.call, exchange_call: call.0, answer }),
-                );
+                let text = result_text(id, Answered { call: asker.call, exchange_call: call.0, answer });
+                self.say(port, line, None, text);
             }
-            let (session, customer) = (SessionNo(asker.line.0), asker.customer);
             let log = &mut |line: &str| port.note(line);
             self.ready.extend(self.admission.answered(now, session, customer, stands, log));
             if !stands {
@@ -185,16 +207,34 @@
             if let Some(asker) = self.forget(call) {
                 let how = how_ended(end);
                 asker.span.in_scope(|| debug!(?how, "ended"));
-                port.say(asker.line, &ended_text(&EndedNote { call: asker.call, how }));
+                let text = ended_text(&EndedNote { call: asker.call, how });
+                self.say(port, asker.line, Some(asker.call), text);
             }
         }
         result
     }
 
+    /// Says something on a line, or keeps it for when its session is taken up; `about`: a notification about that call.
+    fn say(&mut self, port: &mut dyn Port, line: LineNo, about: Option<u64>, text: String) {
+        let Some(held) = self.lines.get_mut(&line) else { return };
+        let Some(backlog) = &mut held.backlog else { return port.say(line, &text) };
+        let kept = match about {
+            Some(call) => backlog.note(call, text),
+            None => backlog.answer(text),
+        };
+        if let Err(overflow) = kept {
+            port.note(&format!(
+                "session {}: more was to be said than is kept, dropped: {overflow}",
+                held.session.0
+            ));
+            held.backlog = Some(Backlog::new(self.resume_texts));
+        }
+    }
+
     fn forget(&mut self, call: CallId) -> Option<Asker> {
         let asker = self.askers.remove(&call)?;
         if asker.progress == Progress::Stands {
-            self.admission.over(SessionNo(asker.line.0), asker.customer);
+            self.admission.over(asker.session, asker.customer);
         }
         if let Some(line) = self.lines.get_mut(&asker.line) {
             line.calls.remove(&asker.call);
@@ -220,13 +260,18 @@
         for (pending, refusal) in self.admission.ring(now, &mut |text| port.note(text)) {
             self.refuse(port, &pending, refusal);
         }
+        let over = self.resumable.expired(now);
+        if !over.is_empty() {
+            self.end_sessions(now, port, &over);
+        }
         self.with(now, port, |office, wire| office.ring(now, wire));
         self.take_ready(now, port);
     }
 
     /// When [`Exchange::ring`] is next to be called.
     pub fn next_alarm(&self) -> Option<Duration> {
-        [self.office.next_alarm(), self.admission.next_alarm()].into_iter().flatten().min()
+        let all = [self.office.next_alarm(), self.admission.next_alarm(), self.resumable.next_alarm()];
+        all.into_iter().flatten().min()
     }
 
     /// No new calls from now on; those that wait for their turn are refused.
@@ -248,8 +293,13 @@
         let fault = |text: String| fault_text(&Value::Null, &Fault::new(code::TOO_MANY, text));
         match self.admission.open(now) {
             Opening::Open(SessionNo(no)) => {
-                let line =
-                    Line { cutter: LineCutter::new(LONGEST_TEXT), token: None, calls: BTreeMap::new() };
+                let line = Line {
+                    cutter: LineCutter::new(LONGEST_TEXT),
+                    session: SessionNo(no),
+                    token: None,
+                    backlog: None,
+                    calls: BTreeMap::new(),
+                };
                 self.lines.insert(LineNo(no), line);
                 Ok(LineNo(no))
             }
@@ -260,21 +310,86 @@
         }
     }
 
-    /// Who asked on this line is gone: what is in hand for it is hung up, and nobody is told.
+    /// The connection is gone. A resumable session is kept for a while; of any other what is in hand is hung up, and
+    /// nobody is told.
     pub fn line_closed(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
-        let Some(Line { calls, .. }) = self.lines.remove(&line) else { return };
-        self.admission.close(now, SessionNo(line.0), &mut |text| port.note(text));
+        let Some(held) = self.lines.get_mut(&line) else { return };
+        match self.resumable.cut(now, held.session) {
+            Fate::Over => self.end_line(now, port, line),
+            Fate::Kept { displaced, .. } => {
+                held.backlog = Some(Backlog::new(self.resume_texts));
+                held.cutter = LineCutter::new(LONGEST_TEXT);
+                self.end_sessions(now, port, &displaced);
+            }
+        }
+        self.take_ready(now, port);
+    }
+
+    fn end_sessions(&mut self, now: Duration, port: &mut dyn Port, sessions: &[SessionNo]) {
+        let over =
+            self.lines.iter().filter(|(_, line)| line.backlog.is_some() && sessions.contains(&line.session));
+        let over: Vec<LineNo> = over.map(|(no, _)| *no).collect();
+        over.into_iter().for_each(|line| self.end_line(now, port, line));
+    }
+
+    fn end_line(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
+        let Some(Line { calls, session, .. }) = self.lines.remove(&line) else { return };
+        self.resumable.forget(session);
+        self.admission.close(now, session, &mut |text| port.note(text));
         for held in calls.into_values() {
             let Held::With(call) = held else { continue };
             let asker = self.askers.remove(&call);
             self.with(now, port, |office, wire| office.hang_up(now, wire, call));
             if let Some(asker) = asker.filter(|asker| asker.progress == Progress::Unanswered) {
                 let log = &mut |text: &str| port.note(text);
-                let next = self.admission.answered(now, SessionNo(line.0), asker.customer, false, log);
+                let next = self.admission.answered(now, session, asker.customer, false, log);
                 self.ready.extend(next);
             }
         }
-        self.take_ready(now, port);
+    }
+
+    /// A session that was cut is taken up on another line: its calls, and what was not said.
+    fn take_up(
+        &mut self,
+        now: Duration,
+        port: &mut dyn Port,
+        line: LineNo,
+        key: &str,
+    ) -> Result<Vec<u64>, Fault> {
+        let invalid = |text: &str| Fault::new(code::INVALID_PARAMS, text);
+        let key = u128::from_str_radix(key, 16).map_err(|_| invalid("resume is no session's key"))?;
+        let here = self.lines.get(&line).ok_or_else(|| invalid("the line is closed"))?;
+        if !here.calls.is_empty() {
+            return Err(invalid("a session is taken up before anything else is asked for"));
+        }
+        let resumed = self.resumable.resume(now, SessionKey(key), here.token.as_deref());
+        let session = resumed.map_err(|error| Fault::new(code::DENIED, error.to_string()))?;
+        let before = self.lines.iter().find(|(_, held)| held.session == session && held.backlog.is_some());
+        let before = before.map(|(no, _)| *no).and_then(|no| self.lines.remove(&no));
+        let before = before.ok_or_else(|| invalid("the session has nothing left"))?;
+        let here = self.lines.get_mut(&line).ok_or_else(|| invalid("the line is closed"))?;
+        let fresh = std::mem::replace(&mut here.session, session);
+        here.calls = before.calls;
+        let calls: Vec<u64> = here.calls.keys().copied().collect();
+        for held in here.calls.values() {
+            if let Held::With(call) = held
+                && let Some(asker) = self.askers.get_mut(call)
+            {
+                asker.line = line;
+            }
+        }
+        self.admission.for_each_waiting(|pending| {
+            if pending.session == session {
+                pending.line = line;
+            }
+        });
+        self.admission.close(now, fresh, &mut |text| port.note(text));
+        // Said after the welcome: the client must know whose they are.
+        let mut backlog = before.backlog;
+        while let Some(text) = backlog.as_mut().and_then(Backlog::pop) {
+            self.owed_texts.push(text);
+        }
+        Ok(calls)
     }
 
     /// Offers whose turn has come go to the decisions, and what that answers may bring others their turn.
@@ -298,7 +413,13 @@
         if grant.may(Scope::Admin) { Ok(()) } else { Err(Denied::Scope) }
     }
 
-    fn hello(&mut self, line: LineNo, hello: &Hello) -> Result<Welcome, Fault> {
+    fn hello(
+        &mut self,
+        now: Duration,
+        port: &mut dyn Port,
+        line: LineNo,
+        hello: &Hello,
+    ) -> Result<Welcome, Fault> {
         let held = self.lines.get_mut(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
         if self.tokens.asks() {
             let token = hello.token.as_deref().ok_or(Denied::NoToken);
@@ -307,12 +428,26 @@
             held.token = Some(grant.name.clone());
         }
         debug!(line = line.0, client = hello.client, token = held.token, "hello");
+        let calls = match &hello.resume {
+            Some(key) => self.take_up(now, port, line, key)?,
+            None => Vec::new(),
+        };
+        let held = self.lines.get(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        let mut session = hello.resume.clone();
+        if hello.resumable && session.is_none() {
+            let key = SessionKey(self.keys.random());
+            self.resumable.register(held.session, key, held.token.clone());
+            session = Some(format!("{:032x}", key.0));
+        }
         Ok(Welcome {
             server: "mintstall".into(),
             version: env!("CARGO_PKG_VERSION").into(),
             exchange: self.office.own().0,
             token: held.token.clone(),
             calls_a_session: self.admission.gate.limits().calls_a_session,
+            session,
+            kept_ms: self.resumable.span().as_millis() as u64,
+            calls,
         })
     }
 
@@ -329,20 +464,24 @@
         match refusal {
             Refusal::TooFast { come_back } | Refusal::Pressed { come_back } => {
                 let answer = Final::Refused { come_back_ms: come_back.as_millis() as u32 };
-                port.say(line, &result_text(id, Answered { call, exchange_call: 0, answer }));
+                let text = result_text(id, Answered { call, exchange_call: 0, answer });
+                self.say(port, line, None, text);
+            }
+            other => {
+                let text = fault_text(id, &Fault::new(code::TOO_MANY, other.to_string()));
+                self.say(port, line, None, text);
             }
-            other => port.say(line, &fault_text(id, &Fault::new(code::TOO_MANY, other.to_string()))),
         }
     }
 
     /// An offer goes to the decisions, with the time that its caller has left.
     fn take(&mut self, now: Duration, port: &mut dyn Port, pending: Pending) {
-        let Pending { line, id, offer, since } = pending;
+        let Pending { line, session, id, offer, since } = pending;
         let customer = CustomerNo(offer.customer);
         let Some(held) = self.lines.get_mut(&line) else {
             // Its line closed as its turn came: its place goes on.
             let log = &mut |text: &str| port.note(text);
-            let next = self.admission.answered(now, SessionNo(line.0), customer, false, log);
+            let next = self.admission.answered(now, session, customer, false, log);
             return self.ready.extend(next);
         };
         let call = self.office.next_call();
@@ -350,7 +489,7 @@
         let span = debug_span!("call", id = call.0, line = line.0, call = offer.call, dest = offer.dest);
         span.in_scope(|| debug!(kind = offer.call_type, number = offer.number, "offered"));
         let progress = Progress::Unanswered;
-        self.askers.insert(call, Asker { line, customer, progress, call: offer.call, id, span });
+        self.askers.insert(call, Asker { line, session, customer, progress, call: offer.call, id, span });
         let mut order = order(&offer);
         order.left = order.left.saturating_sub(now.saturating_sub(since));
         self.with(now, port, |office, wire| office.offer(now, wire, call, order));
@@ -385,8 +524,9 @@
             Err((id, fault)) => return port.say(line, &fault_text(&id, &fault)),
         };
         let done = match request {
-            Request::Hello(hello) => self.hello(line, &hello).map(|welcome| {
+            Request::Hello(hello) => self.hello(now, port, line, &hello).map(|welcome| {
                 id.iter().for_each(|id| port.say(line, &result_text(id, &welcome)));
+                self.owed_texts.drain(..).for_each(|text| port.say(line, &text));
             }),
             Request::Offer(offer) => self.offer(now, port, line, &id, &offer),
             Request::Hangup(hangup) => self.hang_up(now, port, line, hangup.call).map(|()| {
@@ -414,10 +554,11 @@
         if held.calls.contains_key(&offer.call) {
             return Err(Fault::new(code::NUMBER_IN_USE, format!("call {} is in hand already", offer.call)));
         }
-        let pending = Pending { line, id: id.clone(), offer: offer.clone(), since: now };
+        let session = held.session;
+        let pending = Pending { line, session, id: id.clone(), offer: offer.clone(), since: now };
         let (customer, left) = (CustomerNo(offer.customer), Duration::from_millis(offer.time_left_ms.into()));
         let log = &mut |text: &str| port.note(text);
-        let (verdict, displaced) = self.admission.offer(now, SessionNo(line.0), customer, left, pending, log);
+        let (verdict, displaced) = self.admission.offer(now, session, customer, left, pending, log);
         match verdict {
             Verdict::Take(pending) => self.take(now, port, pending),
             Verdict::Waits => _ = held.calls.insert(offer.call, Held::Waiting),
@@ -575,7 +716,8 @@
             .collect();
         json!({
             "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "traces": traces, "lines": self.lines.len(),
-            "admission": { "unanswered": self.admission.unanswered(), "waiting": self.admission.waiting() },
+            "admission": { "unanswered": self.admission.unanswered(), "waiting": self.admission.waiting(),
+                "kept_sessions": self.resumable.kept() },
             "roster": { "version": self.roster.version(), "entries": self.roster.entries().count(),
                 "turned_down": self.roster.turned_down() },
             "groups": groups,
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -287,3 +287,133 @@
     assert_eq!(answers.get(&1), Some(&Final::Stands));
     assert!(matches!(answers.get(&3), Some(Final::Refused { .. })), "{answers:?}");
 }
+
+impl Room {
+    /// Says hello and returns the whole result.
+    fn hello(&mut self, line: LineNo, hello: serde_json::Value) -> serde_json::Value {
+        let text = json!({ "jsonrpc": "2.0", "id": 0, "method": "session.hello", "params": hello })
+            .to_string()
+            + "\n";
+        let mut ear = Ear { wires: &mut self.wires, texts: Vec::new() };
+        self.exchange.line_octets(self.now, &mut ear, line, text.as_bytes());
+        let texts = ear.texts;
+        let mut texts = texts.into_iter();
+        let welcome: serde_json::Value = serde_json::from_str(&texts.next().unwrap()).unwrap();
+        for text in texts {
+            self.wires.say(line, &text);
+        }
+        welcome
+    }
+
+    fn opened(&mut self) -> (LineNo, String) {
+        let line = self.line();
+        let welcome = self.hello(line, json!({ "client": "test", "resumable": true }));
+        (line, welcome["result"]["session"].as_str().unwrap().to_string())
+    }
+
+    fn cut(&mut self, line: LineNo) {
+        self.exchange.line_closed(self.now, &mut self.wires, line);
+        self.far();
+    }
+}
+
+/// Hears what is said as text, before it is read as an answer.
+struct Ear<'a> {
+    wires: &'a mut Wires,
+    texts: Vec<String>,
+}
+
+impl Port for Ear<'_> {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]) {
+        self.wires.send(to, octets);
+    }
+    fn close_link(&mut self, _: OfficeNo, why: &str) {
+        panic!("{why}");
+    }
+    fn say(&mut self, _: LineNo, text: &str) {
+        self.texts.push(text.to_string());
+    }
+    fn close_line(&mut self, _: LineNo, why: &str) {
+        panic!("{why}");
+    }
+    fn reply(&mut self, _: &str) {}
+    fn note(&mut self, line: &str) {
+        self.wires.note(line);
+    }
+}
+
+#[test]
+fn a_session_taken_up_after_a_cut_is_told_the_answer_that_came_meanwhile_once() {
+    let mut room = Room::new(unanswered(1));
+    let (before, key) = room.opened();
+    room.offer(before, 1, 0);
+    room.offer(before, 2, 0);
+    room.cut(before);
+    room.stands();
+    room.stands();
+    assert_eq!(room.answers(before), [], "nobody is there to hear it");
+    let after = room.line();
+    let welcome = room.hello(after, json!({ "client": "test", "resume": key }));
+    assert_eq!(welcome["result"]["calls"], json!([1, 2]));
+    assert_eq!(room.answers(after), [(1, Final::Stands), (2, Final::Stands)]);
+    assert_eq!((room.answers(after), room.figures()), (vec![], (0, 0)));
+    // The calls are the new line's: it ends them.
+    room.ask(after, Request::Hangup(Hangup { call: 1 }));
+    room.ask(after, Request::Hangup(Hangup { call: 2 }));
+    assert_eq!(room.exchange.status()["calls"], json!(0));
+    // And its key is good for the next cut, not for two connections.
+    let third = room.line();
+    assert_eq!(room.hello(third, json!({ "client": "test", "resume": key }))["error"]["code"], -32004);
+    room.cut(after);
+    assert_eq!(room.hello(third, json!({ "client": "test", "resume": key }))["result"]["calls"], json!([]));
+}
+
+#[test]
+fn a_session_that_nobody_takes_up_has_its_calls_hung_up_when_its_time_is_over() {
+    let mut room = Room::new(LimitsPlan { resume_ms: 2000, ..LimitsPlan::default() });
+    let (line, key) = room.opened();
+    room.offer(line, 1, 0);
+    room.stands();
+    room.answers(line);
+    room.cut(line);
+    room.pass(Duration::from_millis(1900));
+    assert_eq!(room.exchange.status()["calls"], json!(1));
+    room.pass(Duration::from_millis(200));
+    let status = room.exchange.status();
+    assert_eq!(
+        (&status["calls"], &status["lines"], &status["admission"]["kept_sessions"]),
+        (&json!(0), &json!(0), &json!(0))
+    );
+    let late = room.line();
+    assert_eq!(room.hello(late, json!({ "client": "test", "resume": key }))["error"]["code"], -32004);
+    assert_eq!(room.hello(late, json!({ "client": "test", "resume": "no key" }))["error"]["code"], -32602);
+}
+
+#[test]
+fn a_session_taken_up_keeps_its_place_in_turn() {
+    let mut room = Room::new(unanswered(1));
+    let (before, key) = room.opened();
+    let other = room.line();
+    room.offer(other, 1, 1);
+    room.offer(before, 2, 0);
+    room.cut(before);
+    let after = room.line();
+    room.hello(after, json!({ "client": "test", "resume": key }));
+    room.stands();
+    room.stands();
+    assert_eq!(
+        (room.answers(other), room.answers(after)),
+        (vec![(1, Final::Stands)], vec![(2, Final::Stands)])
+    );
+    assert_eq!(room.figures(), (0, 0));
+}
+
+#[test]
+fn a_cut_session_with_more_to_hear_than_is_kept_says_so_in_the_log() {
+    let mut room = Room::new(LimitsPlan { resume_texts: 3, ..LimitsPlan::default() });
+    let (line, _) = room.opened();
+    (1..=5).for_each(|call| room.offer(line, call, 0));
+    room.cut(line);
+    (0..5).for_each(|_| room.stands());
+    assert!(room.wires.notes.iter().any(|note| note.contains("more was to be said than is kept")));
+}
--- a/crates/limits/src/admission.rs
+++ b/crates/limits/src/admission.rs
@@ -158,6 +158,11 @@
         waiting.into_iter().map(|offered| self.refuse(offered)).collect()
     }
 
+    /// Changes what waits, without its place.
+    pub fn for_each_waiting(&mut self, mut change: impl FnMut(&mut T)) {
+        self.turns.for_each(|offered| change(&mut offered.item));
+    }
+
     /// When [`Admission::ring`] is next to be called.
     pub fn next_alarm(&self) -> Option<Duration> {
         self.turns.next_expiry()
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,6 +7,7 @@
 //! | `turns` | whose turn it is when offers wait: deficit round robin by customers' shares |
 //! | `admission` | the two together: taken, waits, or refused with a time to come back |
 //! | `auth` | tokens, their scopes and customers |
+//! | `resume` | sessions that are taken up again after a cut |
 //! | `backlog` | what waits to be said to a session, and what is kept for one that was cut |
 
 mod admission;
@@ -14,6 +15,7 @@
 mod backlog;
 mod bucket;
 mod gate;
+mod resume;
 mod turns;
 
 pub use admission::{Admission, Verdict};
@@ -21,4 +23,5 @@
 pub use backlog::{Backlog, Kept, Overflow};
 pub use bucket::Bucket;
 pub use gate::{Gate, Limits, Opening, Refusal, SessionNo};
+pub use resume::{Fate, Resumable, ResumeError, SessionKey};
 pub use turns::{Displaced, Turns};
--- a/crates/limits/src/turns.rs
+++ b/crates/limits/src/turns.rs
@@ -137,6 +137,11 @@
         self.lines.values().flat_map(|line| line.waiting.iter().map(|waiting| waiting.until)).min()
     }
 
+    pub fn for_each(&mut self, mut change: impl FnMut(&mut T)) {
+        let waiting = self.lines.values_mut().flat_map(|line| &mut line.waiting);
+        waiting.for_each(|waiting| change(&mut waiting.item));
+    }
+
     /// What waits and is wanted no more.
     pub fn remove(&mut self, mut which: impl FnMut(&T) -> bool) -> Vec<T> {
         let mut gone = Vec::new();
