The line of held calls is kept by destination: cost of a decision flat up to 20,000 a second

Change: places by destination, walked only where a call could go at all; numbers by a map beside their ages; what dearer calls wait for is looked up only where the group has room. No decision changed.

--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,127 @@
+//! Processor time of a decision, the module driven alone with 75 exchanges: microseconds a call by calls a second, groups
+//! free or full. What counts is how it grows: the last column is the cost over that at 100 calls a second.
+//!
+//! `cargo bench --bench decision`. A call stands at once where it is sent, and ends after ten seconds; where groups are
+//! full it is held for as long as the decisions hold it.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use mintstall::Controller;
+use mintstall::host::*;
+
+/// Carries out nothing but the alarms.
+#[derive(Default)]
+struct Desk {
+    now: Duration,
+    alarms: BinaryHeap<Reverse<(Duration, u64)>>,
+    seized: Vec<(CallId, ExchangeId)>,
+}
+
+impl Host for Desk {
+    fn seize(&mut self, call: CallId, to: ExchangeId, _: Duration) {
+        self.seized.push((call, to));
+    }
+    fn cancel(&mut self, _: CallId, _: SeizureNo) {}
+    fn reject(&mut self, _: CallId, _: Duration) {}
+    fn release(&mut self, _: CallId) {}
+    fn alarm(&mut self, after: Duration, alarm: AlarmId) {
+        self.alarms.push(Reverse((self.now + after, alarm.0)));
+    }
+    fn probe(&mut self, _: ExchangeId) {}
+    fn tell(&mut self, _: Option<PeerNo>, _: &[u8]) {}
+    fn subscribe(&mut self) {}
+    fn log(&mut self, _: &str) {}
+}
+
+const EXCHANGES: u32 = 75;
+
+fn office() -> OfficeData {
+    let call_type = |revenue, target| CallTypeData {
+        setup_target: Duration::from_millis(target),
+        guard_time: Duration::from_secs(9),
+        revenue,
+        width: 1,
+        mean_hold: Duration::from_secs(10),
+        repeats: Repeats::Freely,
+        pools: Vec::new(),
+    };
+    OfficeData {
+        own: Some(OfficeNo(0)),
+        call_types: vec![call_type(1.0, 2000), call_type(8.0, 800), call_type(3.0, 2000)],
+        seizure_limit: 5,
+        may_cancel: true,
+        longest_come_back: Duration::from_secs(2),
+        must_subscribe: false,
+        may_tell: false,
+        fall_multiple: 2.5,
+        cold_share: 0.3,
+        warm_up: Duration::from_secs(15),
+        release_wait: Duration::from_millis(200),
+        repeat_after: Duration::ZERO,
+    }
+}
+
+/// Microseconds a call over five simulated seconds, or two of real time.
+fn cost(rate: u64, free: f64) -> f64 {
+    let (mut desk, mut controller) = (Desk::default(), Controller::new(&office(), 1));
+    let line = |no| RosterLine {
+        exchange: ExchangeId(no),
+        office: OfficeNo(no as u16),
+        zone: Zone((no % 3) as u8),
+        standing: Standing::Ready,
+        started: Duration::ZERO,
+    };
+    let lines: Vec<_> = (0..EXCHANGES).map(line).collect();
+    controller.roster(Duration::ZERO, &mut desk, &lines);
+    let report = Report { free: Some(free), size: Some(100.0), ..Report::default() };
+    for no in 1..EXCHANGES {
+        controller.reported(Duration::ZERO, &mut desk, ExchangeId(no), &report);
+    }
+    let (start, mut calls) = (Instant::now(), 0);
+    for call in 0..rate * 5 {
+        desk.now = Duration::from_secs_f64(call as f64 / rate as f64);
+        while let Some(Reverse((at, alarm))) = desk.alarms.peek().copied().filter(|due| due.0.0 <= desk.now) {
+            desk.alarms.pop();
+            controller.rings(at, &mut desk, AlarmId(alarm));
+        }
+        let offer = Offer {
+            call: CallId(call),
+            call_type: CallType((call % 3) as u8),
+            customer: CustomerNo(0),
+            dialled: Dialled(1 + call),
+            until: desk.now + Duration::from_secs(3),
+            dest: OfficeNo(1 + (call * 7 % u64::from(EXCHANGES - 1)) as u16),
+            width: 1,
+            advised: None,
+            transit: false,
+            cut: false,
+            redial: false,
+        };
+        controller.offered(desk.now, &mut desk, offer);
+        let now = desk.now;
+        for (call, exchange) in std::mem::take(&mut desk.seized) {
+            let (seizure, after) = (SeizureNo(0), Duration::from_millis(20));
+            controller.stands(now, &mut desk, &Stood { call, seizure, exchange, after });
+            controller.reported(now, &mut desk, exchange, &report);
+        }
+        calls += 1;
+        if call % 256 == 0 && start.elapsed() > Duration::from_secs(2) {
+            break;
+        }
+    }
+    start.elapsed().as_secs_f64() * 1e6 / calls as f64
+}
+
+fn main() {
+    println!("{:>8} {:>12} {:>10} {:>14}", "groups", "calls/s", "us a call", "over 100/s");
+    for (name, free) in [("free", 100.0), ("full", 0.0)] {
+        cost(1000, free);
+        let base = cost(100, free).max(cost(100, free));
+        for rate in [100, 1000, 5000, 20_000] {
+            let us = cost(rate, free);
+            println!("{name:>8} {rate:>12} {us:>10.2} {:>14.1}", us / base);
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,8 @@
 //! interface is in `host.rs`, the reasons in `docs/design.md`. A call's entry holds what to do
 //! next: a closure that is handed the end of its seizure, or the end of its wait.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::fmt::Arguments;
 use std::ops::Bound;
 use std::time::Duration;
@@ -177,11 +178,20 @@
     /// Emptied by each call's standing or final answer, or the end of a seizure whose caller has gone.
     calls: BTreeMap<CallId, (Call, Next)>,
     /// Numbers whose calls were given up lately, when they were first offered, their lots; emptied by time.
-    given_up: VecDeque<(Duration, (Dialled, Duration, f64))>,
+    given_up: Lately<(Duration, f64)>,
     /// Numbers found busy lately; emptied by time.
-    busy: VecDeque<(Duration, Dialled)>,
-    /// Calls held for a way, by rank and age; emptied as they leave `calls` or find one.
-    line: BTreeSet<(usize, Duration, CallId)>,
+    busy: Lately<()>,
+    /// Calls held for a way, by where they go, rank and age; emptied as they leave `calls` or find one.
+    line: BTreeMap<OfficeNo, BTreeSet<Place>>,
+}
+
+/// A place in the line: dearer calls first, then older ones.
+type Place = (usize, Duration, CallId);
+
+/// What was last seen of numbers, oldest first, and by number: a crowd's redials must not cost a search each.
+struct Lately<T> {
+    seen: VecDeque<(Duration, Dialled)>,
+    last: BTreeMap<Dialled, (Duration, T)>,
 }
 
 impl Controller {
@@ -221,9 +231,9 @@
             vain: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
-            given_up: VecDeque::new(),
-            busy: VecDeque::new(),
-            line: BTreeSet::new(),
+            given_up: Lately::new(),
+            busy: Lately::new(),
+            line: BTreeMap::new(),
         }
     }
 
@@ -287,10 +297,9 @@
     /// A call is offered, by a subscriber or in transit.
     pub fn offered(&mut self, now: Duration, host: &mut dyn Host, offer: Offer) {
         // A caller who dials again waits since the first try: what is late already earns little.
-        forget(&mut self.given_up, REDIALS_WITHIN, now);
-        let mut before = self.given_up.iter().rev().filter(|_| offer.dialled.0 != 0);
-        let first = before.find(|(_, (dialled, ..))| *dialled == offer.dialled).map(|(_, first)| *first);
-        let (_, arrived, lot) = first.unwrap_or_else(|| (offer.dialled, now, self.chance.below_one()));
+        self.given_up.forget(REDIALS_WITHIN, now);
+        let first = self.given_up.get(offer.dialled).copied();
+        let (arrived, lot) = first.unwrap_or_else(|| (now, self.chance.below_one()));
         if let Some(advised) = offer.advised.filter(|_| !offer.transit) {
             let mut all = self.exchanges.values_mut();
             if let Some(far) = all.find(|far| far.office == advised) {
@@ -357,7 +366,7 @@
             }
             self.calls.insert(call, (entry, Next::Seized(Box::new(|_, _, _, _, _| {}))));
         } else {
-            self.line.remove(&self.place_in_line(&entry));
+            self.leave_line(&entry);
         }
     }
 
@@ -420,9 +429,9 @@
     }
 
     fn set_up(&mut self, now: Duration, host: &mut dyn Host, call: Call) {
-        forget(&mut self.busy, BUSY_FOR, now);
+        self.busy.forget(BUSY_FOR, now);
         // Guards against set-ups for a number whose lines are all busy; it could miss one that frees.
-        if call.offer.dialled.0 != 0 && self.busy.iter().any(|(_, dialled)| *dialled == call.offer.dialled) {
+        if self.busy.get(call.offer.dialled).is_some() {
             return self.give_up(now, host, call);
         }
         match self.route(now, &call) {
@@ -440,9 +449,10 @@
         if call.offer.transit || until <= now || self.own.is_some() && self.dest(&call.offer).is_none() {
             return self.give_up(now, host, call);
         }
-        self.line.insert(self.place_in_line(&call));
+        let place = self.place_in_line(&call);
+        self.line.entry(call.offer.dest).or_default().insert(place);
         let then: AfterWait = Box::new(|me, now, host, call| {
-            me.line.remove(&me.place_in_line(&call));
+            me.leave_line(&call);
             me.give_up(now, host, call);
         });
         self.wait(now, host, call, until - now, then);
@@ -456,25 +466,52 @@
         self.calls.insert(call.offer.call, (call, Next::Waiting { until: now + span, then }));
     }
 
-    fn place_in_line(&self, call: &Call) -> (usize, Duration, CallId) {
+    fn place_in_line(&self, call: &Call) -> Place {
         (self.kinds[call.kind].rank, call.arrived, call.offer.call)
     }
 
+    fn leave_line(&mut self, call: &Call) {
+        let place = self.place_in_line(call);
+        if let Some(places) = self.line.get_mut(&call.offer.dest) {
+            places.remove(&place);
+            if places.is_empty() {
+                self.line.remove(&call.offer.dest);
+            }
+        }
+    }
+
     /// Sends on what now finds a way, highest revenue first; none does while the window over all is shut.
+    /// Only calls to where there may be room are looked at: with groups full the line gets long.
     fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
-        let mut next = self.line.first().copied();
-        while let Some(place) = next.filter(|_| self.window.open()) {
+        if self.line.is_empty() || !self.window.open() {
+            return;
+        }
+        let tandems = self.exchanges.values().filter(|far| far.has_room(1.0 + RESERVED)).count();
+        let hopeful = self.line.iter().filter(|(dest, _)| self.may_go(**dest, tandems > 0));
+        let firsts = hopeful.filter_map(|(dest, places)| Some(Reverse((*places.first()?, *dest))));
+        let mut next: BinaryHeap<_> = firsts.collect();
+        while self.window.open()
+            && let Some(Reverse((place, dest))) = next.pop()
+        {
+            let after = (Bound::Excluded(place), Bound::Unbounded);
+            let follows = self.line.get(&dest).and_then(|places| places.range(after).next().copied());
+            next.extend(follows.map(|follows| Reverse((follows, dest))));
             let to = self.calls.get(&place.2).and_then(|(call, _)| self.route(now, call));
             if let Some(to) = to
                 && let Some((call, _)) = self.calls.remove(&place.2)
             {
-                self.line.remove(&place);
+                self.leave_line(&call);
                 self.seize(now, host, call, to);
             }
-            next = self.line.range((Bound::Excluded(place), Bound::Unbounded)).next().copied();
         }
     }
 
+    /// Whether the narrowest call could go there at all; room only gets less while the line is served.
+    fn may_go(&self, dest: OfficeNo, tandems: bool) -> bool {
+        let there = |far: &&Exchange| far.office == dest && far.standing == Standing::Ready;
+        self.own.is_none() || tandems || self.exchanges.values().filter(there).any(|far| far.has_room(1.0))
+    }
+
     /// The one place that sends: `route` has seen to drains, cold exchanges and silence just before.
     fn seize(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId) {
         let Some(left) = call.offer.until.checked_sub(now + RESERVE).filter(|left| *left >= USEFUL) else {
@@ -506,7 +543,7 @@
             Cause::TimedOut | Cause::Cut | Cause::Cancelled => self.release_wait,
             Cause::ProcessorFull { wait } => wait,
             Cause::Busy => {
-                self.busy.push_back((now, call.offer.dialled));
+                self.busy.push(now, call.offer.dialled, ());
                 return self.give_up(now, host, call);
             }
             Cause::Done | Cause::NotSent { own_down: true } => return self.give_up(now, host, call),
@@ -534,7 +571,7 @@
     /// Guards against callers who dial again and again being taken for as many new ones.
     fn remember(&mut self, now: Duration, call: &Call) {
         if !call.offer.transit {
-            self.given_up.push_back((now, (call.offer.dialled, call.arrived, call.lot)));
+            self.given_up.push(now, call.offer.dialled, (call.arrived, call.lot));
         }
     }
 
@@ -564,7 +601,7 @@
             return None;
         }
         let dest = self.dest(offer).filter(|(_, far)| self.takes(now, far, call.lot));
-        if let Some((id, far)) = dest {
+        if let Some((id, far)) = dest.filter(|(_, far)| far.has_room(width)) {
             // What earns little leaves the last circuit to others. A call in transit leaves none: it holds
             // circuits already, and most come from where no group leads here.
             let left = f64::from(u8::from(kind.leaves && far.size > THIN));
@@ -592,9 +629,9 @@
     /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
     /// calls starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
     fn kept_for(&self, call: &Call) -> f64 {
-        let ahead = self.line.range(..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0)));
-        let ahead = ahead.filter_map(|place| self.calls.get(&place.2)).map(|(other, _)| &other.offer);
-        let widths = ahead.filter(|other| other.dest == call.offer.dest).map(|other| other.width);
+        let Some(places) = self.line.get(&call.offer.dest) else { return 0.0 };
+        let ahead = places.range(..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0)));
+        let widths = ahead.filter_map(|place| self.calls.get(&place.2)).map(|(other, _)| other.offer.width);
         f64::from(widths.max().unwrap_or(0))
     }
 
@@ -664,10 +701,30 @@
     }
 }
 
-/// Drops from a memory, oldest first, what is older than `span`.
-fn forget<T>(memory: &mut VecDeque<(Duration, T)>, span: Duration, now: Duration) {
-    while memory.front().is_some_and(|(at, _)| *at + span < now) {
-        memory.pop_front();
+impl<T> Lately<T> {
+    fn new() -> Self {
+        Self { seen: VecDeque::new(), last: BTreeMap::new() }
+    }
+
+    /// Number 0 is none, and not remembered.
+    fn push(&mut self, now: Duration, dialled: Dialled, what: T) {
+        if dialled.0 != 0 {
+            self.seen.push_back((now, dialled));
+            self.last.insert(dialled, (now, what));
+        }
+    }
+
+    fn get(&self, dialled: Dialled) -> Option<&T> {
+        self.last.get(&dialled).map(|(_, what)| what)
+    }
+
+    /// Drops, oldest first, what is older than `span`.
+    fn forget(&mut self, span: Duration, now: Duration) {
+        while let Some((at, dialled)) = self.seen.pop_front_if(|(at, _)| *at + span < now) {
+            if self.last.get(&dialled).is_some_and(|(last, _)| *last == at) {
+                self.last.remove(&dialled);
+            }
+        }
     }
 }
 
