Offers that come twice are told the first answer; watchers follow calls from a cursor

Change: crates/limits/repeats and news decide, in bounded memory; call.offer's number is its idempotency key for limits.repeat_ms, calls.subscribe takes a cursor, says gaps, and passes over what a token may not see.

--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -86,10 +86,21 @@
     pub calls: Vec<u64>,
 }
 
+/// `calls.subscribe`: what happens to calls is told as `call.news` from now on, or from a cursor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Subscribe {
+    /// The number of the first event wanted: one more than the last that was heard.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cursor: Option<u64>,
+}
+
 /// What a client asks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "method", content = "params")]
 pub enum Request {
+    #[serde(rename = "calls.subscribe")]
+    Subscribe(Subscribe),
     #[serde(rename = "session.hello")]
     Hello(Hello),
     #[serde(rename = "call.offer")]
@@ -190,6 +201,7 @@
         let Some(method) = raw.method else { return Err(fail(code::INVALID_REQUEST, "method is missing")) };
         let params = raw.params.map_or("null", RawValue::get);
         let request = match &*method {
+            "calls.subscribe" => serde_json::from_str(params).map(Request::Subscribe),
             "session.hello" => serde_json::from_str(params).map(Request::Hello),
             "call.offer" => serde_json::from_str(params).map(Request::Offer),
             "call.hangup" => serde_json::from_str(params).map(Request::Hangup),
@@ -254,6 +266,11 @@
     text(&json!({ "jsonrpc": "2.0", "id": id, "error": { "code": fault.code, "message": fault.text } }))
 }
 
+/// Any other notification.
+pub fn notice_text(method: &str, params: &Value) -> String {
+    text(&json!({ "jsonrpc": "2.0", "method": method, "params": params }))
+}
+
 pub fn ended_text(note: &EndedNote) -> String {
     #[derive(Serialize)]
     struct Text<'a> {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -153,6 +153,11 @@
     pub resume_ms: u64,
     pub resume_sessions: usize,
     pub resume_texts: usize,
+    /// How long the answer of an offer is remembered for one that comes again under its number, and how many are.
+    pub repeat_ms: u64,
+    pub repeats: usize,
+    /// Events of calls kept for watchers.
+    pub news: usize,
 }
 
 impl Default for LimitsPlan {
@@ -172,6 +177,9 @@
             resume_ms: 30_000,
             resume_sessions: 10_000,
             resume_texts: 1_000,
+            repeat_ms: 30_000,
+            repeats: 20_000,
+            news: 10_000,
         }
     }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -8,12 +8,12 @@
 };
 use mintstall_callapi::{
     Answered, Asked, EndedNote, Fault, Final, Hello, How, LineCutter, Offer, Request, Welcome, code,
-    ended_text, fault_text, result_text,
+    ended_text, fault_text, notice_text, result_text,
 };
 use mintstall_isup::Report;
 use mintstall_limits::{
-    Admission, Backlog, Denied, Fate, Opening, Refusal, Resumable, Scope, SessionKey, SessionNo, Tokens,
-    Verdict,
+    Admission, Backlog, Denied, Fate, Grant, News, Opening, Refusal, Repeat, Repeats, Resumable, Scope, Sees,
+    SessionKey, SessionNo, Tokens, Verdict,
 };
 use mintstall_office::{Answer, CallEnd, LinkState, Office, OfficeState, Order, Plant, Step, Trace};
 use mintstall_roster::{
@@ -37,6 +37,8 @@
     /// A text for a subscriber line, its end not included.
     fn say(&mut self, line: LineNo, text: &str);
     fn close_line(&mut self, line: LineNo, why: &str);
+    /// Whether what waits for a line is little enough to add what can wait.
+    fn has_room(&self, line: LineNo) -> bool;
     /// A text for the directory.
     fn reply(&mut self, text: &str);
     fn note(&mut self, line: &str);
@@ -98,6 +100,8 @@
     admission: Admission<Pending>,
     tokens: Tokens,
     resumable: Resumable,
+    repeats: Repeats<Answered>,
+    news: News<Value>,
     /// Draws the keys of sessions.
     keys: StdRng,
     resume_texts: usize,
@@ -166,6 +170,8 @@
                 config.limits.resume_sessions,
             ),
             keys: StdRng::from_os_rng(),
+            repeats: Repeats::new(Duration::from_millis(config.limits.repeat_ms), config.limits.repeats),
+            news: News::new(config.limits.news),
             resume_texts: config.limits.resume_texts,
             ready: VecDeque::new(),
             owed_texts: Vec::new(),
@@ -192,11 +198,15 @@
             asker.progress = if stands { Progress::Stands } else { Progress::Unanswered };
             let answer = final_answer(answer);
             asker.span.in_scope(|| debug!(?answer, "answered"));
+            let answered = Answered { call: asker.call, exchange_call: call.0, answer };
             let (session, customer, line) = (asker.session, asker.customer, asker.line);
             if let Some(id) = &asker.id {
-                let text = result_text(id, Answered { call: asker.call, exchange_call: call.0, answer });
+                let text = result_text(id, answered);
                 self.say(port, line, None, text);
             }
+            self.repeats.answered(now, session, answered.call, answered);
+            self.news
+                .push(customer, json!({ "exchange_call": call.0, "customer": customer.0, "answer": answer }));
             let log = &mut |line: &str| port.note(line);
             self.ready.extend(self.admission.answered(now, session, customer, stands, log));
             if !stands {
@@ -207,6 +217,8 @@
             if let Some(asker) = self.forget(call) {
                 let how = how_ended(end);
                 asker.span.in_scope(|| debug!(?how, "ended"));
+                let event = json!({ "exchange_call": call.0, "customer": asker.customer.0, "ended": how });
+                self.news.push(asker.customer, event);
                 let text = ended_text(&EndedNote { call: asker.call, how });
                 self.say(port, asker.line, Some(asker.call), text);
             }
@@ -335,6 +347,8 @@
     fn end_line(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
         let Some(Line { calls, session, .. }) = self.lines.remove(&line) else { return };
         self.resumable.forget(session);
+        self.repeats.over(session);
+        self.news.leave(session);
         self.admission.close(now, session, &mut |text| port.note(text));
         for held in calls.into_values() {
             let Held::With(call) = held else { continue };
@@ -397,6 +411,7 @@
         while let Some(pending) = self.ready.pop_front() {
             self.take(now, port, pending);
         }
+        self.tell_watchers(port);
     }
 
     /// The tokens in force from now on; what stands is left alone.
@@ -474,6 +489,34 @@
         }
     }
 
+    fn subscribe(&mut self, line: LineNo, cursor: Option<u64>) -> Result<u64, Fault> {
+        let held = self.lines.get(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        let allowed = self.tokens.check(held.token.as_deref(), Scope::Watch, None);
+        allowed.map_err(|denied| Fault::new(code::DENIED, denied.to_string()))?;
+        let sees = self.tokens.named(held.token.as_deref()).map_or(Sees::All, Grant::sees);
+        let cursor = self.news.watch(held.session, cursor, sees);
+        cursor.map_err(|error| Fault::new(code::INVALID_PARAMS, error.to_string()))
+    }
+
+    /// Tells those who watch what is new, as far as their connections have room.
+    fn tell_watchers(&mut self, port: &mut dyn Port) {
+        const AT_ONCE: usize = 256;
+        if self.news.watchers() == 0 {
+            return;
+        }
+        for session in self.news.behind() {
+            let line = self.lines.iter().find(|(_, line)| line.session == session && line.backlog.is_none());
+            let Some(line) = line.map(|(no, _)| *no).filter(|line| port.has_room(*line)) else { continue };
+            let told = self.news.tell(session, AT_ONCE);
+            if told.missed > 0 {
+                port.say(line, &notice_text("call.news.missed", &json!({ "count": told.missed })));
+            }
+            for (number, event) in told.events {
+                port.say(line, &notice_text("call.news", &json!({ "number": number, "event": event })));
+            }
+        }
+    }
+
     /// An offer goes to the decisions, with the time that its caller has left.
     fn take(&mut self, now: Duration, port: &mut dyn Port, pending: Pending) {
         let Pending { line, session, id, offer, since } = pending;
@@ -528,6 +571,9 @@
                 id.iter().for_each(|id| port.say(line, &result_text(id, &welcome)));
                 self.owed_texts.drain(..).for_each(|text| port.say(line, &text));
             }),
+            Request::Subscribe(subscribe) => self.subscribe(line, subscribe.cursor).map(|cursor| {
+                id.iter().for_each(|id| port.say(line, &result_text(id, json!({ "cursor": cursor }))));
+            }),
             Request::Offer(offer) => self.offer(now, port, line, &id, &offer),
             Request::Hangup(hangup) => self.hang_up(now, port, line, hangup.call).map(|()| {
                 let result = json!({ "call": hangup.call });
@@ -551,6 +597,10 @@
         let allowed =
             self.tokens.check(held.token.as_deref(), Scope::Offer, Some(CustomerNo(offer.customer)));
         allowed.map_err(|denied| Fault::new(code::DENIED, denied.to_string()))?;
+        if let Repeat::Answered(answered) = self.repeats.offer(now, held.session, offer.call) {
+            id.iter().for_each(|id| port.say(line, &result_text(id, answered)));
+            return Ok(());
+        }
         if held.calls.contains_key(&offer.call) {
             return Err(Fault::new(code::NUMBER_IN_USE, format!("call {} is in hand already", offer.call)));
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -191,6 +191,11 @@
     fn close_line(&mut self, line: LineNo, why: &str) {
         self.close(self.lines.get(&line).copied(), why);
     }
+    fn has_room(&self, line: LineNo) -> bool {
+        const ROOM: usize = 64 << 10;
+        let connection = self.lines.get(&line).and_then(|token| self.connections.get(token));
+        connection.is_some_and(|connection| connection.out.waiting() < ROOM)
+    }
     fn reply(&mut self, text: &str) {
         self.push(self.directory, &[text.as_bytes(), b"\n"]);
     }
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -31,6 +31,9 @@
     fn close_line(&mut self, _: LineNo, why: &str) {
         panic!("{why}");
     }
+    fn has_room(&self, _: LineNo) -> bool {
+        true
+    }
     fn reply(&mut self, _: &str) {}
     fn note(&mut self, line: &str) {
         self.notes.push(line.to_string());
@@ -336,6 +339,9 @@
     fn close_line(&mut self, _: LineNo, why: &str) {
         panic!("{why}");
     }
+    fn has_room(&self, _: LineNo) -> bool {
+        true
+    }
     fn reply(&mut self, _: &str) {}
     fn note(&mut self, line: &str) {
         self.wires.note(line);
@@ -417,3 +423,44 @@
     (0..5).for_each(|_| room.stands());
     assert!(room.wires.notes.iter().any(|note| note.contains("more was to be said than is kept")));
 }
+
+#[test]
+fn an_offer_that_comes_twice_is_told_the_first_answer_and_costs_no_second_call() {
+    let mut room = Room::new(LimitsPlan::default());
+    let (before, key) = room.opened();
+    room.offer(before, 1, 0);
+    room.stands();
+    assert_eq!(room.answers(before), [(1, Final::Stands)]);
+    room.offer(before, 1, 0);
+    assert_eq!((room.answers(before), room.set_ups.len()), (vec![(1, Final::Stands)], 0));
+    // On the connection after a cut too: it is the same session.
+    room.cut(before);
+    let after = room.line();
+    room.hello(after, json!({ "client": "test", "resume": key }));
+    room.offer(after, 1, 0);
+    assert_eq!((room.answers(after), room.set_ups.len()), (vec![(1, Final::Stands)], 0));
+    assert_eq!(room.exchange.status()["counts"]["offered"], json!(1));
+    room.ask(after, Request::Hangup(Hangup { call: 1 }));
+    room.pass(Duration::from_secs(31));
+    room.offer(after, 1, 0);
+    assert_eq!(room.set_ups.len(), 1, "its number is free again");
+}
+
+#[test]
+fn a_watcher_is_told_what_happens_to_calls_from_its_cursor_on() {
+    let mut room = Room::new(LimitsPlan::default());
+    let (caller, watcher) = (room.line(), room.line());
+    let subscribe = |cursor: Option<u64>| Request::Subscribe(mintstall_callapi::Subscribe { cursor });
+    for call in 1..=3 {
+        room.offer(caller, call, 0);
+        room.stands();
+    }
+    room.ask(watcher, subscribe(Some(2)));
+    // The reply, then the second and third answers.
+    assert_eq!(room.wires.said.remove(&watcher).unwrap_or_default().len(), 3);
+    room.offer(caller, 4, 0);
+    room.stands();
+    assert_eq!(room.wires.said.remove(&watcher).unwrap_or_default().len(), 1);
+    room.ask(watcher, subscribe(Some(99)));
+    assert!(matches!(room.wires.said.remove(&watcher).unwrap()[..], [Heard::Fault { code: -32602, .. }]));
+}
--- a/crates/lab/benches/ordinary_call.rs
+++ b/crates/lab/benches/ordinary_call.rs
@@ -358,6 +358,9 @@
         fn close_line(&mut self, _: LineNo, why: &str) {
             panic!("{why}");
         }
+        fn has_room(&self, _: LineNo) -> bool {
+            true
+        }
         fn reply(&mut self, _: &str) {}
         fn note(&mut self, _: &str) {}
     }
--- a/crates/limits/src/auth.rs
+++ b/crates/limits/src/auth.rs
@@ -13,6 +13,8 @@
 use subtle::ConstantTimeEq;
 use thiserror::Error;
 
+use crate::news::Sees;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Scope {
@@ -57,6 +59,14 @@
         self.scopes.contains(&scope)
     }
 
+    /// The customers whose calls it may see.
+    pub fn sees(&self) -> Sees {
+        match &self.customers {
+            None => Sees::All,
+            Some(customers) => Sees::Only(customers.iter().copied().map(CustomerNo).collect()),
+        }
+    }
+
     pub fn calls_for(&self, customer: CustomerNo) -> bool {
         self.customers.as_ref().is_none_or(|customers| customers.contains(&customer.0))
     }
@@ -133,6 +143,12 @@
         found.map(|at| &held[at].1).ok_or(Denied::Unknown)
     }
 
+    /// The token of a name, if it is in force.
+    pub fn named(&self, name: Option<&str>) -> Option<&Grant> {
+        let held = self.held.as_deref().unwrap_or_default();
+        held.iter().map(|(_, grant)| grant).find(|grant| Some(grant.name.as_str()) == name)
+    }
+
     /// Whether a session that presented the token of this name may do something now.
     pub fn check(
         &self,
