--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -138,6 +138,22 @@
     pub answer: Final,
 }
 
+/// What `call.news` tells of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct CallEvent {
+    pub exchange_call: u64,
+    pub customer: u16,
+    #[serde(flatten)]
+    pub what: Happened,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(untagged)]
+pub enum Happened {
+    Answered(Final),
+    Ended { ended: How },
+}
+
 /// How a standing call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
@@ -335,6 +351,7 @@
         "request": schemars::schema_for!(Request),
         "session.hello result": schemars::schema_for!(Welcome),
         "call.offer result": schemars::schema_for!(Answered),
+        "call.news": schemars::schema_for!(CallEvent),
         "call.ended": schemars::schema_for!(EndedNote),
     })
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,8 +7,8 @@
     CallId, CallType, CustomerNo, Dialled, ExchangeId, OfficeNo, RosterLine, Standing as HostStanding, Zone,
 };
 use mintstall_callapi::{
-    Answered, Asked, EndedNote, Fault, Final, Hello, How, LineCutter, Offer, Request, Welcome, code,
-    ended_text, fault_text, notice_text, result_text,
+    Answered, Asked, CallEvent, EndedNote, Fault, Final, Happened, Hello, How, LineCutter, Offer, Request,
+    Welcome, code, ended_text, fault_text, notice_text, result_text,
 };
 use mintstall_isup::Report;
 use mintstall_limits::{
@@ -101,7 +101,7 @@
     tokens: Tokens,
     resumable: Resumable,
     repeats: Repeats<Answered>,
-    news: News<Value>,
+    news: News<CallEvent>,
     /// Draws the keys of sessions.
     keys: StdRng,
     resume_texts: usize,
@@ -205,8 +205,9 @@
                 self.say(port, line, None, text);
             }
             self.repeats.answered(now, session, answered.call, answered);
-            self.news
-                .push(customer, json!({ "exchange_call": call.0, "customer": customer.0, "answer": answer }));
+            let event =
+                CallEvent { exchange_call: call.0, customer: customer.0, what: Happened::Answered(answer) };
+            self.news.push(customer, event);
             let log = &mut |line: &str| port.note(line);
             self.ready.extend(self.admission.answered(now, session, customer, stands, log));
             if !stands {
@@ -217,7 +218,8 @@
             if let Some(asker) = self.forget(call) {
                 let how = how_ended(end);
                 asker.span.in_scope(|| debug!(?how, "ended"));
-                let event = json!({ "exchange_call": call.0, "customer": asker.customer.0, "ended": how });
+                let what = Happened::Ended { ended: how };
+                let event = CallEvent { exchange_call: call.0, customer: asker.customer.0, what };
                 self.news.push(asker.customer, event);
                 let text = ended_text(&EndedNote { call: asker.call, how });
                 self.say(port, asker.line, Some(asker.call), text);
@@ -764,10 +766,14 @@
                 })
             })
             .collect();
+        let in_hand = self.admission.gate.greediest(10).into_iter();
+        let in_hand: Vec<_> =
+            in_hand.map(|(no, calls)| json!({ "customer": no.0, "calls": calls })).collect();
         json!({
             "exchange": own.0, "calls": calls, "owed": owed, "timers": timers, "traces": traces, "lines": self.lines.len(),
             "admission": { "unanswered": self.admission.unanswered(), "waiting": self.admission.waiting(),
-                "kept_sessions": self.resumable.kept() },
+                "kept_sessions": self.resumable.kept(), "repeats_told": self.repeats.told(),
+                "in_hand": in_hand },
             "roster": { "version": self.roster.version(), "entries": self.roster.entries().count(),
                 "turned_down": self.roster.turned_down() },
             "groups": groups,
--- a/crates/lab/benches/ordinary_call.rs
+++ b/crates/lab/benches/ordinary_call.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use mintstall_callapi::{Asked, Hangup, Heard, LineCutter, Offer, Request};
-use mintstall_daemon::config::{CallType, Config, Link, Signalling, Subscribers};
+use mintstall_daemon::config::{CallType, Config, LimitsPlan, Link, Signalling, Subscribers};
 use mintstall_daemon::{Exchange, Shell, exchange::LineNo, exchange::Port};
 use mintstall_isup::{Body, Data, Deframer, Frame, Message, RangeStatus};
 use mio::net::TcpStream as MioStream;
@@ -33,6 +33,8 @@
             listen: None,
             links: vec![Link { to: 2, circuits: 310, connect: Some(far) }],
         },
+        // One line offers all: what it may is not what is measured.
+        limits: LimitsPlan { offers_per_s: 1e9, offers_at_once: 1e9, ..LimitsPlan::default() },
         subscribers: Subscribers { listen: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))) },
         call_types: vec![CallType {
             name: "call".into(),
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -162,6 +162,20 @@
         }
     }
 
+    /// What a session has in hand, by customer, for a look from outside.
+    pub fn in_hand(&self, session: SessionNo) -> impl Iterator<Item = (CustomerNo, usize)> {
+        let calls = self.sessions.get(&session).map(|held| &held.calls);
+        calls.into_iter().flatten().map(|(customer, count)| (*customer, *count))
+    }
+
+    /// Customers by how much they have in hand, most first: who presses.
+    pub fn greediest(&self, most: usize) -> Vec<(CustomerNo, usize)> {
+        let mut all: Vec<_> = self.customers.iter().map(|(customer, count)| (*customer, *count)).collect();
+        all.sort_by_key(|(customer, count)| (std::cmp::Reverse(*count), *customer));
+        all.truncate(most);
+        all
+    }
+
     /// The session is gone, and with it all it had in hand.
     pub fn close(&mut self, session: SessionNo) {
         let calls = self.sessions.remove(&session).map(|held| held.calls).unwrap_or_default();
@@ -240,6 +254,10 @@
         assert_eq!(gate.offer(NOW, one, ONE), Err(Refusal::SessionCalls { most: 3 }));
         assert!((0..2).all(|_| gate.offer(NOW, other, ONE).is_ok()));
         assert_eq!(gate.offer(NOW, other, ONE), Err(Refusal::CustomerCalls { most: 5 }));
+        assert_eq!(
+            (gate.in_hand(other).collect::<Vec<_>>(), gate.greediest(3)),
+            (vec![(ONE, 2)], vec![(ONE, 5)])
+        );
         gate.over(other, ONE);
         gate.over(other, CustomerNo(9));
         gate.close(one);
