--- a/crates/lab/src/virtual_day.rs
+++ b/crates/lab/src/virtual_day.rs
@@ -95,6 +95,8 @@
     /// Circuits that carry nothing and are not free at the end, with offices and calls left.
     pub stuck: usize,
     pub calls_left: usize,
+    /// What the books of any office hold against each other at the end.
+    pub faults: Vec<String>,
 }
 
 struct Table<'a> {
@@ -167,7 +169,9 @@
         }
         let states: Vec<_> = self.seats.iter().flatten().map(|seat| seat.office.state()).collect();
         let stuck = states.iter().flat_map(|state| &state.groups);
+        let faults = self.seats.iter().flatten().flat_map(|seat| seat.office.faults());
         Played {
+            faults: faults.collect(),
             score: self.world.score.clone(),
             ended: now,
             events: self.events,
--- a/crates/lab/tests/virtual_days.rs
+++ b/crates/lab/tests/virtual_days.rs
@@ -93,6 +93,7 @@
             all.iter().all(|count| *count > 0) && judged.calls_exempt > 0,
             "seed {seed} judged little: {judged:?}"
         );
+        assert_eq!(played.faults, Vec::<String>::new(), "seed {seed}");
         assert_eq!((played.stuck, played.calls_left), (0, 0), "seed {seed}: circuits or calls are left over");
     }
 }
--- a/crates/office/src/state.rs
+++ b/crates/office/src/state.rs
@@ -1,8 +1,11 @@
 //! What is shown of an office: plain figures, copied out.
 
+use std::collections::BTreeSet;
+
 use mintstall::host::OfficeNo;
 
 use crate::circuits::{Blocked, Use};
+use crate::legs::{Leg, Sink, Source};
 use crate::links::{Link, Phase};
 use crate::office::Office;
 
@@ -77,6 +80,44 @@
 }
 
 impl Office {
+    /// What its books hold against each other: circuits that carry a call that does not hold them, calls that hold circuits
+    /// which do not carry them, answers owed that nobody counts. None, ever; for tests and for a look from outside.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let held = |leg: &Leg| {
+            let source = match &leg.source {
+                Source::Trunk(held) => Some(held.clone()),
+                _ => None,
+            };
+            let sink = match &leg.sink {
+                Sink::Seized(out) | Sink::Standing(out) => Some(out.held.clone()),
+                _ => None,
+            };
+            source.into_iter().chain(sink)
+        };
+        let mut holds = BTreeSet::new();
+        for (call, leg) in &self.desk.legs {
+            let places =
+                held(leg).flat_map(|held| held.places.into_iter().map(move |place| (held.to, place)));
+            holds.extend(places.map(|(to, place)| (to, place, *call)));
+        }
+        let circuits =
+            self.desk.groups.iter().flat_map(|(to, group)| group.all().map(move |(no, c)| (*to, no, c.used)));
+        let carries: BTreeSet<_> =
+            circuits.filter_map(|(to, no, used)| Some((to, no, used.call()?))).collect();
+        for (to, place, call) in carries.symmetric_difference(&holds) {
+            faults.push(format!("{call:?} and circuit {place} to {to:?} do not agree"));
+        }
+        let owed = self.desk.legs.values().filter(|leg| {
+            matches!((&leg.source, &leg.sink), (Source::Subscriber, Sink::Open | Sink::Seized(_)))
+        });
+        let (owed, counted) = (owed.count(), self.desk.owed);
+        if owed != counted {
+            faults.push(format!("{owed} answers are owed, {counted} counted"));
+        }
+        faults
+    }
+
     pub fn state(&self) -> OfficeState {
         let groups = self.desk.groups.iter().map(|(to, group)| {
             let mut state = GroupState {
--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -110,7 +110,10 @@
     pub fn with<R>(&mut self, own: u16, f: impl FnOnce(&mut Office, Duration, &mut Wires) -> R) -> R {
         let now = self.now;
         let (office, wires) = self.offices.get_mut(&own).unwrap();
-        f(office, now, wires)
+        let result = f(office, now, wires);
+        // After whatever happens its books agree.
+        assert_eq!(office.faults(), Vec::<String>::new(), "at {own}");
+        result
     }
 
     pub fn call(&mut self, from: u16, dest: u16, dialled: u64, call_type: u8) -> CallId {
@@ -200,6 +203,7 @@
     /// Every circuit idle and every call forgotten, at all offices.
     pub fn all_quiet(&self) {
         for (office, _) in self.offices.values() {
+            assert_eq!(office.faults(), Vec::<String>::new());
             let state = office.state();
             assert_eq!((state.calls, state.owed), (0, 0), "calls left at {:?}", state.own);
             let busy: Vec<_> = state.groups.iter().filter(|group| group.free != group.circuits).collect();
