Review: one place hangs up in the stand-ins; what nobody reads is dropped

Cause: two steps of a caller told the controller of a hang-up in the same lines, and two constants and two look-ups had no reader. Behaviour as before: the lab's tests pass unchanged.

--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::time::Duration;
 
-use mintstall_isup::{Data, Frame, m3ua};
+use mintstall_isup::{Data, Frame};
 use mintstall_standin::{Seen, Witness};
 use pcap_file::pcap::{PcapHeader, PcapPacket, PcapWriter};
 use pcap_file::{DataLink, PcapError};
@@ -50,8 +50,3 @@
     octets.extend_from_slice(data.user);
     octets
 }
-
-/// The network indicator that our frames carry.
-pub const NATIONAL: u8 = 2;
-/// And their service indicator.
-pub const SERVICE: u8 = m3ua::ISUP;
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -158,9 +158,8 @@
         let Some(caller) = self.callers.get(&id).filter(|caller| caller.tries == tries) else { return };
         let State::Trying { handed } = caller.state else { return };
         let (office, call) = (caller.from, number(id, tries));
-        if handed && self.exchanges[usize::from(office) - 1].running {
-            w.saw(now, Seen::HungUp { office, call });
-            acts.push(Act::HangUp { office, call });
+        if handed {
+            self.hang_up(now, office, call, w, acts);
         }
         self.turned_down(now, id, Duration::ZERO, if handed { Outcome::GaveUp } else { Outcome::NotTaken });
     }
@@ -235,6 +234,14 @@
         }
     }
 
+    /// The controller hears that a call's caller hung up, if it runs.
+    fn hang_up(&self, now: Duration, office: u16, call: u64, w: &mut dyn Witness, acts: &mut Vec<Act>) {
+        if self.exchanges[usize::from(office) - 1].running {
+            w.saw(now, Seen::HungUp { office, call });
+            acts.push(Act::HangUp { office, call });
+        }
+    }
+
     pub(crate) fn hangs_up(
         &mut self,
         now: Duration,
@@ -248,10 +255,7 @@
             return;
         }
         let (office, late) = (caller.from, caller.earned < caller.revenue);
-        if self.exchanges[usize::from(office) - 1].running {
-            w.saw(now, Seen::HungUp { office, call: number(id, tries) });
-            acts.push(Act::HangUp { office, call: number(id, tries) });
-        }
+        self.hang_up(now, office, number(id, tries), w, acts);
         self.done(id, if late { Outcome::Late } else { Outcome::Served });
     }
 
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::callers::{Caller, State};
+use crate::callers::Caller;
 use crate::day::{Day, Fault, Reports, Which};
 use crate::processor::{Cold, Job, Payload, Processor};
 use crate::score::Score;
@@ -332,11 +332,6 @@
         now >= self.length && self.callers.is_empty()
     }
 
-    /// Callers who have not left yet.
-    pub fn callers_left(&self) -> usize {
-        self.callers.len()
-    }
-
     /// Lets the next thing happen, if it is due; it happens at its own time.
     pub fn advance(&mut self, now: Duration, w: &mut dyn Witness, acts: &mut Vec<Act>) -> bool {
         if self.next().is_none_or(|at| at > now) {
@@ -990,11 +985,6 @@
         acts.retain(|act| *act != Act::Kill { office });
         self.at(now + seconds(0.5), Event::Starts { office });
     }
-
-    /// Callers who are talking now, for a look from outside.
-    pub fn talking(&self) -> usize {
-        self.callers.values().filter(|caller| caller.state == State::Standing).count()
-    }
 }
 
 const IAM: u8 = 0x01;
