--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -1,9 +1,11 @@
 //! Call-control messages: JSON-RPC 2.0 texts to types and back, without I/O.
 //!
-//! A subscriber line carries one text a line ([`LineCutter`]); WebSocket will carry the same texts. A call is named by
-//! its client's own number, unique on its line; answers also tell the number that the exchange gave it.
+//! A subscriber line carries one text a line ([`LineCutter`]), a WebSocket connection one a message. A call is named by its
+//! client's own number, unique in its session; answers also tell the number that the exchange gave it. The reference for
+//! those who write clients is `docs/call-control.md`; its examples are read by the tests here.
 
 mod lines;
+mod schema;
 
 use std::borrow::Cow;
 
@@ -14,6 +16,7 @@
 use serde_json::{Value, json};
 
 pub use lines::{LineCutter, LineTooLong};
+pub use schema::schema;
 
 /// `call.offer`: asks for a call. Its result is the call's one final answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -51,6 +54,82 @@
     pub call: u64,
 }
 
+/// `call.cancel`: gives up a call that has no answer yet; it gets its answer, `fails`, at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Cancel {
+    pub call: u64,
+}
+
+/// `call.get`: asks where a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Get {
+    pub call: u64,
+}
+
+/// `trace.get`: asks what became of a call, step by step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TraceGet {
+    /// The number that the exchange which took it gave it.
+    pub exchange_call: u64,
+    /// That exchange, if another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<u16>,
+}
+
+/// The result of `trace.get`: what became of the call here, oldest step first.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Traced {
+    pub traces: Vec<CallTrace>,
+}
+
+/// A call's way through one exchange.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct CallTrace {
+    /// The number of the call here.
+    pub call: u64,
+    /// The exchange that took it, and the number it gave it.
+    pub origin: u16,
+    pub origin_call: u64,
+    #[serde(rename = "type")]
+    pub call_type: u8,
+    pub customer: u16,
+    pub dest: u16,
+    pub number: u64,
+    /// Steps that there was no room for.
+    pub left_out: u32,
+    /// Each has `step`, its name, `at_ms`, milliseconds since the first, and what belongs to it.
+    pub steps: Vec<Value>,
+}
+
+/// The result of `call.get`, and what `session.hello` tells of each call taken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct CallState {
+    pub call: u64,
+    /// The number that the exchange gave it; 0 while it waits for its turn.
+    pub exchange_call: u64,
+    #[serde(flatten)]
+    pub state: State,
+}
+
+/// Where a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum State {
+    /// For its turn.
+    Waits,
+    /// A route is looked for, or tried.
+    Offered,
+    Stands,
+    /// It is not in hand any more; its final answer was this.
+    Over {
+        #[serde(flatten)]
+        answer: Final,
+    },
+}
+
 /// `session.hello`: says who asks, where the controller wants to know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -68,7 +147,7 @@
 }
 
 /// The result of `session.hello`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Welcome {
     pub server: String,
     pub version: String,
@@ -76,14 +155,43 @@
     /// The token's name, where one was presented.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub token: Option<String>,
-    /// Calls that may be in hand on this line.
-    pub calls_a_session: usize,
-    /// The session's key, where it is resumable, and how long it is kept after a cut, milliseconds.
+    pub limits: SessionLimits,
+    /// The session's key, where it is resumable.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub session: Option<String>,
+    /// Calls in hand that were taken up with the session.
+    pub calls: Vec<CallState>,
+    /// Texts that were to be said while it was cut: so many follow this one.
+    pub owed: usize,
+}
+
+/// What a session may do here; beyond it, errors and refusals say so.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct SessionLimits {
+    /// Calls in hand in one session, and of one customer.
+    pub calls_a_session: usize,
+    pub calls_a_customer: usize,
+    /// Offers, and requests of any kind, a second.
+    pub offers_per_s: f64,
+    pub requests_per_s: f64,
+    /// Octets of the longest text.
+    pub text_octets: usize,
+    /// How long a resumable session is kept after a cut, milliseconds.
     pub kept_ms: u64,
-    /// Calls in hand that were taken up with the session. What was not said while it was cut follows this.
-    pub calls: Vec<u64>,
+    /// How long an answer is remembered for an offer that comes again under its number, milliseconds.
+    pub repeat_ms: u64,
+}
+
+/// The result of `calls.subscribe`: the number of the first event that will be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Subscribed {
+    pub cursor: u64,
+}
+
+/// The result of `call.hangup` and `call.cancel`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Done {
+    pub call: u64,
 }
 
 /// `calls.subscribe`: what happens to calls is told as `call.news` from now on, or from a cursor.
@@ -107,6 +215,12 @@
     Offer(Offer),
     #[serde(rename = "call.hangup")]
     Hangup(Hangup),
+    #[serde(rename = "call.cancel")]
+    Cancel(Cancel),
+    #[serde(rename = "call.get")]
+    Get(Get),
+    #[serde(rename = "trace.get")]
+    TraceGet(TraceGet),
 }
 
 /// A request and the id by which its reply names it; without one no reply is given.
@@ -147,6 +261,20 @@
     pub what: Happened,
 }
 
+/// Notification `call.news`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct NewsNote {
+    /// One more than that of the event before, whether or not this session may see that one.
+    pub number: u64,
+    pub event: CallEvent,
+}
+
+/// Notification `call.news.missed`: so many events were more than are kept for a slow reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct MissedNote {
+    pub count: u64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(untagged)]
 pub enum Happened {
@@ -175,6 +303,8 @@
 pub struct Fault {
     pub code: i32,
     pub text: String,
+    /// When it may be asked again, milliseconds from now.
+    pub come_back_ms: Option<u64>,
 }
 
 /// Error codes: those of JSON-RPC 2.0 clause 5.1, and ours from -32000 down.
@@ -191,11 +321,32 @@
     pub const TOO_MANY: i32 = -32003;
     /// The session's token does not allow it, or there is none.
     pub const DENIED: i32 = -32004;
+    /// Requests come too fast; `data.come_back_ms` says when the next is read.
+    pub const TOO_FAST: i32 = -32005;
+    /// The call stands: it is hung up, not cancelled.
+    pub const STANDS: i32 = -32006;
+
+    /// Each with what it means, for the schema and the reference.
+    pub const ALL: [(i32, &str); 10] = [
+        (PARSE, "the text is not JSON"),
+        (INVALID_REQUEST, "the text is no request of JSON-RPC 2.0; batches are not taken"),
+        (NO_SUCH_METHOD, "no such method"),
+        (
+            INVALID_PARAMS,
+            "the parameters are not the method's, or a key or cursor is none that can be followed",
+        ),
+        (UNKNOWN_CALL, "no such call is known"),
+        (NUMBER_IN_USE, "the number is in use by another call of the session"),
+        (TOO_MANY, "too many calls are in hand, or too many connections are open"),
+        (DENIED, "the token does not allow it, or there is none"),
+        (TOO_FAST, "requests come too fast; data.come_back_ms says when the next is read"),
+        (STANDS, "the call stands: it is hung up, not cancelled"),
+    ];
 }
 
 impl Fault {
     pub fn new(code: i32, text: impl Into<String>) -> Self {
-        Self { code, text: text.into() }
+        Self { code, text: text.into(), come_back_ms: None }
     }
 }
 
@@ -221,6 +372,9 @@
             "session.hello" => serde_json::from_str(params).map(Request::Hello),
             "call.offer" => serde_json::from_str(params).map(Request::Offer),
             "call.hangup" => serde_json::from_str(params).map(Request::Hangup),
+            "call.cancel" => serde_json::from_str(params).map(Request::Cancel),
+            "call.get" => serde_json::from_str(params).map(Request::Get),
+            "trace.get" => serde_json::from_str(params).map(Request::TraceGet),
             other => return Err(fail(code::NO_SUCH_METHOD, &format!("no method {other:?}"))),
         };
         match request {
@@ -279,36 +433,48 @@
 }
 
 pub fn fault_text(id: &Value, fault: &Fault) -> String {
-    text(&json!({ "jsonrpc": "2.0", "id": id, "error": { "code": fault.code, "message": fault.text } }))
-}
-
-/// Any other notification.
-pub fn notice_text(method: &str, params: &Value) -> String {
-    text(&json!({ "jsonrpc": "2.0", "method": method, "params": params }))
+    let mut error = json!({ "code": fault.code, "message": fault.text });
+    if let Some(wait) = fault.come_back_ms {
+        error["data"] = json!({ "come_back_ms": wait });
+    }
+    text(&json!({ "jsonrpc": "2.0", "id": id, "error": error }))
 }
 
-pub fn ended_text(note: &EndedNote) -> String {
+/// Any notification.
+pub fn notice_text(method: &str, params: impl Serialize) -> String {
     #[derive(Serialize)]
-    struct Text<'a> {
+    struct Text<'a, P> {
         jsonrpc: &'static str,
-        method: &'static str,
-        params: &'a EndedNote,
+        method: &'a str,
+        params: P,
     }
-    text(&Text { jsonrpc: "2.0", method: "call.ended", params: note })
+    text(&Text { jsonrpc: "2.0", method, params })
 }
 
-/// What comes back on a line: a result, a fault, or a notification.
+pub fn ended_text(note: &EndedNote) -> String {
+    notice_text("call.ended", note)
+}
+
+/// What comes back: a result, a fault, or a notification.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Heard {
     Answered(Answered),
-    /// A result that is no answer of a call.
-    Done,
+    /// A result that is no answer of a call: the request's id and what it says.
+    Result {
+        id: Value,
+        result: Value,
+    },
     Fault {
         id: Value,
         code: i64,
         message: String,
+        come_back_ms: Option<u64>,
     },
     Ended(EndedNote),
+    News(NewsNote),
+    Missed(MissedNote),
+    /// A notification that this version does not know: passed over.
+    Other(String),
 }
 
 impl Heard {
@@ -330,32 +496,38 @@
         struct Error {
             code: i64,
             message: String,
+            #[serde(default)]
+            data: Value,
         }
         let raw: Raw = serde_json::from_slice(text)?;
-        if let (Some("call.ended"), Some(params)) = (raw.method.as_deref(), raw.params) {
-            return Ok(Self::Ended(serde_json::from_str(params.get())?));
+        let params = raw.params.map_or("null", RawValue::get);
+        match raw.method.as_deref() {
+            None => {}
+            Some("call.ended") => return serde_json::from_str(params).map(Self::Ended),
+            Some("call.news") => return serde_json::from_str(params).map(Self::News),
+            Some("call.news.missed") => return serde_json::from_str(params).map(Self::Missed),
+            Some(other) => return Ok(Self::Other(other.to_string())),
         }
-        if let Some(Error { code, message }) = raw.error {
-            return Ok(Self::Fault { id: raw.id, code, message });
+        if let Some(Error { code, message, data }) = raw.error {
+            let come_back_ms = data["come_back_ms"].as_u64();
+            return Ok(Self::Fault { id: raw.id, code, message, come_back_ms });
+        }
+        let result = raw.result.map_or("null", RawValue::get);
+        // What `call.get` tells of a call that is over has the same fields, and this one.
+        #[derive(Deserialize)]
+        struct State {
+            #[serde(default)]
+            state: Option<IgnoredAny>,
+        }
+        match serde_json::from_str(result) {
+            Ok(answered) if serde_json::from_str::<State>(result)?.state.is_none() => {
+                Ok(Self::Answered(answered))
+            }
+            _ => Ok(Self::Result { id: raw.id, result: serde_json::from_str(result)? }),
         }
-        Ok(match raw.result.map(|result| serde_json::from_str(result.get())) {
-            Some(Ok(answered)) => Self::Answered(answered),
-            _ => Self::Done,
-        })
     }
 }
 
-/// The schema of all messages, by name.
-pub fn schema() -> Value {
-    json!({
-        "request": schemars::schema_for!(Request),
-        "session.hello result": schemars::schema_for!(Welcome),
-        "call.offer result": schemars::schema_for!(Answered),
-        "call.news": schemars::schema_for!(CallEvent),
-        "call.ended": schemars::schema_for!(EndedNote),
-    })
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/callapi/src/schema.rs
@@ -0,0 +1,41 @@
+//! The schema of all messages, for those who write clients.
+
+use schemars::{JsonSchema, SchemaGenerator};
+use serde_json::{Value, json};
+
+use crate::{
+    Answered, CallState, Cancel, Done, EndedNote, Get, Hangup, Hello, MissedNote, NewsNote, Offer, Subscribe,
+    Subscribed, TraceGet, Traced, Welcome, code,
+};
+
+/// All methods with their parameters and results, notifications, and error codes; types under `$defs`.
+pub fn schema() -> Value {
+    let mut types = SchemaGenerator::default();
+    fn method<P: JsonSchema, R: JsonSchema>(types: &mut SchemaGenerator) -> Value {
+        json!({ "params": types.subschema_for::<P>(), "result": types.subschema_for::<R>() })
+    }
+    let methods = json!({
+        "session.hello": method::<Hello, Welcome>(&mut types),
+        "call.offer": method::<Offer, Answered>(&mut types),
+        "call.cancel": method::<Cancel, Done>(&mut types),
+        "call.hangup": method::<Hangup, Done>(&mut types),
+        "call.get": method::<Get, CallState>(&mut types),
+        "calls.subscribe": method::<Subscribe, Subscribed>(&mut types),
+        "trace.get": method::<TraceGet, Traced>(&mut types),
+    });
+    let notifications = json!({
+        "call.ended": types.subschema_for::<EndedNote>(),
+        "call.news": types.subschema_for::<NewsNote>(),
+        "call.news.missed": types.subschema_for::<MissedNote>(),
+    });
+    let errors: Vec<Value> =
+        code::ALL.iter().map(|(code, meaning)| json!({ "code": code, "meaning": meaning })).collect();
+    json!({
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "title": "mintstall.calls.v1",
+        "methods": methods,
+        "notifications": notifications,
+        "errors": errors,
+        "$defs": types.take_definitions(true),
+    })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -169,8 +169,7 @@
         Err(error @ ShellError::Tokens(_)) => return bad_input(error),
         Err(error) => return failed(error),
     };
-    let [signalling, subscribers, admin] = shell.addresses();
-    println!("{}", json!({ "signalling": signalling, "subscribers": subscribers, "admin": admin }));
+    println!("{}", json!(shell.addresses()));
     tracing::info!(exchange = config.exchange, "takes calls");
     match shell.run() {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,25 @@
+//! Asks a controller for calls over WebSocket, through cuts and restarts.
+//!
+//! | file | holds |
+//! | --- | --- |
+//! | `session` | a session without I/O: dialled anew, taken up, its calls settled; time is an argument |
+//! | `client` | the blocking client around it |
+//!
+//! ```no_run
+//! use std::time::Duration;
+//! use mintstall_client::{Client, Plan, offer};
+//!
+//! let mut client = Client::connect(vec!["127.0.0.1:7300".parse()?], Plan::named("example"), Duration::from_secs(5))?;
+//! let outcome = client.call(offer(2, 5_551_000, Duration::from_secs(3)))?;
+//! println!("{outcome:?}");
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod client;
+mod session;
+
+pub use client::{Client, ClientError, Outcome, offer};
+pub use session::{AskError, Event, Plan, Session};
+
+pub use mintstall_callapi as api;
+pub use mintstall_limits::{ComeBackPlan, NotAgain, Redial, RedialPlan};
--- /dev/null
+++ b/crates/client/src/session.rs
@@ -0,0 +1,561 @@
+//! A session without I/O: octets and the time in, octets and events out.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mintstall_callapi::{
+    Answered, Asked, CallState, Cancel, EndedNote, Final, Hangup, Heard, Hello, How, MissedNote, NewsNote,
+    Offer, Request, State as CallIs, Subscribe, Subscribed, Welcome, code,
+};
+use mintstall_limits::{Book, ComeBack, ComeBackPlan, Due, InUse, Patience, Settled, ThereIs, Vigil};
+use mintstall_websocket::{Dialled, End, Event as Heard1, Progress, close};
+use serde_json::{Value, json};
+use thiserror::Error;
+
+/// How a session is kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// What the client calls itself, for the server's log.
+    pub client: String,
+    pub token: Option<String>,
+    /// Whether a session that was cut is taken up again; otherwise each connection is a session of its own.
+    pub resumes: bool,
+    pub come_back: ComeBackPlan,
+    /// When a server that says nothing is pinged, and given up.
+    pub patience: Patience,
+    /// Calls in hand at a time.
+    pub most_calls: usize,
+    /// How long after its caller's time an answer may still be on its way, before the call counts as lost.
+    pub grace: Duration,
+}
+
+impl Plan {
+    pub fn named(client: impl Into<String>) -> Self {
+        Self {
+            client: client.into(),
+            token: None,
+            resumes: true,
+            come_back: ComeBackPlan::default(),
+            // The server pings sooner: only one that is gone is silent for so long.
+            patience: Patience { quiet: Duration::from_secs(45), ..Patience::default() },
+            most_calls: 10_000,
+            grace: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What happens on a session.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// It is open; `taken_up`: it is the session of before.
+    Up {
+        taken_up: bool,
+        welcome: Box<Welcome>,
+    },
+    /// The connection is gone, or was not to be had; it is dialled again by itself.
+    Down {
+        why: String,
+    },
+    /// The server wants nothing of this client: its token is no good. Not dialled again.
+    Denied {
+        why: String,
+    },
+    /// A call's one final answer.
+    Answered(Answered),
+    /// A standing call ended; `None`: while the connection was gone, how is not known.
+    Ended {
+        call: u64,
+        how: Option<How>,
+    },
+    /// What became of a call can't be told any more: its session is over, or no answer came in time.
+    Lost {
+        call: u64,
+    },
+    /// An offer was not accepted: the fault is the client's.
+    Fault {
+        call: u64,
+        code: i64,
+        why: String,
+    },
+    News(NewsNote),
+    Missed(MissedNote),
+    /// What [`Session::ask`] asked for.
+    Reply {
+        ask: u64,
+        result: Result<Value, (i64, String)>,
+    },
+}
+
+/// An offer or request that can't be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum AskError {
+    #[error(transparent)]
+    InUse(#[from] InUse),
+    #[error("{0} calls are in hand already")]
+    TooMany(usize),
+    #[error("the session is not open")]
+    NotOpen,
+    #[error("the session is closed")]
+    Closed,
+}
+
+enum Link {
+    /// To be dialled then.
+    Down {
+        dial_at: Duration,
+    },
+    /// Being dialled by the owner.
+    Dialling,
+    Shaking(Dialled),
+    /// Hello was said.
+    Greeting(Box<End>),
+    Open(Box<End>),
+    /// For good.
+    Closed,
+}
+
+/// Octets of the longest text that is taken from a server: a trace has some thousands.
+const LONGEST_TEXT: usize = 1 << 20;
+/// Requests whose reply is waited for.
+const MOST_ASKED: usize = 1_000;
+
+pub struct Session {
+    plan: Plan,
+    link: Link,
+    back: ComeBack,
+    book: Book<Offer>,
+    vigil: Vigil<()>,
+    key: Option<String>,
+    /// What was in hand there when it was taken up, until what is owed has been heard.
+    settling: Option<(usize, BTreeMap<u64, CallState>)>,
+    /// Of the next event, once subscribed.
+    cursor: Option<u64>,
+    watches: bool,
+    /// Asked and not replied to: at most [`MOST_ASKED`]. Emptied by replies and when the connection goes.
+    asked: BTreeMap<u64, Asking>,
+    last_ask: u64,
+    out: Vec<u8>,
+    events: VecDeque<Event>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asking {
+    Hello,
+    Subscribe,
+    /// The owner's.
+    Other,
+    /// A call given up: that it is over already is no fault.
+    GiveUp,
+}
+
+impl Session {
+    /// Dials at once. `seed` sets the jitter apart from that of other clients.
+    pub fn new(now: Duration, plan: Plan, seed: u64) -> Self {
+        Self {
+            link: Link::Down { dial_at: now },
+            back: ComeBack::new(plan.come_back, seed),
+            book: Book::new(plan.most_calls, plan.grace),
+            vigil: Vigil::new(Patience { most_opening: 1, ..plan.patience }),
+            plan,
+            key: None,
+            settling: None,
+            cursor: None,
+            watches: false,
+            asked: BTreeMap::new(),
+            last_ask: 0,
+            out: Vec::new(),
+            events: VecDeque::new(),
+        }
+    }
+
+    // What the owner does.
+
+    /// Whether a connection is to be dialled; once it is told so, the owner says [`Session::dialled`] or
+    /// [`Session::lost`].
+    pub fn wants_dial(&mut self, now: Duration) -> bool {
+        let due = matches!(self.link, Link::Down { dial_at } if dial_at <= now);
+        if due {
+            self.link = Link::Dialling;
+        }
+        due
+    }
+
+    /// The connection is there.
+    pub fn dialled(&mut self, now: Duration, to: SocketAddr) {
+        match Dialled::new(to, LONGEST_TEXT) {
+            Ok((dialled, request)) => {
+                self.out.extend_from_slice(&request);
+                self.link = Link::Shaking(dialled);
+                // It is the only one.
+                let _ = self.vigil.came(now, ());
+            }
+            Err(why) => self.lost(now, &why.to_string()),
+        }
+    }
+
+    /// What is to be written; the owner takes it.
+    pub fn out(&mut self) -> &mut Vec<u8> {
+        &mut self.out
+    }
+
+    pub fn next_event(&mut self) -> Option<Event> {
+        self.events.pop_front()
+    }
+
+    pub fn is_open(&self) -> bool {
+        matches!(self.link, Link::Open(_))
+    }
+
+    /// Whether it has gone for good.
+    pub fn is_closed(&self) -> bool {
+        matches!(self.link, Link::Closed)
+    }
+
+    /// Calls in hand.
+    pub fn calls(&self) -> usize {
+        self.book.len()
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.book.unanswered()
+    }
+
+    /// When [`Session::ring`] is next to be called.
+    pub fn next_alarm(&self) -> Option<Duration> {
+        let dial = match self.link {
+            Link::Down { dial_at } => Some(dial_at),
+            _ => None,
+        };
+        [dial, self.book.next_alarm(), self.vigil.next_alarm()].into_iter().flatten().min()
+    }
+
+    pub fn ring(&mut self, now: Duration) {
+        for call in self.book.ring(now) {
+            // Were it to stand all the same, nobody would know of it.
+            self.give_up(call);
+            self.events.push_back(Event::Lost { call });
+        }
+        for due in self.vigil.ring(now) {
+            match due {
+                Due::AskForLife(()) => {
+                    if let Link::Open(end) | Link::Greeting(end) = &mut self.link {
+                        end.ping();
+                    }
+                }
+                Due::Drop((), lapse) => self.lost(now, &format!("the server {lapse}")),
+            }
+        }
+        self.pump();
+    }
+
+    /// The connection is gone, or was not to be had.
+    pub fn lost(&mut self, now: Duration, why: &str) {
+        self.down(now, why, None);
+    }
+
+    fn down(&mut self, now: Duration, why: &str, told: Option<Duration>) {
+        if matches!(self.link, Link::Closed | Link::Down { .. }) {
+            return;
+        }
+        self.out.clear();
+        self.vigil.gone(());
+        self.settling = None;
+        self.book.cut();
+        for (ask, asking) in std::mem::take(&mut self.asked) {
+            if asking == Asking::Other {
+                let result = Err((0, format!("no reply came: {why}")));
+                self.events.push_back(Event::Reply { ask, result });
+            }
+        }
+        self.link = Link::Down { dial_at: self.back.failed(now, told) };
+        self.events.push_back(Event::Down { why: why.to_string() });
+    }
+
+    /// Octets that came on the connection.
+    pub fn octets(&mut self, now: Duration, octets: &[u8]) {
+        let mut heard = Vec::new();
+        match &mut self.link {
+            Link::Shaking(dialled) => match dialled.push(octets) {
+                Progress::More => return,
+                Progress::Turned(why) => return self.down(now, &why.to_string(), why.come_back()),
+                Progress::Open(mut end) => {
+                    end.octets(&[], &mut |event| heard.push(event));
+                    self.vigil.opened(now, ());
+                    self.link = Link::Greeting(end);
+                    self.greet();
+                }
+            },
+            Link::Greeting(end) | Link::Open(end) => end.octets(octets, &mut |event| heard.push(event)),
+            Link::Down { .. } | Link::Dialling | Link::Closed => return,
+        }
+        self.vigil.heard(now, ());
+        for event in heard {
+            if let Heard1::Text(text) = event {
+                self.text(now, &text);
+            }
+        }
+        self.pump();
+        if let Link::Greeting(end) | Link::Open(end) = &self.link
+            && let Some(ended) = end.ended()
+        {
+            let why = match ended.by_far_end {
+                true => format!("closed by the server ({}): {}", ended.code, ended.reason),
+                false => ended.reason.clone(),
+            };
+            let out = std::mem::take(&mut self.out);
+            self.down(now, &why, None);
+            // The closing handshake is completed before the owner closes.
+            self.out = out;
+        }
+    }
+
+    fn greet(&mut self) {
+        let hello = Hello {
+            client: self.plan.client.clone(),
+            token: self.plan.token.clone(),
+            resumable: self.plan.resumes,
+            resume: self.key.clone(),
+        };
+        self.say(Asking::Hello, Request::Hello(hello));
+    }
+
+    fn text(&mut self, now: Duration, text: &str) {
+        let heard = match Heard::read(text.as_bytes()) {
+            Ok(heard) => heard,
+            Err(error) => {
+                if let Link::Greeting(end) | Link::Open(end) = &mut self.link {
+                    end.close(close::PROTOCOL, &format!("a text makes no sense: {error}"));
+                }
+                return;
+            }
+        };
+        match heard {
+            Heard::Answered(answered) => self.answered(answered),
+            Heard::Ended(EndedNote { call, how }) => {
+                if self.book.over(call) {
+                    self.events.push_back(Event::Ended { call, how: Some(how) });
+                }
+            }
+            Heard::News(note) => {
+                self.cursor = Some(note.number + 1);
+                self.events.push_back(Event::News(note));
+            }
+            Heard::Missed(note) => self.events.push_back(Event::Missed(note)),
+            Heard::Other(_) => {}
+            Heard::Result { id, result } => self.replied(now, &id, Ok(result)),
+            Heard::Fault { id, code, message, come_back_ms } => match id.as_u64() {
+                Some(call) => self.offer_fault(call, code, message, come_back_ms),
+                None => self.replied(now, &id, Err((code, message))),
+            },
+        }
+        if let Some((owed, _)) = &mut self.settling {
+            match *owed {
+                0 => self.settle(now),
+                _ => *owed -= 1,
+            }
+        }
+    }
+
+    fn answered(&mut self, answered: Answered) {
+        if self.book.answered(answered.call, answered.answer == Final::Stands) {
+            self.events.push_back(Event::Answered(answered));
+        }
+    }
+
+    fn offer_fault(&mut self, call: u64, code: i64, why: String, come_back_ms: Option<u64>) {
+        if code == i64::from(code::TOO_FAST) {
+            let come_back_ms = come_back_ms.map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX));
+            let answer = Final::Refused { come_back_ms };
+            return self.answered(Answered { call, exchange_call: 0, answer });
+        }
+        if self.book.over(call) {
+            self.events.push_back(Event::Fault { call, code, why });
+        }
+    }
+
+    fn replied(&mut self, now: Duration, id: &Value, result: Result<Value, (i64, String)>) {
+        let ask = id.as_str().and_then(|id| id.strip_prefix('a')).and_then(|id| id.parse::<u64>().ok());
+        let Some((ask, asking)) = ask.and_then(|ask| Some((ask, self.asked.remove(&ask)?))) else { return };
+        match (asking, result) {
+            (Asking::Hello, Ok(welcome)) => self.welcome(now, welcome),
+            (Asking::Hello, Err((_, why))) => match self.key.take() {
+                // The session of before is over: this connection begins another.
+                Some(_) => self.greet(),
+                None => {
+                    self.close();
+                    self.events.push_back(Event::Denied { why });
+                }
+            },
+            (Asking::Subscribe, Ok(result)) => {
+                if let Ok(Subscribed { cursor }) = serde_json::from_value(result) {
+                    self.cursor = Some(cursor);
+                }
+            }
+            (Asking::Subscribe, Err((code, why))) => match self.cursor.take() {
+                // Too old, or another server's: from now on, and the gap is told.
+                Some(_) if code == i64::from(code::INVALID_PARAMS) => {
+                    self.events.push_back(Event::Missed(MissedNote { count: 0 }));
+                    self.say(Asking::Subscribe, Request::Subscribe(Subscribe { cursor: None }));
+                }
+                _ => {
+                    self.watches = false;
+                    self.events.push_back(Event::Reply { ask: 0, result: Err((code, why)) });
+                }
+            },
+            (Asking::GiveUp, _) => {}
+            (Asking::Other, result) => self.events.push_back(Event::Reply { ask, result }),
+        }
+    }
+
+    fn welcome(&mut self, now: Duration, welcome: Value) {
+        let welcome: Welcome = match serde_json::from_value(welcome) {
+            Ok(welcome) => welcome,
+            Err(error) => return self.down(now, &format!("its welcome makes no sense: {error}"), None),
+        };
+        let Link::Greeting(end) = std::mem::replace(&mut self.link, Link::Dialling) else { return };
+        self.link = Link::Open(end);
+        self.back.opened(now);
+        let taken_up = self.key.is_some() && self.key == welcome.session;
+        self.key = welcome.session.clone();
+        let there = welcome.calls.iter().map(|call| (call.call, *call)).collect();
+        let owed = welcome.owed;
+        self.events.push_back(Event::Up { taken_up, welcome: Box::new(welcome) });
+        match taken_up {
+            true => self.settling = Some((owed, there)),
+            false => {
+                let settled = self.book.begun_anew(now);
+                self.carry_out(now, settled, &BTreeMap::new());
+            }
+        }
+        if self.watches {
+            self.say(Asking::Subscribe, Request::Subscribe(Subscribe { cursor: self.cursor }));
+        }
+    }
+
+    /// All that was owed has been heard: what is still in doubt is told by what the server has in hand.
+    fn settle(&mut self, now: Duration) {
+        let Some((_, there)) = self.settling.take() else { return };
+        let in_hand = |state: &CallState| match state.state {
+            CallIs::Stands => ThereIs::Standing,
+            _ => ThereIs::Unanswered,
+        };
+        let states = there.iter().map(|(call, state)| (*call, in_hand(state))).collect();
+        let settled = self.book.taken_up(now, &states);
+        // Hung up here while there was no connection to say so.
+        let forgotten: Vec<u64> = there.keys().copied().filter(|call| !self.book.knows(*call)).collect();
+        for call in
+            forgotten.into_iter().filter(|call| !settled.over.contains(call) && !settled.lost.contains(call))
+        {
+            self.give_up(call);
+        }
+        self.carry_out(now, settled, &there);
+    }
+
+    fn carry_out(&mut self, now: Duration, settled: Settled, there: &BTreeMap<u64, CallState>) {
+        let Settled { send, stand, over, lost } = settled;
+        for call in stand {
+            let exchange_call = there.get(&call).map_or(0, |state| state.exchange_call);
+            self.events.push_back(Event::Answered(Answered { call, exchange_call, answer: Final::Stands }));
+        }
+        self.events.extend(over.into_iter().map(|call| Event::Ended { call, how: None }));
+        self.events.extend(lost.into_iter().map(|call| Event::Lost { call }));
+        send.into_iter().for_each(|call| self.send(now, call));
+    }
+
+    // What the client asks.
+
+    /// Asks for a call, under a number that is not in hand; `offer.time_left_ms` counts from now. While there is no
+    /// connection it is kept, and sent with the time that is left then.
+    pub fn offer(&mut self, now: Duration, offer: Offer) -> Result<(), AskError> {
+        if self.is_closed() {
+            return Err(AskError::Closed);
+        }
+        if self.book.is_full() {
+            return Err(AskError::TooMany(self.book.len()));
+        }
+        let (call, until) = (offer.call, now + Duration::from_millis(offer.time_left_ms.into()));
+        self.book.offer(call, offer, until)?;
+        if self.is_open() && self.settling.is_none() {
+            self.send(now, call);
+            self.pump();
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, now: Duration, call: u64) {
+        let Some((offer, left)) = self.book.asked(now, call) else { return };
+        let offer = Offer { time_left_ms: left.as_millis() as u32, ..offer.clone() };
+        let Link::Open(end) = &mut self.link else { return };
+        end.say(&Asked { id: Some(json!(call)), request: Request::Offer(offer) }.text());
+        self.book.sent(call);
+    }
+
+    /// Ends a call that stands, or gives it up; without a connection it is forgotten here, and over there when the session
+    /// is taken up or its time is over.
+    pub fn hang_up(&mut self, call: u64) {
+        self.give_up(call);
+        self.book.over(call);
+        self.pump();
+    }
+
+    /// Gives up a call that has no answer; it gets `fails` at once.
+    pub fn cancel(&mut self, call: u64) {
+        self.say(Asking::GiveUp, Request::Cancel(Cancel { call }));
+        self.pump();
+    }
+
+    fn give_up(&mut self, call: u64) {
+        self.say(Asking::GiveUp, Request::Hangup(Hangup { call }));
+    }
+
+    /// Asks for news of calls from now on, through cuts too.
+    pub fn watch(&mut self) {
+        self.watches = true;
+        if self.is_open() {
+            self.say(Asking::Subscribe, Request::Subscribe(Subscribe { cursor: self.cursor }));
+            self.pump();
+        }
+    }
+
+    /// Any other request; its reply comes as an event under the number returned.
+    pub fn ask(&mut self, request: Request) -> Result<u64, AskError> {
+        if !self.is_open() {
+            return Err(AskError::NotOpen);
+        }
+        if self.asked.len() >= MOST_ASKED {
+            return Err(AskError::TooMany(MOST_ASKED));
+        }
+        let ask = self.say(Asking::Other, request);
+        self.pump();
+        Ok(ask)
+    }
+
+    fn say(&mut self, asking: Asking, request: Request) -> u64 {
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        let (Link::Greeting(end) | Link::Open(end)) = &mut self.link else { return ask };
+        // Beyond that the reply is not looked for.
+        if self.asked.len() < MOST_ASKED {
+            self.asked.insert(ask, asking);
+        }
+        end.say(&Asked { id: Some(json!(format!("a{ask}"))), request }.text());
+        ask
+    }
+
+    /// Ends the session for good: the server hangs up what it has in hand once the connection is gone.
+    pub fn close(&mut self) {
+        if let Link::Greeting(end) | Link::Open(end) = &mut self.link {
+            end.close(close::NORMAL, "done");
+        }
+        self.pump();
+        self.vigil.gone(());
+        self.link = Link::Closed;
+    }
+
+    fn pump(&mut self) {
+        if let Link::Greeting(end) | Link::Open(end) = &mut self.link {
+            self.out.append(end.out());
+        }
+    }
+}
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,7 +7,7 @@
 
 use mintstall::host::{CallTypeData, OfficeData, OfficeNo, Repeats};
 use mintstall_isup::Cic;
-use mintstall_limits::{Limits, TokenFile, Tokens};
+use mintstall_limits::{Limits, Patience, TokenFile, Tokens};
 use mintstall_office::{GroupPlan, NumberPlan, OfficePlan, Timers};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
     pub signalling: Signalling,
     #[serde(default)]
     pub subscribers: Subscribers,
+    #[serde(default)]
+    pub calls: Calls,
     /// Where the directory is; without one the roster is all exchanges of `signalling.links`, ready.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub directory: Option<Directory>,
@@ -84,6 +86,56 @@
     pub listen: Option<SocketAddr>,
 }
 
+/// Where clients ask for calls over WebSocket; the reference is `docs/call-control.md`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Calls {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    /// Origins of browser pages that may connect (`https://host`); none: no page may. Clients that are no pages name none.
+    pub origins: BTreeSet<String>,
+    /// How long the opening handshake may take, and how many connections may be at it at a time.
+    pub opening_ms: u64,
+    pub most_opening: usize,
+    /// A connection that was silent for so long is pinged, and dropped when nothing comes back for so long.
+    pub quiet_ms: u64,
+    pub answer_ms: u64,
+    /// How long the closing handshake may take.
+    pub closing_ms: u64,
+    /// Octets that may wait to be read by one client, before it is closed as too slow.
+    pub most_unread: usize,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        let patience = Patience::default();
+        let ms = |span: Duration| span.as_millis() as u64;
+        Self {
+            listen: None,
+            origins: BTreeSet::new(),
+            opening_ms: ms(patience.opening),
+            most_opening: patience.most_opening,
+            quiet_ms: ms(patience.quiet),
+            answer_ms: ms(patience.answer),
+            closing_ms: ms(patience.closing),
+            most_unread: 256 << 10,
+        }
+    }
+}
+
+impl Calls {
+    pub fn patience(&self) -> Patience {
+        let ms = Duration::from_millis;
+        Patience {
+            opening: ms(self.opening_ms),
+            most_opening: self.most_opening,
+            quiet: ms(self.quiet_ms),
+            answer: ms(self.answer_ms),
+            closing: ms(self.closing_ms),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Directory {
@@ -144,6 +196,9 @@
     /// Offers of one line a second, and at once.
     pub offers_per_s: f64,
     pub offers_at_once: f64,
+    /// Requests of one line a second of any kind, and at once.
+    pub requests_per_s: f64,
+    pub requests_at_once: f64,
     /// Offers that wait for their final answer at a time; what comes beyond takes turns by customers' shares.
     pub unanswered: usize,
     /// Offers that may wait for their turn, and for which share of their callers' time.
@@ -171,6 +226,8 @@
             calls_a_customer: limits.calls_a_customer,
             offers_per_s: limits.offers_per_s,
             offers_at_once: limits.offers_at_once,
+            requests_per_s: limits.requests_per_s,
+            requests_at_once: limits.requests_at_once,
             unanswered: limits.unanswered,
             waiting: limits.waiting,
             wait_share: limits.wait_share,
@@ -194,6 +251,8 @@
             calls_a_customer: self.calls_a_customer,
             offers_per_s: self.offers_per_s,
             offers_at_once: self.offers_at_once,
+            requests_per_s: self.requests_per_s,
+            requests_at_once: self.requests_at_once,
             unanswered: self.unanswered,
             waiting: self.waiting,
             wait_share: self.wait_share,
@@ -432,6 +491,8 @@
             ("opens_at_once", l.opens_at_once),
             ("offers_per_s", l.offers_per_s),
             ("offers_at_once", l.offers_at_once),
+            ("requests_per_s", l.requests_per_s),
+            ("requests_at_once", l.requests_at_once),
         ];
         for (name, rate) in rates {
             say(
@@ -450,6 +511,24 @@
             "limits.wait_share",
             format!("{} is no share", l.wait_share),
         );
+        let c = &self.calls;
+        let spans = [
+            ("opening_ms", c.opening_ms),
+            ("quiet_ms", c.quiet_ms),
+            ("answer_ms", c.answer_ms),
+            ("closing_ms", c.closing_ms),
+        ];
+        for (name, ms) in spans {
+            let wrong = !(1..=86_400_000).contains(&ms);
+            say(wrong, &format!("calls.{name}"), format!("{ms} is not within 1 to 86400000"));
+        }
+        say(c.most_opening == 0, "calls.most_opening", "is 0".into());
+        let least = 64 << 10;
+        say(c.most_unread < least, "calls.most_unread", format!("{} is less than {least}", c.most_unread));
+        for origin in &c.origins {
+            let wrong = !origin.contains("://") || origin.ends_with('/');
+            say(wrong, "calls.origins", format!("{origin:?} is no origin, such as \"https://host:port\""));
+        }
         say(self.traces > 1_000_000, "traces", format!("{} are more than 1000000", self.traces));
         say(self.most_calls == 0, "most_calls", "is 0".into());
         let t = &self.timers;
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,7 +7,8 @@
     CallId, CallType, CustomerNo, Dialled, ExchangeId, OfficeNo, RosterLine, Standing as HostStanding, Zone,
 };
 use mintstall_callapi::{
-    Answered, Asked, CallEvent, EndedNote, Fault, Final, Happened, Hello, How, LineCutter, Offer, Request,
+    Answered, Asked, CallEvent, CallState, CallTrace, Done, EndedNote, Fault, Final, Happened, Hello, How,
+    LineCutter, MissedNote, NewsNote, Offer, Request, SessionLimits, State, Subscribed, TraceGet, Traced,
     Welcome, code, ended_text, fault_text, notice_text, result_text,
 };
 use mintstall_isup::Report;
@@ -22,6 +23,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
+use thiserror::Error;
 use tracing::{Span, debug, debug_span};
 
 use crate::config::Config;
@@ -45,7 +47,7 @@
 }
 
 /// Octets of the longest text that a line may carry: an offer has some 200.
-const LONGEST_TEXT: usize = 16 << 10;
+pub const LONGEST_TEXT: usize = 16 << 10;
 /// And of the directory: 2,048 entries of some 100 octets.
 const LONGEST_NEWS: usize = 1 << 20;
 
@@ -89,6 +91,26 @@
     span: Span,
 }
 
+/// Why a connection is not taken as a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NotOpen {
+    #[error("too many lines open at once, come back in {} ms", .0.as_millis() + 1)]
+    Later(Duration),
+    #[error("{0} lines are open")]
+    Full(usize),
+}
+
+impl NotOpen {
+    /// What is said to it before it is closed.
+    pub fn text(&self) -> String {
+        let mut fault = Fault::new(code::TOO_MANY, self.to_string());
+        if let Self::Later(wait) = self {
+            fault.come_back_ms = Some(wait.as_millis() as u64 + 1);
+        }
+        fault_text(&Value::Null, &fault)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
     Unanswered,
@@ -105,13 +127,18 @@
     /// Draws the keys of sessions.
     keys: StdRng,
     resume_texts: usize,
+    repeat_ms: u64,
     /// Offers whose turn has come. Emptied before anything returns.
     ready: VecDeque<Pending>,
+    /// Cut sessions with more to hear than is kept. Emptied likewise.
+    overflown: Vec<LineNo>,
     /// What a session that is taken up is told after its welcome. Emptied with it.
     owed_texts: Vec<String>,
     roster: Roster,
     feed: LineCutter,
     lines: BTreeMap<LineNo, Line>,
+    /// Which line each session has, or had when it was cut. Emptied with the lines.
+    sessions: BTreeMap<SessionNo, LineNo>,
     /// Who asked for each call. Emptied as calls end.
     askers: BTreeMap<CallId, Asker>,
 }
@@ -173,7 +200,10 @@
             repeats: Repeats::new(Duration::from_millis(config.limits.repeat_ms), config.limits.repeats),
             news: News::new(config.limits.news),
             resume_texts: config.limits.resume_texts,
+            repeat_ms: config.limits.repeat_ms,
             ready: VecDeque::new(),
+            overflown: Vec::new(),
+            sessions: BTreeMap::new(),
             owed_texts: Vec::new(),
             roster: Roster::new(Limits::default()),
             feed: LineCutter::new(LONGEST_NEWS),
@@ -237,11 +267,8 @@
             None => backlog.answer(text),
         };
         if let Err(overflow) = kept {
-            port.note(&format!(
-                "session {}: more was to be said than is kept, dropped: {overflow}",
-                held.session.0
-            ));
-            held.backlog = Some(Backlog::new(self.resume_texts));
+            port.note(&format!("session {} is over: {overflow}", held.session.0));
+            self.overflown.push(line);
         }
     }
 
@@ -302,9 +329,8 @@
 
     // Subscriber lines.
 
-    /// A connection for calls, if there is room for one more; else what is to be said before it is closed.
-    pub fn line_open(&mut self, now: Duration) -> Result<LineNo, String> {
-        let fault = |text: String| fault_text(&Value::Null, &Fault::new(code::TOO_MANY, text));
+    /// A connection for calls, if there is room for one more.
+    pub fn line_open(&mut self, now: Duration) -> Result<LineNo, NotOpen> {
         match self.admission.open(now) {
             Opening::Open(SessionNo(no)) => {
                 let line = Line {
@@ -315,12 +341,11 @@
                     calls: BTreeMap::new(),
                 };
                 self.lines.insert(LineNo(no), line);
+                self.sessions.insert(SessionNo(no), LineNo(no));
                 Ok(LineNo(no))
             }
-            Opening::Later(wait) => {
-                Err(fault(format!("too many lines open at once, come back in {} ms", wait.as_millis() + 1)))
-            }
-            Opening::Full => Err(fault(format!("{} lines are open", self.lines.len()))),
+            Opening::Later(wait) => Err(NotOpen::Later(wait)),
+            Opening::Full => Err(NotOpen::Full(self.lines.len())),
         }
     }
 
@@ -340,14 +365,16 @@
     }
 
     fn end_sessions(&mut self, now: Duration, port: &mut dyn Port, sessions: &[SessionNo]) {
-        let over =
-            self.lines.iter().filter(|(_, line)| line.backlog.is_some() && sessions.contains(&line.session));
-        let over: Vec<LineNo> = over.map(|(no, _)| *no).collect();
-        over.into_iter().for_each(|line| self.end_line(now, port, line));
+        for session in sessions {
+            if let Some(line) = self.sessions.get(session).copied() {
+                self.end_line(now, port, line);
+            }
+        }
     }
 
     fn end_line(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
         let Some(Line { calls, session, .. }) = self.lines.remove(&line) else { return };
+        self.sessions.remove(&session);
         self.resumable.forget(session);
         self.repeats.over(session);
         self.news.leave(session);
@@ -371,7 +398,7 @@
         port: &mut dyn Port,
         line: LineNo,
         key: &str,
-    ) -> Result<Vec<u64>, Fault> {
+    ) -> Result<Vec<CallState>, Fault> {
         let invalid = |text: &str| Fault::new(code::INVALID_PARAMS, text);
         let key = u128::from_str_radix(key, 16).map_err(|_| invalid("resume is no session's key"))?;
         let here = self.lines.get(&line).ok_or_else(|| invalid("the line is closed"))?;
@@ -380,13 +407,20 @@
         }
         let resumed = self.resumable.resume(now, SessionKey(key), here.token.as_deref());
         let session = resumed.map_err(|error| Fault::new(code::DENIED, error.to_string()))?;
-        let before = self.lines.iter().find(|(_, held)| held.session == session && held.backlog.is_some());
-        let before = before.map(|(no, _)| *no).and_then(|no| self.lines.remove(&no));
-        let before = before.ok_or_else(|| invalid("the session has nothing left"))?;
+        if here.session == session {
+            return Err(invalid("the session is this connection's own"));
+        }
+        let before = self.sessions.insert(session, line);
+        let before = before.and_then(|no| Some((no, self.lines.remove(&no)?)));
+        let (before_no, before) = before.ok_or_else(|| invalid("the session has nothing left"))?;
+        if before.backlog.is_none() {
+            // Open still, for all that is known here: its client knows better.
+            port.close_line(before_no, "its session was taken up on another connection");
+        }
         let here = self.lines.get_mut(&line).ok_or_else(|| invalid("the line is closed"))?;
         let fresh = std::mem::replace(&mut here.session, session);
         here.calls = before.calls;
-        let calls: Vec<u64> = here.calls.keys().copied().collect();
+        let calls = here.calls.clone();
         for held in here.calls.values() {
             if let Held::With(call) = held
                 && let Some(asker) = self.askers.get_mut(call)
@@ -399,7 +433,9 @@
                 pending.line = line;
             }
         });
+        self.sessions.remove(&fresh);
         self.admission.close(now, fresh, &mut |text| port.note(text));
+        let calls = calls.into_iter().map(|(call, held)| self.call_state(call, held)).collect();
         // Said after the welcome: the client must know whose they are.
         let mut backlog = before.backlog;
         while let Some(text) = backlog.as_mut().and_then(Backlog::pop) {
@@ -410,8 +446,14 @@
 
     /// Offers whose turn has come go to the decisions, and what that answers may bring others their turn.
     fn take_ready(&mut self, now: Duration, port: &mut dyn Port) {
-        while let Some(pending) = self.ready.pop_front() {
-            self.take(now, port, pending);
+        loop {
+            if let Some(line) = self.overflown.pop() {
+                self.end_line(now, port, line);
+            } else if let Some(pending) = self.ready.pop_front() {
+                self.take(now, port, pending);
+            } else {
+                break;
+            }
         }
         self.tell_watchers(port);
     }
@@ -456,15 +498,24 @@
             self.resumable.register(held.session, key, held.token.clone());
             session = Some(format!("{:032x}", key.0));
         }
+        let limits = self.admission.gate.limits();
         Ok(Welcome {
             server: "mintstall".into(),
             version: env!("CARGO_PKG_VERSION").into(),
             exchange: self.office.own().0,
             token: held.token.clone(),
-            calls_a_session: self.admission.gate.limits().calls_a_session,
+            limits: SessionLimits {
+                calls_a_session: limits.calls_a_session,
+                calls_a_customer: limits.calls_a_customer,
+                offers_per_s: limits.offers_per_s,
+                requests_per_s: limits.requests_per_s,
+                text_octets: LONGEST_TEXT,
+                kept_ms: self.resumable.span().as_millis() as u64,
+                repeat_ms: self.repeat_ms,
+            },
             session,
-            kept_ms: self.resumable.span().as_millis() as u64,
             calls,
+            owed: self.owed_texts.len(),
         })
     }
 
@@ -507,14 +558,15 @@
             return;
         }
         for session in self.news.behind() {
-            let line = self.lines.iter().find(|(_, line)| line.session == session && line.backlog.is_none());
-            let Some(line) = line.map(|(no, _)| *no).filter(|line| port.has_room(*line)) else { continue };
+            let there = |line: &LineNo| self.lines.get(line).is_some_and(|line| line.backlog.is_none());
+            let line = self.sessions.get(&session).copied().filter(there);
+            let Some(line) = line.filter(|line| port.has_room(*line)) else { continue };
             let told = self.news.tell(session, AT_ONCE);
             if told.missed > 0 {
-                port.say(line, &notice_text("call.news.missed", &json!({ "count": told.missed })));
+                port.say(line, &notice_text("call.news.missed", MissedNote { count: told.missed }));
             }
             for (number, event) in told.events {
-                port.say(line, &notice_text("call.news", &json!({ "number": number, "event": event })));
+                port.say(line, &notice_text("call.news", NewsNote { number, event }));
             }
         }
     }
@@ -563,23 +615,46 @@
         self.take_ready(now, port);
     }
 
+    /// One whole text of a line whose connection carries texts.
+    pub fn line_text(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, text: &[u8]) {
+        self.text(now, port, line, text);
+        self.take_ready(now, port);
+    }
+
     fn text(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, text: &[u8]) {
+        let Some(session) = self.lines.get(&line).map(|line| line.session) else { return };
+        let allowed = self.admission.gate.request(now, session);
         let Asked { id, request } = match Asked::read(text) {
             Ok(asked) => asked,
             Err((id, fault)) => return port.say(line, &fault_text(&id, &fault)),
         };
+        if let Err(refusal) = allowed {
+            let mut fault = Fault::new(code::TOO_FAST, refusal.to_string());
+            if let Refusal::TooFast { come_back } = refusal {
+                fault.come_back_ms = Some(come_back.as_millis() as u64 + 1);
+            }
+            return id.iter().for_each(|id| port.say(line, &fault_text(id, &fault)));
+        }
         let done = match request {
             Request::Hello(hello) => self.hello(now, port, line, &hello).map(|welcome| {
                 id.iter().for_each(|id| port.say(line, &result_text(id, &welcome)));
                 self.owed_texts.drain(..).for_each(|text| port.say(line, &text));
             }),
             Request::Subscribe(subscribe) => self.subscribe(line, subscribe.cursor).map(|cursor| {
-                id.iter().for_each(|id| port.say(line, &result_text(id, json!({ "cursor": cursor }))));
+                id.iter().for_each(|id| port.say(line, &result_text(id, Subscribed { cursor })));
             }),
             Request::Offer(offer) => self.offer(now, port, line, &id, &offer),
             Request::Hangup(hangup) => self.hang_up(now, port, line, hangup.call).map(|()| {
-                let result = json!({ "call": hangup.call });
-                id.iter().for_each(|id| port.say(line, &result_text(id, &result)));
+                id.iter().for_each(|id| port.say(line, &result_text(id, Done { call: hangup.call })));
+            }),
+            Request::Cancel(cancel) => self.cancel(now, port, line, cancel.call).map(|()| {
+                id.iter().for_each(|id| port.say(line, &result_text(id, Done { call: cancel.call })));
+            }),
+            Request::Get(get) => self.get(now, line, get.call).map(|state| {
+                id.iter().for_each(|id| port.say(line, &result_text(id, state)));
+            }),
+            Request::TraceGet(get) => self.trace_get(line, get).map(|traces| {
+                id.iter().for_each(|id| port.say(line, &result_text(id, Traced { traces: traces.clone() })));
             }),
         };
         if let (Err(fault), Some(id)) = (done, id) {
@@ -646,6 +721,54 @@
         Ok(())
     }
 
+    /// Gives up a call that has no answer yet.
+    fn cancel(&mut self, now: Duration, port: &mut dyn Port, line: LineNo, call: u64) -> Result<(), Fault> {
+        let held = self.lines.get(&line).and_then(|line| line.calls.get(&call)).copied();
+        if let Some(Held::With(id)) = held
+            && self.askers.get(&id).is_some_and(|asker| asker.progress == Progress::Stands)
+        {
+            return Err(Fault::new(code::STANDS, format!("call {call} stands: hang it up")));
+        }
+        self.hang_up(now, port, line, call)
+    }
+
+    fn call_state(&self, call: u64, held: Held) -> CallState {
+        match held {
+            Held::Waiting => CallState { call, exchange_call: 0, state: State::Waits },
+            Held::With(id) => {
+                let stands = self.askers.get(&id).is_some_and(|asker| asker.progress == Progress::Stands);
+                let state = if stands { State::Stands } else { State::Offered };
+                CallState { call, exchange_call: id.0, state }
+            }
+        }
+    }
+
+    fn get(&mut self, now: Duration, line: LineNo, call: u64) -> Result<CallState, Fault> {
+        let unknown = || Fault::new(code::UNKNOWN_CALL, format!("no call {call} is known"));
+        let held = self.lines.get(&line).ok_or_else(unknown)?;
+        if let Some(held) = held.calls.get(&call) {
+            return Ok(self.call_state(call, *held));
+        }
+        let Answered { exchange_call, answer, .. } =
+            self.repeats.get(now, held.session, call).ok_or_else(unknown)?;
+        Ok(CallState { call, exchange_call, state: State::Over { answer } })
+    }
+
+    /// Whoever may watch sees the traces of the customers that its token sees.
+    fn trace_get(&self, line: LineNo, get: TraceGet) -> Result<Vec<CallTrace>, Fault> {
+        let held = self.lines.get(&line).ok_or(Fault::new(code::UNKNOWN_CALL, "the line is closed"))?;
+        let allowed = self.tokens.check(held.token.as_deref(), Scope::Watch, None);
+        allowed.map_err(|denied| Fault::new(code::DENIED, denied.to_string()))?;
+        let sees = self.tokens.named(held.token.as_deref()).map_or(Sees::All, Grant::sees);
+        let mut traces = self.traces(get.origin, get.exchange_call);
+        traces.retain(|trace| sees.includes(CustomerNo(trace.customer)));
+        if traces.is_empty() {
+            let why = format!("call {} is not among the last calls", get.exchange_call);
+            return Err(Fault::new(code::UNKNOWN_CALL, why));
+        }
+        Ok(traces)
+    }
+
     // Directory.
 
     /// The directory is there: it is asked for all that is new.
@@ -742,7 +865,7 @@
     // What is shown.
 
     /// What became here of a call that an exchange took; of one taken here, where none is named.
-    pub fn traces(&self, origin: Option<u16>, call: u64) -> Vec<Value> {
+    pub fn traces(&self, origin: Option<u16>, call: u64) -> Vec<CallTrace> {
         match origin.filter(|origin| *origin != self.office.own().0) {
             Some(origin) => self.office.traces_of(OfficeNo(origin), call).map(trace_json).collect(),
             None => self.office.trace(CallId(call)).into_iter().map(trace_json).collect(),
@@ -788,20 +911,25 @@
     }
 }
 
-/// A trace as JSON: times in milliseconds since its first step.
-fn trace_json(trace: &Trace) -> Value {
+/// A trace as it is told: times in milliseconds since its first step.
+fn trace_json(trace: &Trace) -> CallTrace {
     let first = trace.steps.first().map_or(Duration::ZERO, |(at, _)| *at);
     let steps = trace.steps.iter().map(|(at, step)| {
         let mut json = step_json(step);
         json["at_ms"] = json!(at.saturating_sub(first).as_micros() as f64 / 1e3);
         json
     });
-    json!({
-        "call": trace.call.0, "origin": trace.identity.origin, "origin_call": trace.identity.call,
-        "type": trace.identity.call_type, "customer": trace.identity.customer,
-        "dest": trace.dest.0, "number": trace.dialled, "left_out": trace.left_out,
-        "steps": steps.collect::<Vec<_>>(),
-    })
+    CallTrace {
+        call: trace.call.0,
+        origin: trace.identity.origin,
+        origin_call: trace.identity.call,
+        call_type: trace.identity.call_type,
+        customer: trace.identity.customer,
+        dest: trace.dest.0,
+        number: trace.dialled,
+        left_out: trace.left_out,
+        steps: steps.collect(),
+    }
 }
 
 fn step_json(step: &Step) -> Value {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub use config::{Config, ConfigError};
 pub use exchange::{Exchange, roster_lines};
-pub use shell::{Shell, ShellError};
+pub use shell::{Addresses, Shell, ShellError};
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -1,6 +1,6 @@
 //! The mio loop: sockets, timers and signals around an [`Exchange`]. It decides nothing about calls.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -9,9 +9,12 @@
 use mintstall::host::OfficeNo;
 use mintstall_callapi::{Fault, LineCutter, code, fault_text, result_text};
 use mintstall_isup::{Deframer, Frame};
+use mintstall_limits::{Due, Patience, Vigil};
+use mintstall_websocket::{Door, End, Event, Knock, NotLetIn, close};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use rand::Rng;
+use serde::Serialize;
 use serde_json::{Value, json};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -19,7 +22,7 @@
 use tracing::{debug, info, warn};
 
 use crate::config::{Config, ConfigError, read_tokens};
-use crate::exchange::{Exchange, LineNo, Port};
+use crate::exchange::{Exchange, LONGEST_TEXT, LineNo, NotOpen, Port};
 use crate::wires::Outbox;
 
 #[derive(Debug, Error)]
@@ -42,6 +45,8 @@
 const MOST_STRANGERS: usize = 64;
 const STRANGER_FOR: Duration = Duration::from_secs(5);
 const MOST_ADMINS: usize = 64;
+/// Connections accepted before others are served again: an accept storm must not keep those that are open waiting.
+const ACCEPT_AT_ONCE: usize = 64;
 /// A reconnect waits a draw from half of this, doubled with each failure up to the last.
 const REDIAL_FIRST: Duration = Duration::from_millis(100);
 const REDIAL_LAST: Duration = Duration::from_secs(5);
@@ -51,6 +56,7 @@
 const LINKS_IN: Token = Token(1);
 const LINES_IN: Token = Token(2);
 const ADMINS_IN: Token = Token(3);
+const CALLS_IN: Token = Token(4);
 const FIRST_CONNECTION: usize = 16;
 
 /// What a connection is for.
@@ -62,9 +68,17 @@
     Stranger {
         deframer: Deframer,
         octets: Vec<u8>,
-        since: Instant,
     },
     Line(LineNo),
+    /// Came in for calls, its handshake not whole yet.
+    Knocking(Door),
+    /// A line over WebSocket.
+    Calls {
+        line: LineNo,
+        end: Box<End>,
+    },
+    /// Told why it is closed; it goes once that is written.
+    Leaving,
     Directory,
     Admin(LineCutter),
 }
@@ -81,6 +95,8 @@
     out: Outbox,
     /// Whether it is registered for writing too.
     writing: Writing,
+    /// It goes once what waits is written.
+    leaving: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -103,6 +119,12 @@
     links: BTreeMap<OfficeNo, Token>,
     lines: BTreeMap<LineNo, Token>,
     directory: Option<Token>,
+    /// Who has not said which exchange it is; clients over WebSocket.
+    strangers: Vigil<Token>,
+    clients: Vigil<Token>,
+    admins: usize,
+    most_unread: usize,
+    started: Instant,
     /// Connections with something to write, and those to be closed, with the reason.
     dirty: Vec<Token>,
     closing: VecDeque<(Token, String)>,
@@ -110,6 +132,10 @@
 }
 
 impl Wires {
+    fn now(&self) -> Duration {
+        CLOCK_START + self.started.elapsed()
+    }
+
     fn push(&mut self, token: Option<Token>, parts: &[&[u8]]) {
         let Some((token, connection)) =
             token.and_then(|token| Some((token, self.connections.get_mut(&token)?)))
@@ -124,6 +150,39 @@
         self.closing.extend(token.map(|token| (token, why.to_string())));
     }
 
+    /// What a WebSocket end has to write is written, and the connection goes once it has ended.
+    fn pump(&mut self, token: Token) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let Purpose::Calls { end, .. } = &mut connection.purpose else { return };
+        let out = std::mem::take(end.out());
+        match end.ended().is_some() || end.closing() && !connection.out.is_last() {
+            true => connection.out.push_last(&out),
+            false => connection.out.push(&out),
+        }
+        if connection.out.overrun() {
+            end.close(close::POLICY, "reads too slowly");
+            connection.out.push_last(end.out());
+            end.out().clear();
+        }
+        if end.closing() {
+            self.clients.closing(now, token);
+        }
+        if end.ended().is_some() {
+            self.leave(token);
+        }
+        self.dirty.push(token);
+    }
+
+    /// The connection goes once what waits is written; nothing is read any more.
+    fn leave(&mut self, token: Token) {
+        let now = self.now();
+        self.clients.closing(now, token);
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        connection.leaving = true;
+        self.dirty.push(token);
+    }
+
     fn add(&mut self, mut stream: TcpStream, purpose: Purpose) -> io::Result<Token> {
         let token = Token(self.next);
         self.next += 1;
@@ -133,7 +192,12 @@
         let interest = if dialling { Interest::WRITABLE } else { Interest::READABLE };
         self.poll.registry().register(&mut stream, token, interest)?;
         let writing = Writing::Idle;
-        self.connections.insert(token, Connection { stream, purpose, out: Outbox::default(), writing });
+        let out = match purpose {
+            Purpose::Knocking(_) => Outbox::new(self.most_unread),
+            _ => Outbox::default(),
+        };
+        self.admins += usize::from(matches!(purpose, Purpose::Admin(_)));
+        self.connections.insert(token, Connection { stream, purpose, out, writing, leaving: false });
         Ok(token)
     }
 
@@ -147,6 +211,7 @@
             return self.close(Some(token), "reads too slowly");
         }
         let writing = match connection.out.write_to(&mut connection.stream) {
+            Ok(true) if connection.leaving => return self.close(Some(token), "told to go"),
             Ok(true) => Writing::Idle,
             Ok(false) => Writing::Waits,
             Err(error) => return self.close(Some(token), &error.to_string()),
@@ -172,10 +237,6 @@
             self.dirty = dirty;
         }
     }
-
-    fn count(&self, which: fn(&Purpose) -> bool) -> usize {
-        self.connections.values().filter(|connection| which(&connection.purpose)).count()
-    }
 }
 
 impl Port for Wires {
@@ -186,10 +247,24 @@
         self.close(self.links.get(&to).copied(), why);
     }
     fn say(&mut self, line: LineNo, text: &str) {
-        self.push(self.lines.get(&line).copied(), &[text.as_bytes(), b"\n"]);
+        let Some(token) = self.lines.get(&line).copied() else { return };
+        match self.connections.get_mut(&token).map(|connection| &mut connection.purpose) {
+            Some(Purpose::Calls { end, .. }) => {
+                end.say(text);
+                self.pump(token);
+            }
+            _ => self.push(Some(token), &[text.as_bytes(), b"\n"]),
+        }
     }
     fn close_line(&mut self, line: LineNo, why: &str) {
-        self.close(self.lines.get(&line).copied(), why);
+        let Some(token) = self.lines.get(&line).copied() else { return };
+        match self.connections.get_mut(&token).map(|connection| &mut connection.purpose) {
+            Some(Purpose::Calls { end, .. }) => {
+                end.close(close::POLICY, why);
+                self.pump(token);
+            }
+            _ => self.close(Some(token), why),
+        }
     }
     fn has_room(&self, line: LineNo) -> bool {
         const ROOM: usize = 64 << 10;
@@ -204,6 +279,15 @@
     }
 }
 
+/// Where a controller is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    pub signalling: Option<SocketAddr>,
+    pub subscribers: Option<SocketAddr>,
+    pub calls: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
+}
+
 /// A controller with its sockets.
 pub struct Shell {
     exchange: Exchange,
@@ -212,10 +296,14 @@
     links_in: Option<TcpListener>,
     lines_in: Option<TcpListener>,
     admins_in: Option<TcpListener>,
+    calls_in: Option<TcpListener>,
+    /// Pages that may ask for calls.
+    origins: BTreeSet<String>,
+    /// Listeners with more to accept than was accepted in one turn.
+    accepting: BTreeSet<Token>,
     redials: BTreeMap<Dialled, Redial>,
     keep: Option<PathBuf>,
     tokens: Option<PathBuf>,
-    started: Instant,
     stopping: Option<Instant>,
     /// Read buffer, kept for its room.
     buffer: Vec<u8>,
@@ -248,6 +336,9 @@
         let lines_in = listener(&poll, "subscribers.listen", config.subscribers.listen, LINES_IN)?;
         let admins_in =
             listener(&poll, "admin.listen", config.admin.as_ref().map(|admin| admin.listen), ADMINS_IN)?;
+        let calls_in = listener(&poll, "calls.listen", config.calls.listen, CALLS_IN)?;
+        let strangers =
+            Patience { opening: STRANGER_FOR, most_opening: MOST_STRANGERS, ..Patience::default() };
         let now = Instant::now();
         let redial = |to| Redial { to, failures: 0, due: Some(now) };
         let links = config.signalling.links.iter();
@@ -265,6 +356,11 @@
                 links: BTreeMap::new(),
                 lines: BTreeMap::new(),
                 directory: None,
+                strangers: Vigil::new(strangers),
+                clients: Vigil::new(config.calls.patience()),
+                admins: 0,
+                most_unread: config.calls.most_unread,
+                started: now,
                 dirty: Vec::new(),
                 closing: VecDeque::new(),
                 next: FIRST_CONNECTION,
@@ -273,10 +369,12 @@
             links_in,
             lines_in,
             admins_in,
+            calls_in,
+            origins: config.calls.origins.clone(),
+            accepting: BTreeSet::new(),
             redials: links.chain(directory).collect(),
             keep: config.directory.as_ref().and_then(|directory| directory.keep.clone()),
             tokens: config.tokens.clone(),
-            started: now,
             stopping: None,
             buffer: vec![0; 64 << 10],
         };
@@ -288,13 +386,15 @@
     }
 
     /// Where the subscriber lines and the admin port ended up, where they were left to the machine.
-    pub fn addresses(&self) -> [Option<SocketAddr>; 3] {
-        [&self.links_in, &self.lines_in, &self.admins_in]
-            .map(|listener| listener.as_ref().and_then(|listener| listener.local_addr().ok()))
+    pub fn addresses(&self) -> Addresses {
+        let [signalling, subscribers, calls, admin] =
+            [&self.links_in, &self.lines_in, &self.calls_in, &self.admins_in]
+                .map(|listener| listener.as_ref().and_then(|listener| listener.local_addr().ok()));
+        Addresses { signalling, subscribers, calls, admin }
     }
 
     fn now(&self) -> Duration {
-        CLOCK_START + self.started.elapsed()
+        self.wires.now()
     }
 
     /// The roster of the last time, or all that the configuration links to where no directory speaks.
@@ -336,14 +436,16 @@
             for event in &events {
                 match event.token() {
                     SIGNALS => self.signalled(),
-                    LINKS_IN | LINES_IN | ADMINS_IN => self.accept(event.token()),
+                    on @ (LINKS_IN | LINES_IN | ADMINS_IN | CALLS_IN) => _ = self.accepting.insert(on),
                     token => self.ready(token, event.is_readable(), event.is_writable()),
                 }
             }
+            let accepting = std::mem::take(&mut self.accepting);
+            accepting.into_iter().for_each(|on| self.accept(on));
             let now = self.now();
             self.exchange.ring(now, &mut self.wires);
             self.redial();
-            self.drop_strangers();
+            self.look_after_clients(now);
             self.settle();
             if self.stopped() {
                 return Ok(());
@@ -356,9 +458,11 @@
         let alarm = self.exchange.next_alarm().map(|at| at.saturating_sub(now));
         let dial = self.redials.values().filter_map(|redial| redial.due).min();
         let dial = dial.map(|due| due.saturating_duration_since(Instant::now()));
-        let strangers = self.wires.count(|purpose| matches!(purpose, Purpose::Stranger { .. })) > 0;
+        let vigils = [self.wires.strangers.next_alarm(), self.wires.clients.next_alarm()];
+        let vigil = vigils.into_iter().flatten().min().map(|at| at.saturating_sub(now));
         let stopping = self.stopping.map(|_| Duration::from_millis(20));
-        let all = [alarm, dial, strangers.then_some(STRANGER_FOR), stopping];
+        let accepting = (!self.accepting.is_empty()).then_some(Duration::ZERO);
+        let all = [alarm, dial, vigil, stopping, accepting];
         // Rounded up: the machine's clock wakes a shade early otherwise, and finds nothing due.
         all.into_iter().flatten().min().map(|wait| wait + Duration::from_micros(50))
     }
@@ -381,7 +485,7 @@
             info!("stopping: no new calls, {} in hand", self.exchange.office.state().calls);
             self.exchange.stop(&mut self.wires);
             self.stopping = Some(Instant::now());
-            (self.links_in, self.lines_in) = (None, None);
+            (self.links_in, self.lines_in, self.calls_in) = (None, None, None);
         }
     }
 
@@ -405,6 +509,15 @@
         }
         let now = self.now();
         self.exchange.release_all(now, &mut self.wires);
+        let clients: Vec<Token> = self.wires.lines.values().copied().collect();
+        for token in clients {
+            if let Some(Purpose::Calls { end, .. }) =
+                self.wires.connections.get_mut(&token).map(|connection| &mut connection.purpose)
+            {
+                end.close(close::GOING_AWAY, "the controller stops");
+                self.wires.pump(token);
+            }
+        }
         let until = Instant::now() + FLUSH_WITHIN;
         let mut events = Events::with_capacity(64);
         while Instant::now() < until {
@@ -421,49 +534,81 @@
     }
 
     fn accept(&mut self, on: Token) {
-        loop {
+        for _ in 0..ACCEPT_AT_ONCE {
             let listener = match on {
                 LINKS_IN => &self.links_in,
                 LINES_IN => &self.lines_in,
+                CALLS_IN => &self.calls_in,
                 _ => &self.admins_in,
             };
             let Some(Ok((stream, from))) = listener.as_ref().map(TcpListener::accept) else { return };
-            let (most, count) = match on {
-                LINKS_IN => (MOST_STRANGERS, self.wires.count(|of| matches!(of, Purpose::Stranger { .. }))),
-                LINES_IN => (usize::MAX, 0),
-                _ => (MOST_ADMINS, self.wires.count(|of| matches!(of, Purpose::Admin(_)))),
-            };
-            if count >= most {
-                warn!(%from, "connection turned away: {most} there already");
-                continue;
-            }
             let purpose = match on {
-                LINKS_IN => Purpose::Stranger {
-                    deframer: Deframer::default(),
-                    octets: Vec::new(),
-                    since: Instant::now(),
-                },
+                LINKS_IN => Purpose::Stranger { deframer: Deframer::default(), octets: Vec::new() },
+                CALLS_IN => Purpose::Knocking(Door::default()),
                 LINES_IN => match self.exchange.line_open(self.now()) {
                     Ok(line) => Purpose::Line(line),
-                    Err(text) => {
-                        debug!(%from, "line turned away: {text}");
+                    Err(why) => {
+                        debug!(%from, "line turned away: {why}");
                         // Best effort: whoever does not read it sees the close.
-                        let _ = (&stream).write_all(format!("{text}\n").as_bytes());
+                        let _ = (&stream).write_all(format!("{}\n", why.text()).as_bytes());
                         continue;
                     }
                 },
+                _ if self.wires.admins >= MOST_ADMINS => {
+                    warn!(%from, "connection turned away: {MOST_ADMINS} there already");
+                    continue;
+                }
                 _ => Purpose::Admin(LineCutter::new(LONGEST_ADMIN_TEXT)),
             };
-            match self.wires.add(stream, purpose) {
-                Ok(token) => {
-                    if let Some(Purpose::Line(line)) =
-                        self.wires.connections.get(&token).map(|of| &of.purpose)
+            let line = match purpose {
+                Purpose::Line(line) => Some(line),
+                _ => None,
+            };
+            let token = match self.wires.add(stream, purpose) {
+                Ok(token) => token,
+                Err(error) => {
+                    warn!(%from, "connection can't be watched: {error}");
+                    continue;
+                }
+            };
+            if let Some(line) = line {
+                self.wires.lines.insert(line, token);
+                debug!(%from, line = line.0, "line open");
+            }
+            let now = self.now();
+            let came = match on {
+                LINKS_IN => self.wires.strangers.came(now, token),
+                CALLS_IN => self.wires.clients.came(now, token),
+                _ => Ok(()),
+            };
+            if let Err(why) = came {
+                debug!(%from, "connection turned away: {why}");
+                if on == CALLS_IN {
+                    let busy = NotLetIn { retry_after_s: Some(1), ..NotLetIn::new(503, why.to_string()) };
+                    self.wires.push(Some(token), &[&busy.octets()]);
+                    self.wires.flush(token);
+                }
+                self.wires.close(Some(token), &why.to_string());
+            }
+        }
+        self.accepting.insert(on);
+    }
+
+    /// Connections that never say who they are, clients that fall silent or do not close.
+    fn look_after_clients(&mut self, now: Duration) {
+        let mut due = self.wires.strangers.ring(now);
+        due.extend(self.wires.clients.ring(now));
+        for due in due {
+            match due {
+                Due::Drop(token, lapse) => self.wires.close(Some(token), &lapse.to_string()),
+                Due::AskForLife(token) => {
+                    if let Some(Purpose::Calls { end, .. }) =
+                        self.wires.connections.get_mut(&token).map(|connection| &mut connection.purpose)
                     {
-                        self.wires.lines.insert(*line, token);
-                        debug!(%from, line = line.0, "line open");
+                        end.ping();
+                        self.wires.pump(token);
                     }
                 }
-                Err(error) => warn!(%from, "connection can't be watched: {error}"),
             }
         }
     }
@@ -492,13 +637,6 @@
         }
     }
 
-    fn drop_strangers(&mut self) {
-        let old = |purpose: &Purpose| matches!(purpose, Purpose::Stranger { since, .. } if since.elapsed() > STRANGER_FOR);
-        let late = self.wires.connections.iter().filter(|(_, connection)| old(&connection.purpose));
-        let late: Vec<Token> = late.map(|(token, _)| *token).collect();
-        late.into_iter().for_each(|token| self.wires.close(Some(token), "has not said which exchange it is"));
-    }
-
     fn ready(&mut self, token: Token, readable: bool, writable: bool) {
         let Some(connection) = self.wires.connections.get_mut(&token) else { return };
         if let Purpose::Dialling(dialled) = connection.purpose {
@@ -602,7 +740,32 @@
                 Ok(false) => {}
                 Err(why) => self.wires.close(Some(token), &why),
             },
-            Purpose::Stranger { deframer, octets: held, .. } => {
+            Purpose::Knocking(door) => match door.push(octets, &self.origins) {
+                Knock::More => {}
+                Knock::Turned(why) => self.turn_away(token, &why),
+                Knock::Wants(wish) => match self.exchange.line_open(now) {
+                    Ok(line) => {
+                        debug!(line = line.0, "line open");
+                        connection.purpose =
+                            Purpose::Calls { line, end: Box::new(wish.let_in(LONGEST_TEXT)) };
+                        self.wires.lines.insert(line, token);
+                        self.wires.clients.opened(now, token);
+                        self.client_octets(now, token, &[]);
+                    }
+                    Err(why) => {
+                        let wait = match why {
+                            NotOpen::Later(wait) => wait.as_secs() + 1,
+                            NotOpen::Full(_) => 2,
+                        };
+                        let busy =
+                            NotLetIn { retry_after_s: Some(wait), ..NotLetIn::new(503, why.to_string()) };
+                        self.turn_away(token, &busy);
+                    }
+                },
+            },
+            Purpose::Calls { .. } => self.client_octets(now, token, octets),
+            Purpose::Leaving => {}
+            Purpose::Stranger { deframer, octets: held } => {
                 held.extend_from_slice(octets);
                 deframer.push(octets);
                 let asp = match deframer.next().map(|frame| frame.map(Frame::read)) {
@@ -619,6 +782,7 @@
                         .close(Some(token), "does not say which exchange it is, or none with a link here");
                 };
                 connection.purpose = Purpose::Link(from);
+                self.wires.strangers.gone(token);
                 self.link_open(token, from);
                 self.exchange.link_octets(now, &mut self.wires, from, &held);
             }
@@ -627,7 +791,7 @@
                 let mut replies = Vec::new();
                 let fault = loop {
                     match cutter.next() {
-                        Ok(Some(text)) => replies.push(admin_reply(&self.exchange, text, self.started)),
+                        Ok(Some(text)) => replies.push(admin_reply(&self.exchange, text, self.wires.started)),
                         Ok(None) => break None,
                         Err(error) => break Some(error.to_string()),
                     }
@@ -641,6 +805,33 @@
         }
     }
 
+    /// Octets of a client over WebSocket.
+    fn client_octets(&mut self, now: Duration, token: Token, octets: &[u8]) {
+        self.wires.clients.heard(now, token);
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+        let Purpose::Calls { line, end } = &mut connection.purpose else { return };
+        let line = *line;
+        // At most what was read in one go: what is asked is acted on once this connection is not held any more.
+        let mut texts = Vec::new();
+        end.octets(octets, &mut |event| match event {
+            Event::Text(text) => texts.push(text),
+            Event::Alive => {}
+        });
+        for text in texts {
+            self.exchange.line_text(now, &mut self.wires, line, text.as_bytes());
+        }
+        self.wires.pump(token);
+    }
+
+    fn turn_away(&mut self, token: Token, why: &NotLetIn) {
+        debug!(status = why.status, "client turned away: {}", why.why);
+        if let Some(connection) = self.wires.connections.get_mut(&token) {
+            connection.purpose = Purpose::Leaving;
+            connection.out.push_last(&why.octets());
+            self.wires.leave(token);
+        }
+    }
+
     /// Written beside and moved into place, so that a half-written file never takes the place of a good one.
     fn keep_roster(&mut self, now: Duration) {
         let (Some(path), Some(text)) = (&self.keep, self.exchange.keep(now, wall_ms())) else { return };
@@ -655,6 +846,8 @@
         let Some(mut connection) = self.wires.connections.remove(&token) else { return };
         let _ = self.wires.poll.registry().deregister(&mut connection.stream);
         let now = self.now();
+        self.wires.strangers.gone(token);
+        self.wires.clients.gone(token);
         match connection.purpose {
             Purpose::Dialling(dialled) => self.redial_later(dialled),
             Purpose::Link(to) => {
@@ -666,6 +859,14 @@
                     self.redial_later(Dialled::Link(to));
                 }
             }
+            Purpose::Calls { line, end } => {
+                self.wires.lines.remove(&line);
+                let why = end.ended().map_or(why, |ended| ended.reason.as_str());
+                debug!(line = line.0, code = end.ended().map(|ended| ended.code), "line closed: {why}");
+                self.exchange.line_closed(now, &mut self.wires, line);
+            }
+            Purpose::Knocking(_) => debug!("client closed in its handshake: {why}"),
+            Purpose::Leaving => {}
             Purpose::Line(line) => {
                 self.wires.lines.remove(&line);
                 debug!(line = line.0, "line closed: {why}");
@@ -677,7 +878,7 @@
                 self.redial_later(Dialled::Directory);
             }
             Purpose::Stranger { .. } => warn!("connection on the signalling port closed: {why}"),
-            Purpose::Admin(_) => {}
+            Purpose::Admin(_) => self.wires.admins -= 1,
         }
     }
 }
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -175,7 +175,10 @@
             }
             let directory = Some(self.listen(Purpose::Directory(office))?);
             let keep = Some(self.folder.join(format!("roster-{office}.json")));
-            self.places.insert(office, Places { links, lines: Some(any), admin: Some(any), directory, keep });
+            self.places.insert(
+                office,
+                Places { links, lines: Some(any), calls: Some(any), admin: Some(any), directory, keep },
+            );
         }
         for office in 1..=day.exchanges {
             self.spawn(office, &waker)?;
@@ -439,7 +442,7 @@
                     Ok(Heard::Ended(note)) => {
                         self.world.ended(now, office, note.call, note.how, self.witness)
                     }
-                    Ok(Heard::Done) => {}
+                    Ok(Heard::Result { .. } | Heard::News(_) | Heard::Missed(_) | Heard::Other(_)) => {}
                     Ok(Heard::Fault { code, message, .. }) => info!(office, code, "{message}"),
                     Err(error) => warn!(office, "a line makes no sense: {error}"),
                 },
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use mintstall_daemon::config::{
-    Admin, CallType, Config, Customer, Directory, LimitsPlan, Link, Number, Rules, Signalling, Subscribers,
-    TimersMs,
+    Admin, CallType, Calls, Config, Customer, Directory, LimitsPlan, Link, Number, Rules, Signalling,
+    Subscribers, TimersMs,
 };
 use mintstall_standin::{Day, Fault, World};
 
@@ -14,6 +14,7 @@
     /// Where it connects to for each other exchange.
     pub links: Vec<(u16, SocketAddr)>,
     pub lines: Option<SocketAddr>,
+    pub calls: Option<SocketAddr>,
     pub admin: Option<SocketAddr>,
     pub directory: Option<SocketAddr>,
     pub keep: Option<std::path::PathBuf>,
@@ -48,6 +49,7 @@
         exchange: office,
         signalling: Signalling { listen: None, links: links.collect() },
         subscribers: Subscribers { listen: places.lines },
+        calls: Calls { listen: places.calls, ..Calls::default() },
         directory: places.directory.map(|connect| Directory { connect, keep: places.keep.clone() }),
         admin: places.admin.map(|listen| Admin { listen }),
         call_types: call_types.collect(),
--- /dev/null
+++ b/crates/limits/src/book.rs
@@ -0,0 +1,255 @@
+//! For clients: the calls asked for on a session, and what becomes of them when its connection is cut.
+//!
+//! An offer that was sent and not answered is in doubt once the connection is gone: the server may have it, may have answered
+//! it into the void, or may never have seen it. What the server says when the session is taken up settles each: an offer under the
+//! same number is no second call there, so that what it does not have in hand can be sent again while the caller's time lasts. A
+//! session that is over took its calls with it: what was in doubt is lost, and said so, not offered anew behind its caller's
+//! back.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// What the server has of a call when a session is taken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ThereIs {
+    /// Its answer is due.
+    Unanswered,
+    Standing,
+}
+
+/// The client's own number is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("call {0} is in hand already")]
+pub struct InUse(pub u64);
+
+/// What is to be done about calls, each by its number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settled {
+    /// To be sent, with the caller's time as it is now.
+    pub send: Vec<u64>,
+    /// They stand: their answer was lost on the way.
+    pub stand: Vec<u64>,
+    /// They stood, and are over.
+    pub over: Vec<u64>,
+    /// Nobody can tell what became of them, or their caller's time is up.
+    pub lost: Vec<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    ToSend,
+    Sent,
+    /// Sent on a connection that is gone.
+    InDoubt,
+    Stands,
+}
+
+#[derive(Debug)]
+struct Entry<O> {
+    offer: O,
+    progress: Progress,
+    until: Duration,
+}
+
+/// The calls of one client. Emptied as they end.
+#[derive(Debug)]
+pub struct Book<O> {
+    calls: BTreeMap<u64, Entry<O>>,
+    /// When callers' times are up; only of calls without an answer.
+    due: BTreeSet<(Duration, u64)>,
+    most: usize,
+    /// Past a caller's time the answer may still be on its way for so long.
+    grace: Duration,
+}
+
+impl<O> Book<O> {
+    /// At most `most` calls at a time.
+    pub fn new(most: usize, grace: Duration) -> Self {
+        Self { calls: BTreeMap::new(), due: BTreeSet::new(), most, grace }
+    }
+
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.calls.len() >= self.most
+    }
+
+    pub fn knows(&self, number: u64) -> bool {
+        self.calls.contains_key(&number)
+    }
+
+    /// Calls that have no answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.due.len()
+    }
+
+    pub fn offer(&mut self, number: u64, offer: O, until: Duration) -> Result<(), InUse> {
+        if self.calls.contains_key(&number) {
+            return Err(InUse(number));
+        }
+        self.calls.insert(number, Entry { offer, progress: Progress::ToSend, until });
+        self.due.insert((until + self.grace, number));
+        Ok(())
+    }
+
+    /// What was asked for, with the time that its caller has left.
+    pub fn asked(&self, now: Duration, number: u64) -> Option<(&O, Duration)> {
+        self.calls.get(&number).map(|entry| (&entry.offer, entry.until.saturating_sub(now)))
+    }
+
+    pub fn sent(&mut self, number: u64) {
+        if let Some(entry) = self.calls.get_mut(&number)
+            && entry.progress != Progress::Stands
+        {
+            entry.progress = Progress::Sent;
+        }
+    }
+
+    /// An answer came. `false`: it is of no call that waits for one, and is passed over.
+    pub fn answered(&mut self, number: u64, stands: bool) -> bool {
+        let waits = |entry: &&mut Entry<O>| entry.progress != Progress::Stands;
+        let Some(entry) = self.calls.get_mut(&number).filter(waits) else { return false };
+        self.due.remove(&(entry.until + self.grace, number));
+        entry.progress = Progress::Stands;
+        if !stands {
+            self.calls.remove(&number);
+        }
+        true
+    }
+
+    /// A call is over, or given up here. `false`: it was not known.
+    pub fn over(&mut self, number: u64) -> bool {
+        let Some(entry) = self.calls.remove(&number) else { return false };
+        self.due.remove(&(entry.until + self.grace, number));
+        true
+    }
+
+    /// The connection is gone.
+    pub fn cut(&mut self) {
+        for entry in self.calls.values_mut().filter(|entry| entry.progress == Progress::Sent) {
+            entry.progress = Progress::InDoubt;
+        }
+    }
+
+    /// The session was taken up, and the server has these calls in hand. Calls are settled once what was said meanwhile
+    /// has been heard.
+    pub fn taken_up(&mut self, now: Duration, there: &BTreeMap<u64, ThereIs>) -> Settled {
+        let mut settled = Settled::default();
+        for (number, entry) in &mut self.calls {
+            match (entry.progress, there.get(number)) {
+                (Progress::Stands, Some(_)) => {}
+                (Progress::Stands, None) => settled.over.push(*number),
+                (_, Some(ThereIs::Unanswered)) => entry.progress = Progress::Sent,
+                (_, Some(ThereIs::Standing)) => settled.stand.push(*number),
+                (_, None) if entry.until > now => settled.send.push(*number),
+                (_, None) => settled.lost.push(*number),
+            }
+        }
+        self.settle(settled)
+    }
+
+    /// The session is over, and this is another: what was sent on the old one is lost, and what stood is over.
+    pub fn begun_anew(&mut self, now: Duration) -> Settled {
+        let mut settled = Settled::default();
+        for (number, entry) in &self.calls {
+            match entry.progress {
+                Progress::Stands => settled.over.push(*number),
+                Progress::ToSend if entry.until > now => settled.send.push(*number),
+                _ => settled.lost.push(*number),
+            }
+        }
+        self.settle(settled)
+    }
+
+    fn settle(&mut self, settled: Settled) -> Settled {
+        settled.stand.iter().for_each(|number| _ = self.answered(*number, true));
+        settled.over.iter().chain(&settled.lost).for_each(|number| _ = self.over(*number));
+        settled
+    }
+
+    /// When [`Book::ring`] is next to be called.
+    pub fn next_alarm(&self) -> Option<Duration> {
+        self.due.first().map(|(due, _)| *due)
+    }
+
+    /// Calls whose time is up without an answer: lost.
+    pub fn ring(&mut self, now: Duration) -> Vec<u64> {
+        let mut lost = Vec::new();
+        while let Some((due, number)) = self.due.first().copied()
+            && due <= now
+        {
+            self.over(number);
+            lost.push(number);
+        }
+        lost
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(s: u64) -> Duration {
+        Duration::from_secs(s)
+    }
+
+    /// Calls 1 to 4, waiting until 10 s: not sent, in doubt, in doubt, standing.
+    fn cut() -> Book<&'static str> {
+        let mut book = Book::new(10, at(1));
+        for (number, offer) in [(1, "new"), (2, "sent"), (3, "sent"), (4, "sent")] {
+            book.offer(number, offer, at(10)).unwrap();
+        }
+        (2..=4).for_each(|number| book.sent(number));
+        assert!(book.answered(4, true));
+        book.cut();
+        book
+    }
+
+    #[test]
+    fn an_answer_counts_once() {
+        let mut book = Book::new(2, at(1));
+        book.offer(1, "", at(10)).unwrap();
+        assert_eq!(book.offer(1, "", at(10)), Err(InUse(1)));
+        assert_eq!(
+            (book.answered(1, true), book.answered(1, true), book.answered(2, true)),
+            (true, false, false)
+        );
+        assert_eq!((book.unanswered(), book.len(), book.over(1), book.over(1)), (0, 1, true, false));
+        book.offer(1, "", at(10)).unwrap();
+        assert_eq!((book.answered(1, false), book.len(), book.is_full()), (true, 0, false));
+    }
+
+    #[test]
+    fn a_session_taken_up_settles_what_was_in_doubt() {
+        let mut book = cut();
+        let there = [(2, ThereIs::Unanswered), (3, ThereIs::Standing)].into();
+        let settled = book.taken_up(at(2), &there);
+        assert_eq!(settled, Settled { send: vec![1], stand: vec![3], over: vec![4], lost: vec![] });
+        // What is still waited for is lost only when its time is up.
+        assert_eq!((book.next_alarm(), book.ring(at(10))), (Some(at(11)), vec![]));
+        assert_eq!((book.ring(at(11)), book.len()), (vec![1, 2], 1));
+    }
+
+    #[test]
+    fn what_the_server_never_saw_is_sent_again_only_while_its_caller_waits() {
+        assert_eq!(cut().taken_up(at(2), &BTreeMap::new()).send, [1, 2, 3]);
+        let late = cut().taken_up(at(10), &BTreeMap::new());
+        assert_eq!((late.send, late.lost), (vec![], vec![1, 2, 3]));
+    }
+
+    #[test]
+    fn a_session_that_is_over_took_its_calls_with_it() {
+        let mut book = cut();
+        let settled = book.begun_anew(at(2));
+        assert_eq!(settled, Settled { send: vec![1], stand: vec![], over: vec![4], lost: vec![2, 3] });
+        assert_eq!((book.len(), book.unanswered()), (1, 1));
+    }
+}
--- /dev/null
+++ b/crates/limits/src/comeback.rs
@@ -0,0 +1,206 @@
+//! For clients: when one that lost its connection, or was turned away, comes back, and when a refused call is offered again.
+//!
+//! The same that the exchanges hold to among themselves: a wait that was told is kept, what is left to choose is jittered and
+//! grows with each failure, and repeated attempts are paid for from a capped balance that first attempts earn. Many clients
+//! that lost the same controller do not return in one wave, and do not press it harder the less it can do.
+
+use std::time::Duration;
+
+use mintstall::chance::Chance;
+
+/// A connection that is dialled anew.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ComeBackPlan {
+    /// The wait after the first failure, doubled with each up to the last; each is drawn from the upper half of it.
+    pub first: Duration,
+    pub last: Duration,
+    /// A connection that held for so long was a success: failures before it are forgotten.
+    pub steady: Duration,
+}
+
+impl Default for ComeBackPlan {
+    fn default() -> Self {
+        Self {
+            first: Duration::from_millis(100),
+            last: Duration::from_secs(10),
+            steady: Duration::from_secs(10),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct ComeBack {
+    plan: ComeBackPlan,
+    chance: Chance,
+    failures: u32,
+    opened: Option<Duration>,
+}
+
+impl ComeBack {
+    pub fn new(plan: ComeBackPlan, seed: u64) -> Self {
+        Self { plan, chance: Chance::new(seed), failures: 0, opened: None }
+    }
+
+    /// The connection is open.
+    pub fn opened(&mut self, now: Duration) {
+        self.opened = Some(now);
+    }
+
+    /// It is lost, or was not to be had; `told`: the wait that the server asked for. Returns when to dial.
+    pub fn failed(&mut self, now: Duration, told: Option<Duration>) -> Duration {
+        if self.opened.take().is_some_and(|opened| now.saturating_sub(opened) >= self.plan.steady) {
+            self.failures = 0;
+        }
+        let grown = self.plan.first.saturating_mul(1 << self.failures.min(16)).min(self.plan.last);
+        self.failures = self.failures.saturating_add(1);
+        let drawn = grown.mul_f64(0.5 + 0.5 * self.chance.below_one());
+        // All that were told the same wait would return together: they spread behind it.
+        now + told.map_or(drawn, |told| told + drawn)
+    }
+}
+
+/// Calls that are offered again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RedialPlan {
+    /// Offers of one call, the first among them.
+    pub offers: u8,
+    /// The wait before the second, doubled with each further one.
+    pub first: Duration,
+    /// What each first offer earns towards a second, and how much may be saved up.
+    pub earned: f64,
+    pub most_saved: f64,
+    /// A call that could not stand in less is not offered again.
+    pub least_left: Duration,
+}
+
+impl Default for RedialPlan {
+    fn default() -> Self {
+        Self {
+            offers: 3,
+            first: Duration::from_millis(250),
+            earned: 0.2,
+            most_saved: 10.0,
+            least_left: Duration::from_millis(300),
+        }
+    }
+}
+
+/// Why a call is not offered again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotAgain {
+    #[error("it was offered {0} times")]
+    Offers(u8),
+    #[error("its caller's time would be up")]
+    Time,
+    #[error("too much was offered again lately")]
+    Credit,
+}
+
+#[derive(Debug)]
+pub struct Redial {
+    plan: RedialPlan,
+    chance: Chance,
+    saved: f64,
+}
+
+impl Redial {
+    pub fn new(plan: RedialPlan, seed: u64) -> Self {
+        Self { plan, chance: Chance::new(seed), saved: plan.most_saved }
+    }
+
+    /// A call is offered for the first time.
+    pub fn first_offer(&mut self) {
+        self.saved = (self.saved + self.plan.earned).min(self.plan.most_saved);
+    }
+
+    /// A call was refused (with a wait, where one was told) or failed, after so many offers; its caller waits until
+    /// `until`. Returns when to offer it again; its credit is spent.
+    pub fn again(
+        &mut self,
+        now: Duration,
+        until: Duration,
+        offers: u8,
+        told: Option<Duration>,
+    ) -> Result<Duration, NotAgain> {
+        if offers >= self.plan.offers {
+            return Err(NotAgain::Offers(offers));
+        }
+        let grown = self.plan.first.saturating_mul(1 << u32::from(offers.saturating_sub(1)).min(16));
+        let drawn = grown.mul_f64(0.5 + 0.5 * self.chance.below_one());
+        let at = now + told.map_or(drawn, |told| told.max(drawn));
+        if at + self.plan.least_left > until {
+            return Err(NotAgain::Time);
+        }
+        if self.saved < 1.0 {
+            return Err(NotAgain::Credit);
+        }
+        self.saved -= 1.0;
+        Ok(at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn waits_grow_to_the_last_and_a_told_wait_is_kept() {
+        let mut back = ComeBack::new(ComeBackPlan::default(), 7);
+        let waits: Vec<_> = (0..12).map(|_| back.failed(ms(0), None)).collect();
+        for (no, wait) in waits.iter().enumerate() {
+            let whole = ms(100 * (1 << no.min(20))).min(ms(10_000));
+            assert!(*wait >= whole / 2 && *wait <= whole, "{no}: {wait:?}");
+        }
+        let mut back = ComeBack::new(ComeBackPlan::default(), 7);
+        let told = back.failed(ms(0), Some(ms(3000)));
+        assert!(told >= ms(3050) && told <= ms(3100), "{told:?}");
+    }
+
+    #[test]
+    fn only_a_connection_that_held_makes_failures_forgotten() {
+        let mut back = ComeBack::new(ComeBackPlan::default(), 7);
+        (0..8).for_each(|_| _ = back.failed(ms(0), None));
+        back.opened(ms(0));
+        assert!(back.failed(ms(500), None) - ms(500) >= ms(5000), "it flaps");
+        back.opened(ms(0));
+        assert!(back.failed(ms(20_000), None) - ms(20_000) <= ms(100));
+    }
+
+    #[test]
+    fn clients_that_failed_together_do_not_return_together() {
+        let at: std::collections::BTreeSet<_> = (0..100)
+            .map(|seed| {
+                ComeBack::new(ComeBackPlan::default(), seed).failed(ms(0), Some(ms(1000))).as_millis()
+            })
+            .collect();
+        assert!(at.len() > 20, "{}", at.len());
+    }
+
+    #[test]
+    fn a_call_is_offered_again_within_its_time_and_number_and_after_the_told_wait() {
+        let mut redial = Redial::new(RedialPlan::default(), 1);
+        let at = redial.again(ms(0), ms(3000), 1, Some(ms(900))).unwrap();
+        assert_eq!(at, ms(900));
+        assert!(redial.again(ms(0), ms(3000), 1, None).unwrap() >= ms(125));
+        assert_eq!(redial.again(ms(0), ms(3000), 3, None), Err(NotAgain::Offers(3)));
+        assert_eq!(redial.again(ms(0), ms(1000), 1, Some(ms(900))), Err(NotAgain::Time));
+    }
+
+    #[test]
+    fn what_is_offered_again_is_paid_for_by_first_offers() {
+        let plan = RedialPlan { most_saved: 2.0, earned: 0.25, ..RedialPlan::default() };
+        let mut redial = Redial::new(plan, 1);
+        let mut again = || redial.again(ms(0), ms(9000), 1, None).is_ok();
+        assert_eq!([again(), again(), again()], [true, true, false]);
+        (0..4).for_each(|_| redial.first_offer());
+        assert!(redial.again(ms(0), ms(9000), 1, None).is_ok());
+        assert_eq!(redial.again(ms(0), ms(9000), 1, None), Err(NotAgain::Credit));
+        (0..100).for_each(|_| redial.first_offer());
+        let again = (0..5).filter(|_| redial.again(ms(0), ms(9000), 1, None).is_ok()).count();
+        assert_eq!(again, 2, "no more than may be saved");
+    }
+}
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -25,6 +25,9 @@
     /// Offers of one session a second, and at once.
     pub offers_per_s: f64,
     pub offers_at_once: f64,
+    /// Requests of one session of any kind, a second and at once.
+    pub requests_per_s: f64,
+    pub requests_at_once: f64,
     /// Offers that may be with the decisions, not answered yet; what comes beyond takes turns.
     pub unanswered: usize,
     /// Offers that may wait for their turn, and for which share of their callers' time.
@@ -43,6 +46,8 @@
             calls_a_customer: 20_000,
             offers_per_s: 1_000.0,
             offers_at_once: 2_000.0,
+            requests_per_s: 4_000.0,
+            requests_at_once: 8_000.0,
             unanswered: 4_000,
             waiting: 8_000,
             wait_share: 0.25,
@@ -55,7 +60,7 @@
 pub enum Refusal {
     #[error("no such session")]
     NoSession,
-    #[error("offers come too fast on this session")]
+    #[error("too fast on this session, come back in {} ms", .come_back.as_millis() + 1)]
     TooFast { come_back: Duration },
     #[error("{most} calls are in hand on this session")]
     SessionCalls { most: usize },
@@ -77,6 +82,7 @@
 #[derive(Debug)]
 struct Session {
     offers: Bucket,
+    requests: Bucket,
     /// Calls in hand by customer. Emptied as calls end.
     calls: BTreeMap<CustomerNo, usize>,
 }
@@ -131,10 +137,17 @@
         self.next += 1;
         let no = SessionNo(self.next);
         let offers = Bucket::new(now, self.limits.offers_per_s, self.limits.offers_at_once);
-        self.sessions.insert(no, Session { offers, calls: BTreeMap::new() });
+        let requests = Bucket::new(now, self.limits.requests_per_s, self.limits.requests_at_once);
+        self.sessions.insert(no, Session { offers, requests, calls: BTreeMap::new() });
         Opening::Open(no)
     }
 
+    /// A request of any kind: read, or turned down with the wait until the next is.
+    pub fn request(&mut self, now: Duration, session: SessionNo) -> Result<(), Refusal> {
+        let held = self.sessions.get_mut(&session).ok_or(Refusal::NoSession)?;
+        held.requests.take(now).map_err(|wait| Refusal::TooFast { come_back: self.spread(wait) })
+    }
+
     /// An offer: taken in hand, or refused. What is taken is given back by [`Gate::over`].
     pub fn offer(&mut self, now: Duration, session: SessionNo, customer: CustomerNo) -> Result<(), Refusal> {
         let (in_session, in_all) = (self.limits.calls_a_session, self.limits.calls_a_customer);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,4 +1,4 @@
-//! Admission of sessions and offers, decided without I/O.
+//! Admission of sessions and offers, and what a client does about it, decided without I/O.
 //!
 //! | file | holds |
 //! | --- | --- |
@@ -10,24 +10,33 @@
 //! | `news` | what happens to calls, told to watchers from their cursors |
 //! | `repeats` | offers that come twice under one number |
 //! | `resume` | sessions that are taken up again after a cut |
-//! | `backlog` | what waits to be said to a session, and what is kept for one that was cut |
+//! | `backlog` | what is to be said to a session that was cut, once it is taken up |
+//! | `vigil` | connections that never say who they are, fall silent, or do not close |
+//! | `comeback` | at the client: when to dial anew, and when to offer a refused call again |
+//! | `book` | at the client: its calls, and what became of them across a cut |
 
 mod admission;
 mod auth;
 mod backlog;
+mod book;
 mod bucket;
+mod comeback;
 mod gate;
 mod news;
 mod repeats;
 mod resume;
 mod turns;
+mod vigil;
 
 pub use admission::{Admission, Verdict};
 pub use auth::{Denied, Grant, Scope, TokenEntry, TokenFile, Tokens, digest_text};
-pub use backlog::{Backlog, Kept, Overflow};
+pub use backlog::{Backlog, Overflow};
+pub use book::{Book, InUse, Settled, ThereIs};
 pub use bucket::Bucket;
+pub use comeback::{ComeBack, ComeBackPlan, NotAgain, Redial, RedialPlan};
 pub use gate::{Gate, Limits, Opening, Refusal, SessionNo};
 pub use news::{CursorError, News, Sees, Told};
 pub use repeats::{Repeat, Repeats};
 pub use resume::{Fate, Resumable, ResumeError, SessionKey};
 pub use turns::{Displaced, Turns};
+pub use vigil::{Due, Lapse, Patience, TooManyOpening, Vigil};
--- a/crates/limits/src/news.rs
+++ b/crates/limits/src/news.rs
@@ -19,7 +19,7 @@
 }
 
 impl Sees {
-    fn includes(&self, customer: CustomerNo) -> bool {
+    pub fn includes(&self, customer: CustomerNo) -> bool {
         match self {
             Self::All => true,
             Self::Only(customers) => customers.contains(&customer),
--- a/crates/limits/src/repeats.rs
+++ b/crates/limits/src/repeats.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// What an offer was answered, if it is remembered.
+    pub fn get(&mut self, now: Duration, session: SessionNo, number: u64) -> Option<A> {
+        self.forget(now);
+        self.answers.get(&(session, number)).map(|(_, answer)| *answer)
+    }
+
     /// An offer has its final answer.
     pub fn answered(&mut self, now: Duration, session: SessionNo, number: u64, answer: A) {
         self.forget(now);
--- /dev/null
+++ b/crates/limits/src/vigil.rs
@@ -0,0 +1,236 @@
+//! Which connections are still there: those that never say who they are, that fall silent, or that do not close when told.
+//!
+//! A connection that is cut without a word (a phone out of reach, a machine without power) looks open for as long as nobody
+//! writes to it. One that has been silent is asked for a sign of life, and dropped when none comes. Times are looked at when
+//! they fall due, not when something is heard, so that a busy connection costs nothing here.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// How long each state of a connection may last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// For the opening handshake, and how many may be at it at a time.
+    pub opening: Duration,
+    pub most_opening: usize,
+    /// Silence after which a sign of life is asked for, and how long it may take.
+    pub quiet: Duration,
+    pub answer: Duration,
+    /// For the closing handshake.
+    pub closing: Duration,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            opening: Duration::from_secs(5),
+            most_opening: 1_000,
+            quiet: Duration::from_secs(20),
+            answer: Duration::from_secs(10),
+            closing: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Why a connection is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Lapse {
+    #[error("has not opened in time")]
+    NotOpened,
+    #[error("gives no sign of life")]
+    Silent,
+    #[error("does not close")]
+    NotClosed,
+}
+
+/// What is to be done about a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due<K> {
+    AskForLife(K),
+    Drop(K, Lapse),
+}
+
+/// So many are opening already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{0} connections are opening already")]
+pub struct TooManyOpening(pub usize);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Opening,
+    Open {
+        heard: Duration,
+    },
+    /// Asked for a sign of life, none heard since.
+    Asked,
+    Closing,
+}
+
+#[derive(Debug)]
+struct Watched {
+    state: State,
+    due: Duration,
+}
+
+/// All connections of one kind. Emptied as they go.
+#[derive(Debug)]
+pub struct Vigil<K> {
+    patience: Patience,
+    watched: BTreeMap<K, Watched>,
+    due: BTreeSet<(Duration, K)>,
+    opening: usize,
+}
+
+impl<K: Copy + Ord> Vigil<K> {
+    pub fn new(patience: Patience) -> Self {
+        Self { patience, watched: BTreeMap::new(), due: BTreeSet::new(), opening: 0 }
+    }
+
+    pub fn len(&self) -> usize {
+        self.watched.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.watched.is_empty()
+    }
+
+    /// Those that have not said who they are.
+    pub fn opening(&self) -> usize {
+        self.opening
+    }
+
+    /// A connection came in.
+    pub fn came(&mut self, now: Duration, key: K) -> Result<(), TooManyOpening> {
+        if self.opening >= self.patience.most_opening {
+            return Err(TooManyOpening(self.opening));
+        }
+        self.gone(key);
+        self.set(key, State::Opening, now + self.patience.opening);
+        Ok(())
+    }
+
+    /// It has said who it is.
+    pub fn opened(&mut self, now: Duration, key: K) {
+        if self.watched.get(&key).is_some_and(|watched| watched.state == State::Opening) {
+            self.set(key, State::Open { heard: now }, now + self.patience.quiet);
+        }
+    }
+
+    /// Something came on it.
+    pub fn heard(&mut self, now: Duration, key: K) {
+        let Some(watched) = self.watched.get_mut(&key) else { return };
+        match watched.state {
+            State::Open { .. } => watched.state = State::Open { heard: now },
+            State::Asked => self.set(key, State::Open { heard: now }, now + self.patience.quiet),
+            State::Opening | State::Closing => {}
+        }
+    }
+
+    /// It was told to close.
+    pub fn closing(&mut self, now: Duration, key: K) {
+        if self.watched.get(&key).is_some_and(|watched| watched.state != State::Closing) {
+            self.set(key, State::Closing, now + self.patience.closing);
+        }
+    }
+
+    pub fn gone(&mut self, key: K) {
+        if let Some(watched) = self.watched.remove(&key) {
+            self.due.remove(&(watched.due, key));
+            self.opening -= usize::from(watched.state == State::Opening);
+        }
+    }
+
+    fn set(&mut self, key: K, state: State, due: Duration) {
+        self.gone(key);
+        self.opening += usize::from(state == State::Opening);
+        self.watched.insert(key, Watched { state, due });
+        self.due.insert((due, key));
+    }
+
+    /// When [`Vigil::ring`] is next to be called.
+    pub fn next_alarm(&self) -> Option<Duration> {
+        self.due.first().map(|(due, _)| *due)
+    }
+
+    /// What has fallen due. What is to be dropped is still watched until it is [`Vigil::gone`], and told once.
+    pub fn ring(&mut self, now: Duration) -> Vec<Due<K>> {
+        let mut all = Vec::new();
+        while let Some((due, key)) = self.due.first().copied()
+            && due <= now
+        {
+            self.due.remove(&(due, key));
+            let Some(state) = self.watched.get(&key).map(|watched| watched.state) else { continue };
+            match state {
+                State::Open { heard } if heard + self.patience.quiet > now => {
+                    self.set(key, state, heard + self.patience.quiet);
+                }
+                State::Open { .. } => {
+                    self.set(key, State::Asked, now + self.patience.answer);
+                    all.push(Due::AskForLife(key));
+                }
+                State::Opening => all.push(Due::Drop(key, Lapse::NotOpened)),
+                State::Asked => all.push(Due::Drop(key, Lapse::Silent)),
+                State::Closing => all.push(Due::Drop(key, Lapse::NotClosed)),
+            }
+        }
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(s: u64) -> Duration {
+        Duration::from_secs(s)
+    }
+
+    fn vigil() -> Vigil<u32> {
+        Vigil::new(Patience { most_opening: 2, ..Patience::default() })
+    }
+
+    #[test]
+    fn one_that_never_says_who_it_is_is_dropped_and_leaves_its_place() {
+        let mut vigil = vigil();
+        vigil.came(at(1), 1).unwrap();
+        vigil.came(at(2), 2).unwrap();
+        assert_eq!(vigil.came(at(2), 3), Err(TooManyOpening(2)));
+        vigil.opened(at(2), 2);
+        assert_eq!((vigil.opening(), vigil.came(at(3), 3)), (1, Ok(())));
+        assert_eq!(vigil.next_alarm(), Some(at(6)));
+        assert_eq!(vigil.ring(at(6)), [Due::Drop(1, Lapse::NotOpened)]);
+        assert_eq!(vigil.ring(at(7)), [], "told once");
+        vigil.gone(1);
+        assert_eq!((vigil.opening(), vigil.len()), (1, 2));
+    }
+
+    #[test]
+    fn a_silent_one_is_asked_and_dropped_a_busy_one_is_neither() {
+        let mut vigil = vigil();
+        for key in 1..=2 {
+            vigil.came(at(0), key).unwrap();
+            vigil.opened(at(0), key);
+        }
+        vigil.heard(at(19), 2);
+        assert_eq!(vigil.ring(at(20)), [Due::AskForLife(1)]);
+        assert_eq!(vigil.ring(at(39)), [Due::Drop(1, Lapse::Silent), Due::AskForLife(2)]);
+        vigil.gone(1);
+        vigil.heard(at(40), 2);
+        assert_eq!((vigil.ring(at(59)), vigil.ring(at(60))), (vec![], vec![Due::AskForLife(2)]));
+    }
+
+    #[test]
+    fn one_told_to_close_is_given_so_long_whatever_it_still_says() {
+        let mut vigil = vigil();
+        vigil.came(at(0), 1).unwrap();
+        vigil.opened(at(0), 1);
+        vigil.closing(at(1), 1);
+        vigil.heard(at(2), 1);
+        vigil.closing(at(2), 1);
+        assert_eq!(vigil.ring(at(3)), [Due::Drop(1, Lapse::NotClosed)]);
+        vigil.gone(1);
+        assert_eq!((vigil.is_empty(), vigil.next_alarm()), (true, None));
+    }
+}
--- /dev/null
+++ b/crates/websocket/src/dialled.rs
@@ -0,0 +1,99 @@
+//! The opening handshake at the client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+use tungstenite::handshake::client::{Request, Response, generate_key, generate_request};
+use tungstenite::handshake::derive_accept_key;
+use tungstenite::handshake::machine::TryParse;
+
+use crate::end::End;
+use crate::{LONGEST_HEAD, PATH, SUBPROTOCOL};
+
+/// The server does not let this client in.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum TurnedAway {
+    #[error("turned away with status {status}: {why}")]
+    Status { status: u16, why: String, come_back: Option<Duration> },
+    #[error("what answers is no server of calls: {0}")]
+    NoServer(String),
+}
+
+impl TurnedAway {
+    /// How long the server asks this client to stay away.
+    pub fn come_back(&self) -> Option<Duration> {
+        match self {
+            Self::Status { come_back, .. } => *come_back,
+            Self::NoServer(_) => None,
+        }
+    }
+}
+
+/// What has come of a handshake.
+#[derive(Debug)]
+pub enum Progress {
+    More,
+    /// Open. [`End::octets`] is to be called once, with none, for what came with the response.
+    Open(Box<End>),
+    Turned(TurnedAway),
+}
+
+/// A handshake that is under way.
+#[derive(Debug)]
+pub struct Dialled {
+    accept: String,
+    head: Vec<u8>,
+    longest_text: usize,
+}
+
+impl Dialled {
+    /// With the request, to be written first.
+    pub fn new(to: SocketAddr, longest_text: usize) -> Result<(Self, Vec<u8>), TurnedAway> {
+        let key = generate_key();
+        let request = Request::builder()
+            .uri(PATH)
+            .header("Host", to.to_string())
+            .header("Connection", "Upgrade")
+            .header("Upgrade", "websocket")
+            .header("Sec-WebSocket-Version", "13")
+            .header("Sec-WebSocket-Key", key)
+            .header("Sec-WebSocket-Protocol", SUBPROTOCOL)
+            .body(())
+            .map_err(|error| TurnedAway::NoServer(error.to_string()))?;
+        let (octets, key) =
+            generate_request(request).map_err(|error| TurnedAway::NoServer(error.to_string()))?;
+        Ok((Self { accept: derive_accept_key(key.as_bytes()), head: Vec::new(), longest_text }, octets))
+    }
+
+    pub fn push(&mut self, octets: &[u8]) -> Progress {
+        self.head.extend_from_slice(octets);
+        let no_server = |why: String| Progress::Turned(TurnedAway::NoServer(why));
+        let (length, response) = match Response::try_parse(&self.head) {
+            Ok(Some(parsed)) => parsed,
+            Ok(None) if self.head.len() > LONGEST_HEAD => return no_server("its head is too long".into()),
+            Ok(None) => return Progress::More,
+            Err(error) => return no_server(error.to_string()),
+        };
+        let field = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+        let rest = &self.head[length..];
+        if response.status() != 101 {
+            let whole = field("Content-Length").and_then(|count| count.parse::<usize>().ok()).unwrap_or(0);
+            if rest.len() < whole.min(LONGEST_HEAD) {
+                return Progress::More;
+            }
+            let come_back = field("Retry-After").and_then(|wait| wait.parse().ok()).map(Duration::from_secs);
+            let why = String::from_utf8_lossy(rest).trim().to_string();
+            let status = response.status().as_u16();
+            return Progress::Turned(TurnedAway::Status { status, why, come_back });
+        }
+        if field("Sec-WebSocket-Accept") != Some(&self.accept) {
+            return no_server("its Sec-WebSocket-Accept is not of this request".into());
+        }
+        if field("Sec-WebSocket-Protocol") != Some(SUBPROTOCOL) {
+            return no_server(format!("it does not speak {SUBPROTOCOL}"));
+        }
+        let rest = self.head.split_off(length);
+        Progress::Open(Box::new(End::client(rest, self.longest_text)))
+    }
+}
--- /dev/null
+++ b/crates/websocket/src/door.rs
@@ -0,0 +1,215 @@
+//! The opening handshake at the server: what a client must ask for, and what it is told when it is not let in.
+
+use std::collections::BTreeSet;
+
+use tungstenite::Error;
+use tungstenite::error::{CapacityError, ProtocolError};
+use tungstenite::handshake::machine::TryParse;
+use tungstenite::handshake::server::{Request, Response, create_response, write_response};
+use tungstenite::http::HeaderValue;
+
+use crate::end::End;
+use crate::{LONGEST_HEAD, PATH, SUBPROTOCOL};
+
+/// Why a client is not let in, as an HTTP status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NotLetIn {
+    pub status: u16,
+    pub why: String,
+    /// Seconds to stay away, rounded up.
+    pub retry_after_s: Option<u64>,
+}
+
+impl NotLetIn {
+    pub fn new(status: u16, why: impl Into<String>) -> Self {
+        Self { status, why: why.into(), retry_after_s: None }
+    }
+
+    /// The whole response. The connection is closed after it.
+    pub fn octets(&self) -> Vec<u8> {
+        let phrase = match self.status {
+            400 => "Bad Request",
+            403 => "Forbidden",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            426 => "Upgrade Required",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "Error",
+        };
+        let more = match (self.status, self.retry_after_s) {
+            (426, _) => "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n".to_string(),
+            (405, _) => "Allow: GET\r\n".to_string(),
+            (_, Some(wait)) => format!("Retry-After: {wait}\r\n"),
+            _ => String::new(),
+        };
+        format!(
+            "HTTP/1.1 {} {phrase}\r\nConnection: close\r\n{more}Content-Type: text/plain; charset=utf-8\r\n\
+             Content-Length: {}\r\n\r\n{}\n",
+            self.status,
+            self.why.len() + 1,
+            self.why
+        )
+        .into_bytes()
+    }
+}
+
+/// What has come of a handshake.
+#[derive(Debug)]
+pub enum Knock {
+    /// Its head is not whole yet.
+    More,
+    /// In order; to be let in or turned away.
+    Wants(Box<Wish>),
+    Turned(NotLetIn),
+}
+
+/// A client's handshake that is in order.
+#[derive(Debug)]
+pub struct Wish {
+    response: Response,
+    /// What followed the head.
+    rest: Vec<u8>,
+}
+
+impl Wish {
+    /// The open end, with the response first in what it has to write.
+    pub fn let_in(self, longest_text: usize) -> End {
+        let mut out = Vec::new();
+        // Into memory, of a response built here: it has no way to fail.
+        let _ = write_response(&mut out, &self.response);
+        End::server(out, self.rest, longest_text)
+    }
+}
+
+/// One client at the door. Holds at most [`LONGEST_HEAD`] octets and what was pushed last.
+#[derive(Debug, Default)]
+pub struct Door {
+    head: Vec<u8>,
+}
+
+impl Door {
+    /// `origins`: those of browser pages that are let in. A client that names none is no browser page.
+    pub fn push(&mut self, octets: &[u8], origins: &BTreeSet<String>) -> Knock {
+        self.head.extend_from_slice(octets);
+        let (length, request) = match Request::try_parse(&self.head) {
+            Ok(None) if self.head.len() > LONGEST_HEAD => {
+                return Knock::Turned(NotLetIn::new(
+                    431,
+                    format!("the head is longer than {LONGEST_HEAD} octets"),
+                ));
+            }
+            Ok(None) => return Knock::More,
+            Ok(Some((length, _))) if length > LONGEST_HEAD => {
+                return Knock::Turned(NotLetIn::new(
+                    431,
+                    format!("the head is longer than {LONGEST_HEAD} octets"),
+                ));
+            }
+            Ok(Some(parsed)) => parsed,
+            Err(error) => return Knock::Turned(turned(&error)),
+        };
+        match judge(&request, origins) {
+            Ok(response) => Knock::Wants(Box::new(Wish { response, rest: self.head.split_off(length) })),
+            Err(why) => Knock::Turned(why),
+        }
+    }
+}
+
+fn judge(request: &Request, origins: &BTreeSet<String>) -> Result<Response, NotLetIn> {
+    if request.uri().path() != PATH {
+        return Err(NotLetIn::new(404, format!("calls are asked for at {PATH}")));
+    }
+    let header = |name: &str| request.headers().get_all(name).iter();
+    for origin in header("Origin") {
+        if !origin.to_str().is_ok_and(|origin| origins.contains(origin)) {
+            return Err(NotLetIn::new(403, "pages of this origin may not ask for calls"));
+        }
+    }
+    let mut response = create_response(request).map_err(|error| turned(&error))?;
+    let mut named = header("Sec-WebSocket-Protocol").filter_map(|value| value.to_str().ok());
+    if !named.any(|list| list.split(',').any(|name| name.trim() == SUBPROTOCOL)) {
+        return Err(NotLetIn::new(400, format!("Sec-WebSocket-Protocol does not name {SUBPROTOCOL}")));
+    }
+    response.headers_mut().insert("Sec-WebSocket-Protocol", HeaderValue::from_static(SUBPROTOCOL));
+    Ok(response)
+}
+
+fn turned(error: &Error) -> NotLetIn {
+    match error {
+        Error::Protocol(ProtocolError::WrongHttpMethod) => NotLetIn::new(405, "only GET is known here"),
+        Error::Protocol(
+            ProtocolError::MissingConnectionUpgradeHeader
+            | ProtocolError::MissingUpgradeWebSocketHeader
+            | ProtocolError::MissingSecWebSocketVersionHeader,
+        ) => NotLetIn::new(426, "only WebSocket, version 13 (RFC 6455), is spoken here"),
+        Error::Capacity(CapacityError::TooManyHeaders) => NotLetIn::new(431, "too many header fields"),
+        error => NotLetIn::new(400, error.to_string()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HEAD: &str = "GET /calls HTTP/1.1\r\nHost: here\r\nConnection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n\
+        Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\
+        Sec-WebSocket-Protocol: other, mintstall.calls.v1\r\n\r\n";
+
+    fn knock(head: &str) -> Result<Vec<u8>, NotLetIn> {
+        let origins = ["https://ours.example".to_string()].into();
+        match Door::default().push(head.as_bytes(), &origins) {
+            Knock::More => panic!("not whole"),
+            Knock::Wants(wish) => Ok(std::mem::take(wish.let_in(100).out())),
+            Knock::Turned(why) => Err(why),
+        }
+    }
+
+    #[test]
+    fn the_standard_s_own_example_is_let_in_however_it_is_cut() {
+        let response = String::from_utf8(knock(HEAD).unwrap()).unwrap().to_ascii_lowercase();
+        assert!(response.starts_with("http/1.1 101 "), "{response}");
+        // RFC 6455 clause 1.3.
+        assert!(response.contains("sec-websocket-accept: s3pplmbitxaq9kygzzhzrbk+xoo=\r\n"), "{response}");
+        assert!(response.contains("sec-websocket-protocol: mintstall.calls.v1\r\n"), "{response}");
+        for cut in 1..HEAD.len() {
+            let mut door = Door::default();
+            assert!(matches!(door.push(&HEAD.as_bytes()[..cut], &BTreeSet::new()), Knock::More));
+            assert!(matches!(door.push(&HEAD.as_bytes()[cut..], &BTreeSet::new()), Knock::Wants(_)));
+        }
+    }
+
+    #[test]
+    fn each_fault_of_a_handshake_has_its_status() {
+        let status = |head: &str| knock(head).map_err(|why| why.status).unwrap_err();
+        assert_eq!(status(&HEAD.replace("/calls", "/")), 404);
+        assert_eq!(status(&HEAD.replace("GET", "POST")), 405);
+        assert_eq!(status(&HEAD.replace("Upgrade: websocket\r\n", "")), 426);
+        assert_eq!(status(&HEAD.replace(": 13", ": 8")), 426);
+        assert_eq!(status(&HEAD.replace("calls.v1", "calls.v2")), 400);
+        assert_eq!(status(&HEAD.replace("dGhlIHNhbXBsZSBub25jZQ==", "short")), 400);
+        assert_eq!(status("nonsense\r\n\r\n"), 400);
+        assert_eq!(status(&HEAD.replace("here", &"a".repeat(9000))), 431);
+        assert_eq!(status(&format!("GET /calls HTTP/1.1\r\nX: {}", "a".repeat(9000))), 431);
+    }
+
+    #[test]
+    fn a_page_of_another_origin_is_not_let_in() {
+        let from = |origin: &str| HEAD.replace("Host:", &format!("Origin: {origin}\r\nHost:"));
+        assert!(knock(&from("https://ours.example")).is_ok());
+        assert_eq!(knock(&from("https://ours.example.evil.example")).unwrap_err().status, 403);
+        assert_eq!(knock(&from("null")).unwrap_err().status, 403);
+        // Two origins: all must be known.
+        assert_eq!(knock(&from("https://ours.example\r\nOrigin: x")).unwrap_err().status, 403);
+    }
+
+    #[test]
+    fn who_is_turned_away_is_told_when_to_come_back() {
+        let why = NotLetIn { status: 503, why: "full".into(), retry_after_s: Some(2) };
+        let text = String::from_utf8(why.octets()).unwrap();
+        assert!(
+            text.contains("\r\nRetry-After: 2\r\n") && text.ends_with("Content-Length: 5\r\n\r\nfull\n"),
+            "{text}"
+        );
+    }
+}
