--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -559,4 +559,72 @@
         let note = EndedNote { call: 3, how: How::Cut };
         assert_eq!(Heard::read(ended_text(&note).as_bytes()).unwrap(), Heard::Ended(note));
     }
+
+    /// The reference's examples, by direction.
+    fn examples(direction: &str) -> Vec<&'static str> {
+        let page = include_str!("../../../docs/call-control.md");
+        page.lines().filter_map(|line| line.strip_prefix("    ")?.strip_prefix(direction)).collect()
+    }
+
+    #[test]
+    fn each_method_of_the_reference_is_read_as_it_stands_there_and_none_is_left_out() {
+        let mut methods = std::collections::BTreeSet::new();
+        for text in examples("--> ") {
+            let asked = Asked::read(text.as_bytes()).unwrap_or_else(|(_, fault)| panic!("{text}: {fault:?}"));
+            // Written back it says the same.
+            let (was, is): (Value, Value) =
+                (serde_json::from_str(text).unwrap(), serde_json::from_str(&asked.text()).unwrap());
+            methods.insert(was["method"].as_str().unwrap().to_string());
+            for (name, value) in was["params"].as_object().unwrap() {
+                assert_eq!(&is["params"][name], value, "{text}");
+            }
+        }
+        let schema = schema();
+        let known: std::collections::BTreeSet<_> =
+            schema["methods"].as_object().unwrap().keys().cloned().collect();
+        assert_eq!(methods, known);
+    }
+
+    #[test]
+    fn each_thing_that_is_heard_in_the_reference_has_every_field_it_shows() {
+        fn same<T: Serialize + serde::de::DeserializeOwned>(shown: &Value) {
+            let read: T =
+                serde_json::from_value(shown.clone()).unwrap_or_else(|error| panic!("{shown}: {error}"));
+            assert_eq!(&serde_json::to_value(read).unwrap(), shown);
+        }
+        let (mut codes, mut notices) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
+        for text in examples("<-- ") {
+            let shown: Value = serde_json::from_str(text).unwrap();
+            Heard::read(text.as_bytes()).unwrap();
+            if let Some(code) = shown["error"]["code"].as_i64() {
+                codes.insert(code as i32);
+            }
+            if let Some(method) = shown["method"].as_str() {
+                notices.insert(method.to_string());
+                match method {
+                    "call.ended" => same::<EndedNote>(&shown["params"]),
+                    "call.news" => same::<NewsNote>(&shown["params"]),
+                    _ => same::<MissedNote>(&shown["params"]),
+                }
+            }
+            let Some(result) = shown.get("result") else { continue };
+            match result.as_object().unwrap() {
+                of if of.contains_key("server") => same::<Welcome>(result),
+                of if of.contains_key("state") => same::<CallState>(result),
+                of if of.contains_key("answer") => same::<Answered>(result),
+                of if of.contains_key("cursor") => same::<Subscribed>(result),
+                of if of.contains_key("traces") => same::<Traced>(result),
+                _ => same::<Done>(result),
+            }
+        }
+        assert_eq!(codes, code::ALL.iter().map(|(code, _)| *code).collect());
+        let schema = schema();
+        let known: std::collections::BTreeSet<_> =
+            schema["notifications"].as_object().unwrap().keys().cloned().collect();
+        assert_eq!(notices, known);
+        let page = include_str!("../../../docs/call-control.md");
+        for (code, meaning) in code::ALL {
+            assert!(page.contains(&format!("| {code} | {meaning} |")), "{code} is not in the table as it is");
+        }
+    }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -72,6 +72,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// What clients speak.
+    Api {
+        #[command(subcommand)]
+        command: ApiCommand,
+    },
     /// Writes what a token file holds of a token, which is read from standard input.
     TokenDigest,
     /// Writes completions for a shell to standard output.
@@ -88,6 +93,12 @@
     Schema,
 }
 
+#[derive(Subcommand)]
+enum ApiCommand {
+    /// Writes the JSON Schema of all messages to standard output; `docs/call-control.md` is the reference.
+    Schema,
+}
+
 /// Bad input: told on standard error, exit code 2.
 pub fn bad_input(error: impl std::fmt::Display) -> ExitCode {
     eprintln!("{error}");
@@ -129,6 +140,10 @@
         Command::Day(args) => day::day(&args),
         Command::Status { admin, json } => status(admin, json),
         Command::Trace { admin, call, origin, json } => trace(admin, call, origin, json),
+        Command::Api { command: ApiCommand::Schema } => {
+            println!("{}", serde_json::to_string_pretty(&mintstall_callapi::schema()).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
         Command::TokenDigest => {
             let mut token = String::new();
             if let Err(error) = io::stdin().read_line(&mut token) {
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -1,26 +1,14 @@
 //! The command as its users run it: exit codes, a short day over sockets, an orderly stop.
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+mod common;
+
+use std::io::Write;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-fn mintstall(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_mintstall")).args(args).output().unwrap()
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("mintstall-command-{}-{name}", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn says(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr)
-}
+use common::{CIRCUITS, Controller, ask, file, hear, mintstall, says};
 
 #[test]
 fn bad_input_is_named_with_its_place_and_exits_with_two() {
@@ -81,64 +69,6 @@
     std::fs::remove_file(capture).unwrap();
 }
 
-/// A controller on its own, linked to an exchange that this test plays.
-struct Controller {
-    child: Child,
-    ready: Value,
-}
-
-impl Controller {
-    fn start(name: &str, link: SocketAddr) -> Self {
-        Self::start_with(name, link, json!({}))
-    }
-
-    fn start_with(name: &str, link: SocketAddr, more: Value) -> Self {
-        let mut config = json!({
-            "exchange": 1,
-            "signalling": { "listen": "127.0.0.1:0", "links": [{ "to": 2, "circuits": 31, "connect": link }] },
-            "subscribers": { "listen": "127.0.0.1:0" },
-            "admin": { "listen": "127.0.0.1:0" },
-            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
-                             "mean_hold_ms": 10000 }],
-        });
-        more.as_object().unwrap().iter().for_each(|(field, value)| config[field] = value.clone());
-        let path = file(name, &config.to_string());
-        let mut child = Command::new(env!("CARGO_BIN_EXE_mintstall"))
-            .args(["run", "--config", path.to_str().unwrap()])
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        Self { child, ready: serde_json::from_str(&line).unwrap() }
-    }
-
-    fn connect(&self, what: &str) -> BufReader<TcpStream> {
-        let addr: SocketAddr = self.ready[what].as_str().unwrap().parse().unwrap();
-        let stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-        BufReader::new(stream)
-    }
-
-    fn stop(mut self) -> Option<i32> {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
-        self.child.wait().unwrap().code()
-    }
-}
-
-fn ask(line: &mut BufReader<TcpStream>, text: &str) -> Value {
-    line.get_mut().write_all(text.as_bytes()).unwrap();
-    line.get_mut().write_all(b"\n").unwrap();
-    hear(line)
-}
-
-fn hear(line: &mut BufReader<TcpStream>) -> Value {
-    let mut text = String::new();
-    line.read_line(&mut text).unwrap();
-    serde_json::from_str(&text).unwrap()
-}
-
 #[test]
 fn a_controller_answers_bad_texts_and_calls_without_a_link_and_stops_in_order() {
     // Nobody listens there: the link never opens.
@@ -166,7 +96,7 @@
 fn a_stop_answers_every_call_that_was_taken_before_the_process_ends() {
     use mintstall_isup::{Deframer, Frame};
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let controller = Controller::start("stop.json", listener.local_addr().unwrap());
+    let mut controller = Controller::start("stop.json", listener.local_addr().unwrap());
     // An exchange that opens the link, resets its circuits when asked, and answers no set-up.
     let far = std::thread::spawn(move || {
         use std::io::Read;
@@ -212,7 +142,8 @@
     let mut admin = controller.connect("admin");
     for _ in 0..400 {
         let status = ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
-        if status["result"]["groups"][0]["free"] == 31 && status["result"]["groups"][0]["link"] == "up" {
+        if status["result"]["groups"][0]["free"] == CIRCUITS && status["result"]["groups"][0]["link"] == "up"
+        {
             break;
         }
         std::thread::sleep(Duration::from_millis(20));
@@ -225,12 +156,10 @@
     }
     // Asked on the same line, and so read after the offers.
     assert_eq!(ask(&mut line, "{")["error"]["code"], -32700);
-    let pid = controller.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    controller.kill("-TERM");
     let answers: Vec<Value> = (0..3).map(|_| hear(&mut line)).collect();
     assert!(answers.iter().all(|answer| answer["result"]["answer"] != "stands"), "{answers:?}");
-    let mut child = controller.child;
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert_eq!(controller.wait(), Some(0));
     assert!(far.join().unwrap() > 0, "the calls were on their way");
 }
 
@@ -274,10 +203,7 @@
     assert_eq!(ask(&mut admin, &status("secret-a"))["error"]["code"], -32004);
     assert_eq!(ask(&mut admin, &status("secret-s"))["result"]["exchange"], 1);
     // A file that makes no sense changes nothing; one without the token ends the session's rights.
-    let hang_up = || {
-        let pid = controller.child.id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
-    };
+    let hang_up = || controller.kill("-HUP");
     std::fs::write(&tokens, "{").unwrap();
     hang_up();
     assert_eq!(ask(&mut line, &offer(4, 0))["result"]["answer"], "refused");
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,103 @@
+//! The command, and controllers of its, as tests run them.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+pub fn mintstall(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_mintstall")).args(args).output().unwrap()
+}
+
+pub fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("mintstall-command-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+pub fn says(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr)
+}
+
+/// Of the group to that exchange.
+pub const CIRCUITS: u16 = 310;
+
+/// A controller on its own, linked to an exchange that this test plays.
+pub struct Controller {
+    pub child: Child,
+    pub ready: Value,
+}
+
+impl Controller {
+    pub fn start(name: &str, link: SocketAddr) -> Self {
+        Self::start_with(name, link, json!({}))
+    }
+
+    pub fn start_with(name: &str, link: SocketAddr, more: Value) -> Self {
+        let mut config = json!({
+            "exchange": 1,
+            "signalling": { "listen": "127.0.0.1:0",
+                            "links": [{ "to": 2, "circuits": CIRCUITS, "connect": link }] },
+            "subscribers": { "listen": "127.0.0.1:0" },
+            "calls": { "listen": "127.0.0.1:0" },
+            "admin": { "listen": "127.0.0.1:0" },
+            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                             "mean_hold_ms": 10000 }],
+        });
+        more.as_object().unwrap().iter().for_each(|(field, value)| config[field] = value.clone());
+        let path = file(name, &config.to_string());
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mintstall"))
+            .args(["run", "--config", path.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        Self { child, ready: serde_json::from_str(&line).unwrap() }
+    }
+
+    pub fn connect(&self, what: &str) -> BufReader<TcpStream> {
+        let addr: SocketAddr = self.ready[what].as_str().unwrap().parse().unwrap();
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        BufReader::new(stream)
+    }
+
+    pub fn stop(mut self) -> Option<i32> {
+        self.kill("-TERM");
+        self.wait()
+    }
+
+    pub fn kill(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+/// A test that fails leaves no process behind.
+impl Drop for Controller {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn ask(line: &mut BufReader<TcpStream>, text: &str) -> Value {
+    line.get_mut().write_all(text.as_bytes()).unwrap();
+    line.get_mut().write_all(b"\n").unwrap();
+    hear(line)
+}
+
+pub fn hear(line: &mut BufReader<TcpStream>) -> Value {
+    let mut text = String::new();
+    line.read_line(&mut text).unwrap();
+    serde_json::from_str(&text).unwrap()
+}
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -364,6 +364,12 @@
         self.take_ready(now, port);
     }
 
+    /// Its client has closed it for good: what is in hand is hung up, resumable or not.
+    pub fn line_over(&mut self, now: Duration, port: &mut dyn Port, line: LineNo) {
+        self.end_line(now, port, line);
+        self.take_ready(now, port);
+    }
+
     fn end_sessions(&mut self, now: Duration, port: &mut dyn Port, sessions: &[SessionNo]) {
         for session in sessions {
             if let Some(line) = self.sessions.get(session).copied() {
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -863,7 +863,12 @@
                 self.wires.lines.remove(&line);
                 let why = end.ended().map_or(why, |ended| ended.reason.as_str());
                 debug!(line = line.0, code = end.ended().map(|ended| ended.code), "line closed: {why}");
-                self.exchange.line_closed(now, &mut self.wires, line);
+                match end.ended() {
+                    Some(ended) if ended.by_far_end && ended.code == close::NORMAL => {
+                        self.exchange.line_over(now, &mut self.wires, line);
+                    }
+                    _ => self.exchange.line_closed(now, &mut self.wires, line),
+                }
             }
             Purpose::Knocking(_) => debug!("client closed in its handshake: {why}"),
             Purpose::Leaving => {}
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -1,16 +1,18 @@
 //! Offers that are let in, wait, or are refused, through the exchange core with a far exchange that answers when told to.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mintstall::host::OfficeNo;
 use mintstall_callapi::{Asked, Final, Hangup, Heard, Offer, Request};
-use mintstall_daemon::Config;
 use mintstall_daemon::config::LimitsPlan;
 use mintstall_daemon::exchange::{Exchange, LineNo, Port};
-use mintstall_isup::{Body, Cic, Data, Deframer, Frame, Message, RangeStatus};
 use serde_json::json;
 
+use common::{FAR, Far};
+
 #[derive(Default)]
 struct Wires {
     said: BTreeMap<LineNo, Vec<Heard>>,
@@ -45,31 +47,16 @@
     exchange: Exchange,
     wires: Wires,
     now: Duration,
-    /// Circuits of set-ups that wait for the far exchange.
-    set_ups: Vec<Cic>,
+    far: Far,
 }
 
-const FAR: OfficeNo = OfficeNo(2);
-
 impl Room {
     fn new(limits: LimitsPlan) -> Self {
-        let config: Config = serde_json::from_value(json!({
-            "exchange": 1,
-            "signalling": { "listen": "127.0.0.1:1", "links": [{ "to": 2, "circuits": 310 }] },
-            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
-                             "mean_hold_ms": 10000 }],
-        }))
-        .unwrap();
-        let config = Config { limits, ..config };
-        assert_eq!(config.faults(), Vec::<String>::new());
+        let config = common::config(limits);
         let now = Duration::from_secs(3600);
         let exchange = Exchange::new(now, &config, 2, 1);
-        let mut room = Self { exchange, wires: Wires::default(), now, set_ups: Vec::new() };
-        let entry =
-            |office: u16| json!({ "exchange": office, "office": office, "region": 0, "standing": "ready" });
-        let news = json!({ "version": 1, "entries": [entry(1), entry(2)] });
-        let note = mintstall_roster::FeedNote::Roster(serde_json::from_value(news).unwrap());
-        room.exchange.feed_note(now, &mut room.wires, &note);
+        let mut room = Self { exchange, wires: Wires::default(), now, far: Far::default() };
+        room.exchange.feed_note(now, &mut room.wires, &common::roster());
         room.exchange.link_up(now, &mut room.wires, FAR);
         room.far();
         room
@@ -79,35 +66,7 @@
     fn far(&mut self) {
         while !self.wires.sent.is_empty() {
             for octets in std::mem::take(&mut self.wires.sent) {
-                let mut frames = Deframer::default();
-                frames.push(&octets);
-                let frame = frames.next().unwrap().unwrap().to_vec();
-                let mut out = Vec::new();
-                match Frame::read(&frame).unwrap() {
-                    Frame::AspUp { .. } => {
-                        Frame::AspUpAck { asp: Some(2) }.write(&mut out);
-                        Frame::AspUp { asp: Some(2) }.write(&mut out);
-                        Frame::AspActive.write(&mut out);
-                    }
-                    Frame::AspActive => Frame::AspActiveAck.write(&mut out),
-                    Frame::Data(data) => {
-                        let Message { cic, body } = Message::read(data.user).unwrap();
-                        let back = match body {
-                            Body::Iam(_) => {
-                                self.set_ups.push(cic);
-                                None
-                            }
-                            Body::Grs { count } => Some(Body::Gra(RangeStatus { count, status: 0 })),
-                            Body::Rel(_) => {
-                                self.set_ups.retain(|other| *other != cic);
-                                Some(Body::Rlc { other: Vec::new() })
-                            }
-                            _ => None,
-                        };
-                        back.into_iter().for_each(|body| write(cic, body, &mut out));
-                    }
-                    _ => {}
-                }
+                let out = self.far.read(&octets);
                 self.exchange.link_octets(self.now, &mut self.wires, FAR, &out);
             }
         }
@@ -115,9 +74,7 @@
 
     /// The far exchange answers its oldest set-up.
     fn stands(&mut self) {
-        let cic = self.set_ups.remove(0);
-        let mut out = Vec::new();
-        write(cic, Body::Anm { report: None, other: Vec::new() }, &mut out);
+        let out = self.far.answers(0);
         self.exchange.link_octets(self.now, &mut self.wires, FAR, &out);
         self.far();
     }
@@ -174,12 +131,6 @@
     }
 }
 
-fn write(cic: Cic, body: Body, out: &mut Vec<u8>) {
-    let mut user = Vec::new();
-    Message::new(cic, body).write(&mut user);
-    Frame::Data(Data { opc: 2, dpc: 1, service: 5, network: 2, priority: 0, sls: 0, user: &user }).write(out);
-}
-
 fn unanswered(count: usize) -> LimitsPlan {
     LimitsPlan { unanswered: count, ..LimitsPlan::default() }
 }
@@ -189,9 +140,9 @@
     let mut room = Room::new(unanswered(2));
     let line = room.line();
     (1..=4).for_each(|call| room.offer(line, call, 0));
-    assert_eq!((room.set_ups.len(), room.figures()), (2, (2, 2)));
+    assert_eq!((room.far.set_ups.len(), room.figures()), (2, (2, 2)));
     room.stands();
-    assert_eq!((room.set_ups.len(), room.figures()), (2, (2, 1)));
+    assert_eq!((room.far.set_ups.len(), room.figures()), (2, (2, 1)));
     (0..3).for_each(|_| room.stands());
     assert_eq!(room.answers(line).len(), 4);
     assert_eq!(room.figures(), (0, 0));
@@ -234,7 +185,7 @@
     room.offer(stays, 1, 1);
     room.exchange.line_closed(room.now, &mut room.wires, gone);
     room.far();
-    assert_eq!((room.set_ups.len(), room.figures()), (1, (1, 0)), "the other line's call is out");
+    assert_eq!((room.far.set_ups.len(), room.figures()), (1, (1, 0)), "the other line's call is out");
     room.stands();
     assert_eq!(room.answers(stays), [(1, Final::Stands)]);
     room.ask(stays, Request::Hangup(Hangup { call: 1 }));
@@ -251,7 +202,7 @@
     room.ask(line, Request::Hangup(Hangup { call: 2 }));
     assert_eq!(room.answers(line), [(2, Final::Fails)]);
     room.stands();
-    assert_eq!((room.set_ups.len(), room.figures()), (0, (0, 0)));
+    assert_eq!((room.far.set_ups.len(), room.figures()), (0, (0, 0)));
 }
 
 #[test]
@@ -261,7 +212,7 @@
     let line = room.line();
     (1..=5).for_each(|call| room.offer(line, call, 0));
     let refused: Vec<_> = room.answers(line).into_iter().map(|(call, _)| call).collect();
-    assert_eq!((room.set_ups.len(), refused), (3, vec![4, 5]));
+    assert_eq!((room.far.set_ups.len(), refused), (3, vec![4, 5]));
     (0..3).for_each(|_| room.stands());
     assert_eq!(room.answers(line).len(), 3);
 }
@@ -429,7 +380,7 @@
     (1..=5).for_each(|call| room.offer(line, call, 0));
     room.cut(line);
     (0..5).for_each(|_| {
-        if !room.set_ups.is_empty() {
+        if !room.far.set_ups.is_empty() {
             room.stands();
         }
     });
@@ -517,18 +468,18 @@
     room.stands();
     assert_eq!(room.answers(before), [(1, Final::Stands)]);
     room.offer(before, 1, 0);
-    assert_eq!((room.answers(before), room.set_ups.len()), (vec![(1, Final::Stands)], 0));
+    assert_eq!((room.answers(before), room.far.set_ups.len()), (vec![(1, Final::Stands)], 0));
     // On the connection after a cut too: it is the same session.
     room.cut(before);
     let after = room.line();
     room.hello(after, json!({ "client": "test", "resume": key }));
     room.offer(after, 1, 0);
-    assert_eq!((room.answers(after), room.set_ups.len()), (vec![(1, Final::Stands)], 0));
+    assert_eq!((room.answers(after), room.far.set_ups.len()), (vec![(1, Final::Stands)], 0));
     assert_eq!(room.exchange.status()["counts"]["offered"], json!(1));
     room.ask(after, Request::Hangup(Hangup { call: 1 }));
     room.pass(Duration::from_secs(31));
     room.offer(after, 1, 0);
-    assert_eq!(room.set_ups.len(), 1, "its number is free again");
+    assert_eq!(room.far.set_ups.len(), 1, "its number is free again");
 }
 
 #[test]
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,88 @@
+//! A controller of exchange 1 with one link, to an exchange 2 that the tests play.
+
+use mintstall::host::OfficeNo;
+use mintstall_daemon::Config;
+use mintstall_daemon::config::LimitsPlan;
+use mintstall_isup::{Body, Cic, Data, Deframer, Frame, Message, RangeStatus};
+use mintstall_roster::FeedNote;
+use serde_json::json;
+
+pub const FAR: OfficeNo = OfficeNo(2);
+
+pub fn config(limits: LimitsPlan) -> Config {
+    let config: Config = serde_json::from_value(json!({
+        "exchange": 1,
+        "signalling": { "listen": "127.0.0.1:1", "links": [{ "to": 2, "circuits": 310 }] },
+        "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                         "mean_hold_ms": 10000 }],
+    }))
+    .unwrap();
+    let config = Config { limits, ..config };
+    assert_eq!(config.faults(), Vec::<String>::new());
+    config
+}
+
+/// Both exchanges are ready.
+pub fn roster() -> FeedNote {
+    let entry =
+        |office: u16| json!({ "exchange": office, "office": office, "region": 0, "standing": "ready" });
+    let news = json!({ "version": 1, "entries": [entry(1), entry(2)] });
+    FeedNote::Roster(serde_json::from_value(news).unwrap())
+}
+
+/// The far exchange: it completes resets and releases at once, and keeps set-ups until it is told what to do with them.
+#[derive(Default)]
+pub struct Far {
+    /// Circuits of set-ups that wait, oldest first.
+    pub set_ups: Vec<Cic>,
+}
+
+impl Far {
+    /// Reads one message; returns what goes back.
+    pub fn read(&mut self, octets: &[u8]) -> Vec<u8> {
+        let mut frames = Deframer::default();
+        frames.push(octets);
+        let frame = frames.next().unwrap().unwrap().to_vec();
+        let mut out = Vec::new();
+        match Frame::read(&frame).unwrap() {
+            Frame::AspUp { .. } => {
+                Frame::AspUpAck { asp: Some(2) }.write(&mut out);
+                Frame::AspUp { asp: Some(2) }.write(&mut out);
+                Frame::AspActive.write(&mut out);
+            }
+            Frame::AspActive => Frame::AspActiveAck.write(&mut out),
+            Frame::Data(data) => {
+                let Message { cic, body } = Message::read(data.user).unwrap();
+                let back = match body {
+                    Body::Iam(_) => {
+                        self.set_ups.push(cic);
+                        None
+                    }
+                    Body::Grs { count } => Some(Body::Gra(RangeStatus { count, status: 0 })),
+                    Body::Rel(_) => {
+                        self.set_ups.retain(|other| *other != cic);
+                        Some(Body::Rlc { other: Vec::new() })
+                    }
+                    _ => None,
+                };
+                back.into_iter().for_each(|body| write(cic, body, &mut out));
+            }
+            _ => {}
+        }
+        out
+    }
+
+    /// Answers a set-up that waits.
+    pub fn answers(&mut self, which: usize) -> Vec<u8> {
+        let cic = self.set_ups.remove(which);
+        let mut out = Vec::new();
+        write(cic, Body::Anm { report: None, other: Vec::new() }, &mut out);
+        out
+    }
+}
+
+pub fn write(cic: Cic, body: Body, out: &mut Vec<u8>) {
+    let mut user = Vec::new();
+    Message::new(cic, body).write(&mut user);
+    Frame::Data(Data { opc: 2, dpc: 1, service: 5, network: 2, priority: 0, sls: 0, user: &user }).write(out);
+}
--- /dev/null
+++ b/crates/lab/src/far.rs
@@ -0,0 +1,79 @@
+//! A stand-in exchange on a socket, in a thread of its own: [`Far`] with a clock.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use mintstall_standin::{Far, FarPlan, FarTally};
+
+/// It runs until this is dropped and its connection ends.
+pub struct FarServer {
+    far: Arc<Mutex<Far>>,
+    addr: SocketAddr,
+}
+
+fn lock(far: &Mutex<Far>) -> MutexGuard<'_, Far> {
+    far.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FarServer {
+    /// One controller at a time is talked to; the next connection takes the place of one that is gone.
+    pub fn start(listen: SocketAddr, plan: FarPlan) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let addr = listener.local_addr()?;
+        let far = Arc::new(Mutex::new(Far::new(plan)));
+        let shared = Arc::downgrade(&far);
+        std::thread::spawn(move || {
+            let start = Instant::now();
+            while let (Ok((stream, _)), Some(far)) = (listener.accept(), shared.upgrade()) {
+                // An error ends the connection, and the next one is taken.
+                let _ = serve(stream, &far, start);
+                lock(&far).link_down();
+            }
+        });
+        Ok(Self { far, addr })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub fn tally(&self) -> FarTally {
+        lock(&self.far).tally
+    }
+
+    /// What it does with set-ups from now on.
+    pub fn change(&self, change: impl FnOnce(&mut FarPlan)) {
+        change(&mut lock(&self.far).plan);
+    }
+}
+
+fn serve(mut stream: TcpStream, far: &Mutex<Far>, start: Instant) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut out = Vec::new();
+    lock(far).link_up(&mut out);
+    let mut buffer = vec![0; 64 << 10];
+    loop {
+        stream.write_all(&out)?;
+        out.clear();
+        let alarm =
+            lock(far).next_alarm().map_or(Duration::from_millis(20), |at| at.saturating_sub(start.elapsed()));
+        stream.set_read_timeout(Some(alarm.clamp(Duration::from_micros(200), Duration::from_millis(20))))?;
+        let read = stream.read(&mut buffer);
+        let mut far = lock(far);
+        let now = start.elapsed();
+        match read {
+            Ok(0) => return Ok(()),
+            Ok(count) if !far.octets(now, &buffer[..count], &mut out) => return Ok(()),
+            Ok(_) => {}
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                ) => {}
+            Err(error) => return Err(error),
+        }
+        far.ring(now, &mut out);
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod capture;
+pub mod far;
 pub mod loopback;
 pub mod report;
 pub mod setup;
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -83,7 +83,8 @@
             after: VecDeque::new(),
             changed: BTreeSet::new(),
             // Below 2^63, above which the decisions keep numbers of their own.
-            next_call: u64::from(incarnation >> 1) << 32,
+            // Below 2^53, so that clients without wider integers read it whole (RFC 8259 clause 6).
+            next_call: u64::from(incarnation >> 1) << 22,
             owed: 0,
             tally: Tally::default(),
             traces: Traces::new(plan.traces),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod callers;
 mod day;
+mod far;
 mod processor;
 mod score;
 mod witness;
 mod world;
 
 pub use day::*;
+pub use far::{Far, FarPlan, FarTally};
 pub use score::{Outcome, Score, Slice};
 pub use witness::{Seen, Witness};
 pub use world::{Act, Wiring, World};
