mintstall load and far, a TypeScript client; the line of held calls told apart by lots

Load: N sessions over mio by a script, cut and coming back, times counted from intended sends. The line is kept by sixteenths of lots now, and those not taken are not looked at; the same decisions.

--- /dev/null
+++ b/clients/typescript/examples/monitor.mjs
@@ -0,0 +1,19 @@
+// Prints calls as they go, through cuts. node examples/monitor.mjs URL
+import { Client } from "../dist/index.js";
+
+const [url] = process.argv.slice(2);
+if (!url) {
+  console.error("usage: node examples/monitor.mjs ws://127.0.0.1:7300/calls");
+  process.exit(2);
+}
+const options = { url, name: "monitor example", token: process.env.MINTSTALL_TOKEN };
+if (!globalThis.WebSocket) options.WebSocket = (await import("ws")).WebSocket;
+if (options.token === undefined) delete options.token;
+const client = new Client(options);
+client.on((happening) => {
+  if (happening.what === "news") console.log(happening.number, JSON.stringify(happening.event));
+  else if (happening.what === "missed") console.log(`${happening.count} events were missed`);
+  else console.error(happening.what, happening.why ?? "");
+});
+client.watch();
+process.on("SIGINT", () => client.close());
--- /dev/null
+++ b/clients/typescript/src/comeback.ts
@@ -0,0 +1,70 @@
+// When a client that lost its connection comes back, and when a refused call is offered again. The same rules as those of
+// the Rust client: a wait that was told is kept, the rest is jittered and grows, repeated offers are paid for.
+
+export interface ComeBackPlan {
+  /** The wait after the first failure, doubled with each up to the last; drawn from the upper half. Milliseconds. */
+  first: number;
+  last: number;
+  /** A connection that held for so long makes the failures before it forgotten. */
+  steady: number;
+}
+
+export class ComeBack {
+  #failures = 0;
+  #opened: number | undefined;
+
+  constructor(
+    readonly plan: ComeBackPlan = { first: 100, last: 10_000, steady: 10_000 },
+    readonly random: () => number = Math.random,
+  ) {}
+
+  opened(now: number): void {
+    this.#opened = now;
+  }
+
+  /** The connection is lost, or was not to be had. Returns how long to wait; `told`: what the server asked for. */
+  failed(now: number, told = 0): number {
+    if (this.#opened !== undefined && now - this.#opened >= this.plan.steady) this.#failures = 0;
+    this.#opened = undefined;
+    const grown = Math.min(this.plan.first * 2 ** Math.min(this.#failures, 16), this.plan.last);
+    this.#failures += 1;
+    return told + grown * (0.5 + 0.5 * this.random());
+  }
+}
+
+export interface RedialPlan {
+  /** Offers of one call, the first among them. */
+  offers: number;
+  /** The wait before the second, doubled with each further one. Milliseconds. */
+  first: number;
+  /** What each first offer earns towards a second, and how much may be saved up. */
+  earned: number;
+  mostSaved: number;
+  /** A call that could not stand in less is not offered again. */
+  leastLeft: number;
+}
+
+export class Redial {
+  #saved: number;
+
+  constructor(
+    readonly plan: RedialPlan = { offers: 3, first: 250, earned: 0.2, mostSaved: 10, leastLeft: 300 },
+    readonly random: () => number = Math.random,
+  ) {
+    this.#saved = plan.mostSaved;
+  }
+
+  firstOffer(): void {
+    this.#saved = Math.min(this.#saved + this.plan.earned, this.plan.mostSaved);
+  }
+
+  /** How long to wait before a call is offered again, after so many offers; undefined: not again. */
+  again(left: number, offers: number, told = 0): number | undefined {
+    if (offers >= this.plan.offers) return undefined;
+    const grown = this.plan.first * 2 ** Math.min(offers - 1, 16);
+    const wait = Math.max(told, grown * (0.5 + 0.5 * this.random()));
+    if (wait + this.plan.leastLeft > left || this.#saved < 1) return undefined;
+    this.#saved -= 1;
+    return wait;
+  }
+}
--- a/crates/callapi/src/lib.rs
+++ b/crates/callapi/src/lib.rs
@@ -125,7 +125,6 @@
     Stands,
     /// It is not in hand any more; its final answer was this.
     Over {
-        #[serde(flatten)]
         answer: Final,
     },
 }
@@ -513,16 +512,8 @@
             return Ok(Self::Fault { id: raw.id, code, message, come_back_ms });
         }
         let result = raw.result.map_or("null", RawValue::get);
-        // What `call.get` tells of a call that is over has the same fields, and this one.
-        #[derive(Deserialize)]
-        struct State {
-            #[serde(default)]
-            state: Option<IgnoredAny>,
-        }
         match serde_json::from_str(result) {
-            Ok(answered) if serde_json::from_str::<State>(result)?.state.is_none() => {
-                Ok(Self::Answered(answered))
-            }
+            Ok(answered) => Ok(Self::Answered(answered)),
             _ => Ok(Self::Result { id: raw.id, result: serde_json::from_str(result)? }),
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `mintstall`. Exit codes: 0 done, 1 a rule was broken or something failed, 2 bad input.
 
 mod day;
+mod load;
 
 use std::io;
 use std::net::SocketAddr;
@@ -52,6 +53,10 @@
     },
     /// Plays a day and judges the rules: over sockets with real processes, or in virtual time.
     Day(day::DayArgs),
+    /// Opens many sessions on a controller and offers calls by a script.
+    Load(load::LoadArgs),
+    /// Plays one exchange for controllers to reach: simulated, for loads and trials.
+    Far(load::FarArgs),
     /// Asks a running controller what it holds.
     Status {
         /// Its admin address, as `admin.listen` says.
@@ -138,6 +143,8 @@
         },
         Command::Config { command: ConfigCommand::Schema } => schema::<Config>(),
         Command::Day(args) => day::day(&args),
+        Command::Load(args) => load::load(&args),
+        Command::Far(args) => load::far(&args),
         Command::Status { admin, json } => status(admin, json),
         Command::Trace { admin, call, origin, json } => trace(admin, call, origin, json),
         Command::Api { command: ApiCommand::Schema } => {
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -36,6 +36,62 @@
     }
 }
 
+#[test]
+fn the_schema_that_other_clients_are_written_from_is_what_the_program_speaks() {
+    let said: Value = serde_json::from_slice(&mintstall(&["api", "schema"]).stdout).unwrap();
+    let kept: Value = serde_json::from_str(include_str!("../../../clients/typescript/schema.json")).unwrap();
+    assert_eq!(said, kept, "mintstall api schema > clients/typescript/schema.json; npm run types");
+}
+
+#[test]
+fn a_load_with_cuts_leaves_no_call_without_an_outcome() {
+    let far = mintstall_lab::far::FarServer::start(
+        "127.0.0.1:0".parse().unwrap(),
+        mintstall_standin::FarPlan {
+            answer_ms: [20.0, 200.0],
+            busy: 0.1,
+            silent: 0.05,
+            ..Default::default()
+        },
+    )
+    .unwrap();
+    let controller = Controller::start_with(
+        "load.json",
+        far.addr(),
+        json!({ "limits": { "opens_per_s": 200, "opens_at_once": 50, "resume_ms": 1000 } }),
+    );
+    let script = json!({
+        "groups": [{ "name": "a", "sessions": 100, "per_s": 150, "cuts_per_s": 20, "gone": 0.3 },
+                   { "name": "b", "sessions": 20, "per_s": 20, "steady": true }],
+        "stages": [{ "name": "one", "for_s": 1 }, { "name": "two", "for_s": 1, "times": 2 }],
+        "time_left_ms": 1500, "hold_ms": 100,
+    });
+    let script = file("load-script.json", &script.to_string());
+    let output =
+        mintstall(&["load", script.to_str().unwrap(), controller.ready["calls"].as_str().unwrap(), "--json"]);
+    assert_eq!(output.status.code(), Some(0), "{}", says(&output));
+    let report: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let sum = |field: &str| {
+        let parts = report["parts"].as_array().unwrap().iter();
+        parts.map(|part| part[field].as_u64().unwrap()).sum::<u64>()
+    };
+    let outcomes = ["in_time", "late", "refused", "failed", "lost", "turned_down"].map(sum);
+    assert_eq!(sum("offered"), outcomes.iter().sum::<u64>(), "{report}");
+    assert!(sum("offered") > 200 && outcomes[0] > 100 && report["cuts"].as_u64() > Some(10), "{report}");
+    assert!(report["taken_up"].as_u64() > Some(5), "{report}");
+    // What it held is given back.
+    let mut admin = controller.connect("admin");
+    let at_rest = (0..400).any(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        let status = ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#)["result"].clone();
+        status["calls"] == 0 && status["lines"] == 0 && status["groups"][0]["free"] == CIRCUITS
+    });
+    let tally = far.tally();
+    assert!(at_rest, "{tally:?}");
+    assert_eq!((tally.second_out, tally.too_soon), (0, 0), "{tally:?}");
+    assert_eq!(controller.stop(), Some(0));
+}
+
 #[test]
 fn a_short_day_over_sockets_with_a_controller_killed_keeps_the_rules() {
     let day = file(
--- a/crates/lab/benches/ordinary_call.rs
+++ b/crates/lab/benches/ordinary_call.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use mintstall_callapi::{Asked, Hangup, Heard, LineCutter, Offer, Request};
-use mintstall_daemon::config::{CallType, Config, LimitsPlan, Link, Signalling, Subscribers};
+use mintstall_daemon::config::{CallType, Calls, Config, LimitsPlan, Link, Signalling, Subscribers};
 use mintstall_daemon::{Exchange, Shell, exchange::LineNo, exchange::Port};
 use mintstall_isup::{Body, Data, Deframer, Frame, Message, RangeStatus};
+use mintstall_websocket::{Dialled, End, Event, Progress};
 use mio::net::TcpStream as MioStream;
 use mio::{Events, Interest, Poll, Token};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
@@ -34,7 +35,14 @@
             links: vec![Link { to: 2, circuits: 310, connect: Some(far) }],
         },
         // One line offers all: what it may is not what is measured.
-        limits: LimitsPlan { offers_per_s: 1e9, offers_at_once: 1e9, ..LimitsPlan::default() },
+        limits: LimitsPlan {
+            offers_per_s: 1e9,
+            offers_at_once: 1e9,
+            requests_per_s: 1e9,
+            requests_at_once: 1e9,
+            ..LimitsPlan::default()
+        },
+        calls: Calls { listen: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))), ..Calls::default() },
         subscribers: Subscribers { listen: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))) },
         call_types: vec![CallType {
             name: "call".into(),
@@ -104,11 +112,50 @@
         cut: false,
         redial: false,
     };
-    Asked { id: Some(call.into()), request: Request::Offer(offer) }.text() + "\n"
+    Asked { id: Some(call.into()), request: Request::Offer(offer) }.text()
 }
 
 fn hang_up(call: u64) -> String {
-    Asked { id: Some(call.into()), request: Request::Hangup(Hangup { call }) }.text() + "\n"
+    Asked { id: Some(call.into()), request: Request::Hangup(Hangup { call }) }.text()
+}
+
+/// How the subscriber's texts are carried.
+enum Carried {
+    Lines(LineCutter),
+    WebSocket(Box<End>),
+}
+
+impl Carried {
+    fn say(&mut self, text: &str, out: &mut Vec<u8>) {
+        match self {
+            Self::Lines(_) => {
+                out.extend_from_slice(text.as_bytes());
+                out.push(b'\n');
+            }
+            Self::WebSocket(end) => {
+                end.say(text);
+                out.append(end.out());
+            }
+        }
+    }
+
+    fn hear(&mut self, octets: &[u8]) -> Vec<Heard> {
+        let read = |text: &[u8]| Heard::read(text).expect("a text");
+        let mut heard = Vec::new();
+        match self {
+            Self::Lines(lines) => {
+                lines.push(octets);
+                while let Ok(Some(text)) = lines.next() {
+                    heard.push(read(text));
+                }
+            }
+            Self::WebSocket(end) => end.octets(octets, &mut |event| match event {
+                Event::Text(text) => heard.push(read(text.as_bytes())),
+                Event::Alive => {}
+            }),
+        }
+        heard
+    }
 }
 
 /// Octets that crossed, each way, and how long it took.
@@ -119,15 +166,22 @@
 }
 
 /// Calls through a controller: subscribers and far exchange in one mio loop, the controller in another thread.
-fn calls(line: &mut MioStream, far: &mut MioStream, poll: &mut Poll, first: u64, at_a_time: u64) -> Moved {
-    let (mut lines, mut frames) = (LineCutter::new(1 << 16), Deframer::default());
+fn calls(
+    carried: &mut Carried,
+    line: &mut MioStream,
+    far: &mut MioStream,
+    poll: &mut Poll,
+    first: u64,
+    at_a_time: u64,
+) -> Moved {
+    let mut frames = Deframer::default();
     let (mut offered, mut done, mut octets) = (0, 0, [0u64; 4]);
     let (mut to_line, mut to_far) = (Vec::new(), Vec::new());
     let mut buffer = vec![0; 64 << 10];
     let mut events = Events::with_capacity(16);
     let start = Instant::now();
     while offered < at_a_time {
-        to_line.extend_from_slice(offer(first + offered).as_bytes());
+        carried.say(&offer(first + offered), &mut to_line);
         offered += 1;
     }
     while done < CALLS {
@@ -136,14 +190,13 @@
         poll.poll(&mut events, Some(Duration::from_secs(10))).expect("poll");
         while let Ok(count) = line.read(&mut buffer) {
             octets[1] += count as u64;
-            lines.push(&buffer[..count]);
-            while let Ok(Some(text)) = lines.next() {
-                match Heard::read(text).expect("a text") {
-                    Heard::Answered(answered) => to_line.extend_from_slice(hang_up(answered.call).as_bytes()),
-                    Heard::Done => {
+            for heard in carried.hear(&buffer[..count]) {
+                match heard {
+                    Heard::Answered(answered) => carried.say(&hang_up(answered.call), &mut to_line),
+                    Heard::Result { .. } => {
                         done += 1;
                         if offered < CALLS {
-                            to_line.extend_from_slice(offer(first + offered).as_bytes());
+                            carried.say(&offer(first + offered), &mut to_line);
                             offered += 1;
                         }
                     }
@@ -275,18 +328,52 @@
     let (tell, told) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let shell = Shell::open(&config).expect("a controller");
-        tell.send(shell.addresses()[1]).expect("tell");
+        tell.send(shell.addresses()).expect("tell");
         shell.run()
     });
-    let lines = told.recv().expect("told").expect("a line's address");
+    let addresses = told.recv().expect("told");
     let mut far = mio(listener.accept().expect("accept").0);
-    let mut line = mio(TcpStream::connect(lines).expect("connect"));
     let mut poll = Poll::new().expect("poll");
-    poll.registry().register(&mut line, Token(0), Interest::READABLE).expect("register");
     poll.registry().register(&mut far, Token(1), Interest::READABLE).expect("register");
     open_group(&mut far, &mut poll);
 
-    let warm = calls(&mut line, &mut far, &mut poll, 1 << 40, 8);
+    let lines = addresses.subscribers.expect("a line's address");
+    let line = mio(TcpStream::connect(lines).expect("connect"));
+    measure("lines", Carried::Lines(LineCutter::new(1 << 16)), line, &mut far, &mut poll, 1);
+    let (stream, end) = web_socket(addresses.calls.expect("the address for calls"));
+    measure("WebSocket", Carried::WebSocket(end), stream, &mut far, &mut poll, 100);
+    let (allocations, bytes) = allocated();
+    println!(
+        "in the exchange core, without sockets: {allocations:.1} allocations and {bytes:.0} octets allocated a call"
+    );
+}
+
+fn web_socket(to: SocketAddr) -> (MioStream, Box<End>) {
+    let mut stream = TcpStream::connect(to).expect("connect");
+    let (mut dialled, request) = Dialled::new(to, 1 << 16).expect("a request");
+    stream.write_all(&request).expect("write");
+    let mut buffer = [0; 4096];
+    loop {
+        let count = stream.read(&mut buffer).expect("read");
+        match dialled.push(&buffer[..count]) {
+            Progress::Open(end) => return (mio(stream), end),
+            Progress::More => {}
+            Progress::Turned(why) => panic!("{why}"),
+        }
+    }
+}
+
+/// One way to carry texts, against an echo of what it moves.
+fn measure(
+    name: &str,
+    mut carried: Carried,
+    mut line: MioStream,
+    far: &mut MioStream,
+    poll: &mut Poll,
+    mut round: u64,
+) {
+    poll.registry().register(&mut line, Token(0), Interest::READABLE).expect("register");
+    let warm = calls(&mut carried, &mut line, far, poll, round << 40, 8);
     let per_call = warm.octets.map(|octets| octets as f64 / CALLS as f64);
     let sizes = per_call.map(|octets| (octets / 2.0) as usize);
     let (mut echo_line, relay_line) = pair();
@@ -296,13 +383,12 @@
     echo_poll.registry().register(&mut echo_line, Token(0), Interest::READABLE).expect("register");
     echo_poll.registry().register(&mut echo_far, Token(1), Interest::READABLE).expect("register");
 
-    println!("{:>10} {:>12} {:>14} {:>7}", "at a time", "calls/s", "echo calls/s", "ratio");
-    let mut round = 2;
+    println!("{name}\n{:>10} {:>12} {:>14} {:>7}", "at a time", "calls/s", "echo calls/s", "ratio");
     for at_a_time in AT_A_TIME {
         let mut runs: Vec<_> = (0..ROUNDS)
             .map(|_| {
                 round += 1;
-                let moved = calls(&mut line, &mut far, &mut poll, round << 40, at_a_time);
+                let moved = calls(&mut carried, &mut line, far, poll, round << 40, at_a_time);
                 let bare = echo(sizes, &mut echo_line, &mut echo_far, &mut echo_poll, at_a_time);
                 (moved.calls_per_s / bare, moved.calls_per_s, bare)
             })
@@ -315,10 +401,7 @@
         "octets a call: offers {:.0}, answers {:.0}, out {:.0}, in {:.0}",
         per_call[0], per_call[1], per_call[2], per_call[3]
     );
-    let (allocations, bytes) = allocated();
-    println!(
-        "in the exchange core, without sockets: {allocations:.1} allocations and {bytes:.0} octets allocated a call"
-    );
+    poll.registry().deregister(&mut line).expect("deregister");
 }
 
 /// Answers the link's opening and the group's reset until calls can go out.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod capture;
 pub mod far;
+pub mod load;
 pub mod loopback;
 pub mod report;
 pub mod setup;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -182,7 +182,14 @@
     /// Numbers found busy lately; emptied by time.
     busy: Lately<()>,
     /// Calls held for a way, by where they go, rank and age; emptied as they leave `calls` or find one.
-    line: BTreeMap<OfficeNo, BTreeSet<Place>>,
+    line: BTreeMap<OfficeNo, BTreeMap<u8, BTreeSet<Place>>>,
+}
+
+/// Lots are told apart in the line by sixteenths.
+const LOTS: u8 = 16;
+
+fn lots(call: &Call) -> u8 {
+    (call.lot * f64::from(LOTS)) as u8
 }
 
 /// A place in the line: dearer calls first, then older ones.
@@ -450,7 +457,7 @@
             return self.give_up(now, host, call);
         }
         let place = self.place_in_line(&call);
-        self.line.entry(call.offer.dest).or_default().insert(place);
+        self.line.entry(call.offer.dest).or_default().entry(lots(&call)).or_default().insert(place);
         let then: AfterWait = Box::new(|me, now, host, call| {
             me.leave_line(&call);
             me.give_up(now, host, call);
@@ -472,30 +479,36 @@
 
     fn leave_line(&mut self, call: &Call) {
         let place = self.place_in_line(call);
-        if let Some(places) = self.line.get_mut(&call.offer.dest) {
+        let Some(all) = self.line.get_mut(&call.offer.dest) else { return };
+        if let Some(places) = all.get_mut(&lots(call)) {
             places.remove(&place);
-            if places.is_empty() {
-                self.line.remove(&call.offer.dest);
-            }
+        }
+        all.retain(|_, places| !places.is_empty());
+        if all.is_empty() {
+            self.line.remove(&call.offer.dest);
         }
     }
 
     /// Sends on what now finds a way, highest revenue first; none does while the window over all is shut.
-    /// Only calls to where there may be room are looked at: with groups full the line gets long.
+    /// Only calls that may find room, of lots that are taken, are looked at: under pressure the line gets long.
     fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
         if self.line.is_empty() || !self.window.open() {
             return;
         }
-        let tandems = self.exchanges.values().filter(|far| far.has_room(1.0 + RESERVED)).count();
-        let hopeful = self.line.iter().filter(|(dest, _)| self.may_go(**dest, tandems > 0));
-        let firsts = hopeful.filter_map(|(dest, places)| Some(Reverse((*places.first()?, *dest))));
-        let mut next: BinaryHeap<_> = firsts.collect();
+        let tandems = self.exchanges.values().filter(|far| far.has_room(1.0 + RESERVED)).count() > 0;
+        let mut next = BinaryHeap::new();
+        for (dest, all) in &self.line {
+            let below = self.may_go(now, *dest, tandems);
+            let hopeful = all.iter().filter(|(lots, _)| f64::from(**lots) < below * f64::from(LOTS));
+            next.extend(hopeful.filter_map(|(lots, all)| Some(Reverse((*all.first()?, *dest, *lots)))));
+        }
         while self.window.open()
-            && let Some(Reverse((place, dest))) = next.pop()
+            && let Some(Reverse((place, dest, lots))) = next.pop()
         {
             let after = (Bound::Excluded(place), Bound::Unbounded);
-            let follows = self.line.get(&dest).and_then(|places| places.range(after).next().copied());
-            next.extend(follows.map(|follows| Reverse((follows, dest))));
+            let places = self.line.get(&dest).and_then(|all| all.get(&lots));
+            let follows = places.and_then(|places| places.range(after).next().copied());
+            next.extend(follows.map(|follows| Reverse((follows, dest, lots))));
             let to = self.calls.get(&place.2).and_then(|(call, _)| self.route(now, call));
             if let Some(to) = to
                 && let Some((call, _)) = self.calls.remove(&place.2)
@@ -506,10 +519,14 @@
         }
     }
 
-    /// Whether the narrowest call could go there at all; room only gets less while the line is served.
-    fn may_go(&self, dest: OfficeNo, tandems: bool) -> bool {
+    /// Below which lot the narrowest call could go there; room only gets less while the line is served.
+    fn may_go(&self, now: Duration, dest: OfficeNo, tandems: bool) -> f64 {
+        if self.own.is_none() {
+            return 1.0;
+        }
         let there = |far: &&Exchange| far.office == dest && far.standing == Standing::Ready;
-        self.own.is_none() || tandems || self.exchanges.values().filter(there).any(|far| far.has_room(1.0))
+        let open = self.exchanges.values().filter(there).filter(|far| tandems || far.has_room(1.0));
+        open.map(|far| self.taken(now, far)).fold(0.0, f64::max)
     }
 
     /// The one place that sends: `route` has seen to drains, cold exchanges and silence just before.
@@ -629,8 +646,9 @@
     /// Circuits that dearer calls in the line wait for on the way to the same place. Guards against wide
     /// calls starving while narrow ones take each circuit that comes free; holds back the narrow ones for it.
     fn kept_for(&self, call: &Call) -> f64 {
-        let Some(places) = self.line.get(&call.offer.dest) else { return 0.0 };
-        let ahead = places.range(..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0)));
+        let Some(all) = self.line.get(&call.offer.dest) else { return 0.0 };
+        let dearer = ..(self.kinds[call.kind].rank, Duration::ZERO, CallId(0));
+        let ahead = all.values().flat_map(|places| places.range(dearer));
         let widths = ahead.filter_map(|place| self.calls.get(&place.2)).map(|(other, _)| other.offer.width);
         f64::from(widths.max().unwrap_or(0))
     }
@@ -638,8 +656,13 @@
     /// Whether an exchange may be sent a call of this lot. Guards against pressing a processor of which each
     /// of many senders sees little: all leave out the same share, for a while also when it is well again.
     fn takes(&self, now: Duration, far: &Exchange, lot: f64) -> bool {
-        let cold = self.cold_share(now, far).unwrap_or(1.0);
-        far.answers(now) && !self.rests(now, Some(far.zone)) && lot < cold.min(far.share(now))
+        lot < self.taken(now, far)
+    }
+
+    /// Below which lot calls are sent there.
+    fn taken(&self, now: Duration, far: &Exchange) -> f64 {
+        let silent = !far.answers(now) || self.rests(now, Some(far.zone));
+        if silent { 0.0 } else { self.cold_share(now, far).unwrap_or(1.0).min(far.share(now)) }
     }
 
     /// A cold exchange takes no more than its share of the calls, so that all controllers together stay below
