--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -91,9 +91,9 @@
         false => (Duration::from_millis(args.slack_ms), Duration::from_millis(args.slack_ms)),
     };
     let mut witnesses = Witnesses { auditor: Auditor::new(&day.rules, slack, crossing), capture };
-    let (score, ended, tallies, crashes, stuck, calls_left, how) = if args.in_virtual_time {
+    let (score, ended, tallies, crashes, stuck, calls_left, clients, how) = if args.in_virtual_time {
         let played = virtual_day::play(day, &mut witnesses, &mut virtual_day::Honest);
-        (played.score, played.ended, played.tallies, 0, played.stuck, played.calls_left, "virtual")
+        (played.score, played.ended, played.tallies, 0, played.stuck, played.calls_left, None, "virtual")
     } else {
         let program = std::env::current_exe().map_err(|error| format!("the own program: {error}"))?;
         let folder = std::env::temp_dir().join(format!("mintstall-day-{}", std::process::id()));
@@ -109,6 +109,7 @@
             played.crashes,
             played.stuck,
             played.calls_left,
+            played.clients,
             "loopback",
         )
     };
@@ -121,6 +122,7 @@
     }
     let mut report = Report::new(day, how, score, auditor.finish(ended), &tallies);
     (report.crashes, report.stuck_circuits, report.calls_left) = (crashes, Some(stuck), Some(calls_left));
+    report.clients = clients;
     Ok(report)
 }
 
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -1,6 +1,6 @@
 //! A session without I/O: octets and the time in, octets and events out.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -132,6 +132,8 @@
     /// Of the next event, once subscribed.
     cursor: Option<u64>,
     watches: bool,
+    /// Calls given up while there was no connection to say so. Emptied when there is one.
+    cancels: BTreeSet<u64>,
     /// Asked and not replied to: at most [`MOST_ASKED`]. Emptied by replies and when the connection goes.
     asked: BTreeMap<u64, Asking>,
     last_ask: u64,
@@ -162,6 +164,7 @@
             settling: None,
             cursor: None,
             watches: false,
+            cancels: BTreeSet::new(),
             asked: BTreeMap::new(),
             last_ask: 0,
             out: Vec::new(),
@@ -217,6 +220,16 @@
         self.book.len()
     }
 
+    /// Their numbers.
+    pub fn in_hand(&self) -> impl Iterator<Item = u64> {
+        self.book.numbers()
+    }
+
+    /// Whether a call has been answered, and stands.
+    pub fn stands(&self, call: u64) -> bool {
+        self.book.stands(call)
+    }
+
     pub fn unanswered(&self) -> usize {
         self.book.unanswered()
     }
@@ -461,6 +474,11 @@
         self.events.extend(over.into_iter().map(|call| Event::Ended { call, how: None }));
         self.events.extend(lost.into_iter().map(|call| Event::Lost { call }));
         send.into_iter().for_each(|call| self.send(now, call));
+        for call in std::mem::take(&mut self.cancels) {
+            if self.book.knows(call) {
+                self.say(Asking::GiveUp, Request::Cancel(Cancel { call }));
+            }
+        }
     }
 
     // What the client asks.
@@ -499,8 +517,12 @@
         self.pump();
     }
 
-    /// Gives up a call that has no answer; it gets `fails` at once.
+    /// Gives up a call that has no answer; it gets `fails` at once, or when there is a connection again.
     pub fn cancel(&mut self, call: u64) {
+        if !self.is_open() || self.settling.is_some() {
+            self.cancels.extend(self.book.knows(call).then_some(call));
+            return;
+        }
         self.say(Asking::GiveUp, Request::Cancel(Cancel { call }));
         self.pump();
     }
--- a/crates/lab/benches/ordinary_call.rs
+++ b/crates/lab/benches/ordinary_call.rs
@@ -475,7 +475,8 @@
     };
     turn(&mut exchange, &mut far, "");
     let mut run = |first: u64, count: u64| {
-        let texts: Vec<_> = (first..first + count).map(|call| (offer(call) + "\n", hang_up(call) + "\n")).collect();
+        let texts: Vec<_> =
+            (first..first + count).map(|call| (offer(call) + "\n", hang_up(call) + "\n")).collect();
         let region = Region::new(ALLOCATOR);
         for (offer, hang_up) in &texts {
             turn(&mut exchange, &mut far, offer);
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -43,6 +43,8 @@
     pub calls_in_transit: u64,
     /// Calls of controllers that were killed, to which no answer is owed any more.
     pub calls_exempt: u64,
+    /// Calls of clients that went for good before their answer: nobody was there to hear it.
+    pub calls_of_gone: u64,
     pub seizures: u64,
     pub further_attempts: u64,
     /// Times a controller was told that an exchange drains or is gone.
@@ -563,6 +565,10 @@
                 let until = at + Duration::from_millis(offer.time_left_ms.into());
                 self.desk(office).open.insert(offer.call, Taken { until, gave_up: None });
             }
+            Seen::ClientGone { office, call } => {
+                let open = self.desk(office).open.remove(&call);
+                self.judged.calls_of_gone += u64::from(open.is_some());
+            }
             Seen::HungUp { office, call } => {
                 if let Some(taken) = self.desk(office).open.get_mut(&call) {
                     taken.gave_up = Some(at);
--- /dev/null
+++ b/crates/lab/src/clients.rs
@@ -0,0 +1,148 @@
+//! The callers of a day over sockets as clients over WebSocket: which session asks for which call, who is cut, who comes back.
+//! Without I/O; the loopback shell dials and carries octets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mintstall_callapi::{Answered, How, Offer};
+use mintstall_client::{Event, Plan, Session};
+use mintstall_standin::{Clients as ClientsPlan, Witness, World};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use tracing::info;
+
+/// A client: its exchange, and its place among that one's.
+pub type ClientNo = (u16, u16);
+
+/// What became of connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ClientTally {
+    pub cuts: u64,
+    pub taken_up: u64,
+    pub gone: u64,
+}
+
+pub struct Clients {
+    plan: ClientsPlan,
+    chance: Pcg64Mcg,
+    seed: u64,
+    sessions: BTreeMap<ClientNo, Session>,
+    next_cut: Duration,
+    pub tally: ClientTally,
+}
+
+impl Clients {
+    pub fn new(plan: &ClientsPlan, seed: u64) -> Self {
+        let chance = Pcg64Mcg::seed_from_u64(seed ^ 0xC11E);
+        let mut clients = Self {
+            plan: plan.clone(),
+            chance,
+            seed,
+            sessions: BTreeMap::new(),
+            next_cut: Duration::MAX,
+            tally: ClientTally::default(),
+        };
+        clients.next_cut = clients.gap(Duration::ZERO);
+        clients
+    }
+
+    pub fn none(&self) -> bool {
+        self.plan.sessions == 0
+    }
+
+    fn gap(&mut self, now: Duration) -> Duration {
+        let draw = -(1.0 - self.chance.random::<f64>()).ln() / self.plan.cuts_per_s.max(1e-9);
+        now + Duration::from_secs_f64(draw.min(1e6))
+    }
+
+    fn begin(&mut self, now: Duration, no: ClientNo) {
+        self.seed = self.seed.wrapping_add(1);
+        self.sessions.insert(no, Session::new(now, Plan::named(format!("day {}.{}", no.0, no.1)), self.seed));
+    }
+
+    /// An exchange takes calls: its clients dial.
+    pub fn ready(&mut self, now: Duration, office: u16) {
+        (0..self.plan.sessions).for_each(|no| self.begin(now, (office, no)));
+    }
+
+    /// Its controller is gone, and with it every session.
+    pub fn killed(&mut self, office: u16) {
+        self.sessions.retain(|(of, _), _| *of != office);
+    }
+
+    pub fn session(&mut self, no: ClientNo) -> Option<&mut Session> {
+        self.sessions.get_mut(&no)
+    }
+
+    pub fn numbers(&self) -> Vec<ClientNo> {
+        self.sessions.keys().copied().collect()
+    }
+
+    /// Which client asks for a call: always the same.
+    pub fn of(&self, office: u16, call: u64) -> ClientNo {
+        (office, ((call >> 8) % u64::from(self.plan.sessions.max(1))) as u16)
+    }
+
+    pub fn offer(&mut self, now: Duration, office: u16, offer: Offer) {
+        let no = self.of(office, offer.call);
+        if let Some(session) = self.sessions.get_mut(&no)
+            && let Err(error) = session.offer(now, offer)
+        {
+            info!(office, "an offer is not taken by its client: {error}");
+        }
+    }
+
+    pub fn hang_up(&mut self, office: u16, call: u64) {
+        let no = self.of(office, call);
+        let Some(session) = self.sessions.get_mut(&no) else { return };
+        match session.stands(call) {
+            true => session.hang_up(call),
+            // Its final answer is still owed, and heard.
+            false => session.cancel(call),
+        }
+    }
+
+    /// Whose connections are cut now; those who are gone for good have others in their places.
+    pub fn cuts(&mut self, now: Duration, world: &mut World, witness: &mut dyn Witness) -> Vec<ClientNo> {
+        let mut cut = Vec::new();
+        while self.next_cut <= now {
+            self.next_cut = self.gap(self.next_cut);
+            let place = self.chance.random_range(0..self.sessions.len().max(1));
+            let gone = self.chance.random::<f64>() < self.plan.gone;
+            let Some(no) = self.sessions.keys().nth(place).copied() else { continue };
+            self.tally.cuts += 1;
+            if gone {
+                self.tally.gone += 1;
+                let calls: Vec<u64> = self.sessions[&no].in_hand().collect();
+                calls.into_iter().for_each(|call| world.client_gone(now, no.0, call, witness));
+                self.begin(now, no);
+            } else if let Some(session) = self.sessions.get_mut(&no) {
+                session.lost(now, "cut by the script");
+            }
+            cut.push(no);
+        }
+        cut
+    }
+
+    /// What happened to one client, told to the world.
+    pub fn events(&mut self, now: Duration, no: ClientNo, world: &mut World, witness: &mut dyn Witness) {
+        let office = no.0;
+        while let Some(event) = self.sessions.get_mut(&no).and_then(Session::next_event) {
+            match event {
+                Event::Answered(Answered { call, exchange_call, answer }) => {
+                    world.answered(now, office, call, exchange_call, answer, witness);
+                }
+                Event::Ended { call, how } => {
+                    world.ended(now, office, call, how.unwrap_or(How::Cut), witness)
+                }
+                Event::Up { taken_up, .. } => self.tally.taken_up += u64::from(taken_up),
+                // The auditor misses their answers, and says so.
+                Event::Lost { call } => info!(office, call, "lost"),
+                Event::Fault { call, code, why } => info!(office, call, code, "{why}"),
+                Event::Denied { why } => info!(office, "denied: {why}"),
+                Event::Down { .. } | Event::News(_) | Event::Missed(_) | Event::Reply { .. } => {}
+            }
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod capture;
+pub mod clients;
 pub mod far;
 pub mod load;
 pub mod loopback;
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -24,6 +24,7 @@
 use thiserror::Error;
 use tracing::{info, warn};
 
+use crate::clients::{ClientNo, ClientTally, Clients};
 use crate::setup::{Places, config};
 
 #[derive(Debug, Error)]
@@ -43,6 +44,7 @@
 #[derive(Debug, Deserialize)]
 struct Ready {
     subscribers: Option<SocketAddr>,
+    calls: Option<SocketAddr>,
     admin: Option<SocketAddr>,
 }
 
@@ -55,6 +57,8 @@
     pub crashes: u64,
     pub stuck: usize,
     pub calls_left: usize,
+    /// Of clients over WebSocket, where the day has any.
+    pub clients: Option<ClientTally>,
 }
 
 /// Which controller, which start of it, and what it said first, if that made sense.
@@ -69,6 +73,7 @@
 enum Purpose {
     Link { office: u16, to: u16 },
     Line(u16),
+    Client(ClientNo),
     Directory(u16),
 }
 
@@ -77,6 +82,8 @@
     purpose: Purpose,
     cutter: LineCutter,
     out: Outbox,
+    /// A client's that has not been told that it is there.
+    dialling: bool,
 }
 
 /// One controller's process.
@@ -89,6 +96,7 @@
 
 struct Site<'a> {
     world: World,
+    clients: Clients,
     witness: &'a mut dyn Witness,
     program: &'a Path,
     folder: PathBuf,
@@ -118,6 +126,7 @@
     let poll = Poll::new().map_err(io_error("event loop"))?;
     let mut site = Site {
         world: World::new(day, Wiring::Dialled),
+        clients: Clients::new(&day.clients, day.seed),
         witness,
         program,
         folder: folder.to_path_buf(),
@@ -196,6 +205,7 @@
         for office in 1..=day.exchanges {
             let mut acts = Vec::new();
             let now = self.now();
+            self.clients.ready(now, office);
             self.world.ready(now, office, self.witness, &mut acts);
             self.carry_out(acts, &waker)?;
         }
@@ -239,7 +249,8 @@
         }
         self.stop_all();
         let score = self.world.score.clone();
-        Ok(Played { score, ended, tallies, crashes: self.crashes, stuck, calls_left })
+        let clients = (!self.clients.none()).then_some(self.clients.tally);
+        Ok(Played { score, ended, tallies, crashes: self.crashes, stuck, calls_left, clients })
     }
 
     /// Tells every controller to stop, and counts those that do not do so in order.
@@ -307,7 +318,8 @@
         let token = Token(self.next);
         self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         let cutter = LineCutter::new(1 << 16);
-        let connection = Connection { stream, purpose, cutter, out: Outbox::default() };
+        let dialling = matches!(purpose, Purpose::Client(_));
+        let connection = Connection { stream, purpose, cutter, out: Outbox::default(), dialling };
         self.connections.insert(token, connection);
         if let Some(before) = self.by_purpose.insert(purpose, token) {
             self.connections.remove(&before);
@@ -338,10 +350,47 @@
                 self.read(token, waker)?;
             }
         }
+        self.look_after_clients()?;
         self.flush();
         Ok(())
     }
 
+    /// Clients that want a connection get one; the script cuts some.
+    fn look_after_clients(&mut self) -> Result<(), LoopbackError> {
+        let now = self.now();
+        for no in self.clients.cuts(now, &mut self.world, self.witness) {
+            self.close(Purpose::Client(no));
+        }
+        for no in self.clients.numbers() {
+            let Some(session) = self.clients.session(no) else { continue };
+            if session.next_alarm().is_some_and(|at| at <= now) {
+                session.ring(now);
+            }
+            if session.wants_dial(now) {
+                let calls = self.processes.get(&no.0).and_then(|process| process.ready.as_ref()?.calls);
+                let stream =
+                    calls.ok_or_else(|| io::ErrorKind::NotConnected.into()).and_then(TcpStream::connect);
+                match stream.and_then(|stream| self.add(stream, Purpose::Client(no))) {
+                    Ok(()) => {}
+                    Err(error) => session_lost(&mut self.clients, now, no, &error.to_string()),
+                }
+            }
+            self.client_turn(no);
+        }
+        Ok(())
+    }
+
+    /// What a client has to say goes out; what happened to it is told to the world.
+    fn client_turn(&mut self, no: ClientNo) {
+        let now = self.now();
+        self.clients.events(now, no, &mut self.world, self.witness);
+        let Some(session) = self.clients.session(no) else { return };
+        let out = std::mem::take(session.out());
+        if !out.is_empty() {
+            self.push(Purpose::Client(no), &[&out]);
+        }
+    }
+
     /// Controllers that were started say that they take calls: their subscribers connect.
     fn starts_said(&mut self, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
         while let Ok((office, round, ready)) = self.said.1.try_recv() {
@@ -356,6 +405,7 @@
             // The first starts are told once all are there.
             if round > u64::from(self.world.day().exchanges) {
                 let (now, mut acts) = (self.now(), Vec::new());
+                self.clients.ready(now, office);
                 self.world.ready(now, office, self.witness, &mut acts);
                 self.carry_out(acts, waker)?;
             }
@@ -379,7 +429,7 @@
                         self.push(purpose, &[text.as_bytes(), b"\n"]);
                     }
                 }
-                Purpose::Line(_) => {}
+                Purpose::Line(_) | Purpose::Client(_) => {}
             }
         }
         Ok(())
@@ -401,6 +451,17 @@
 
     fn read(&mut self, token: Token, waker: &std::sync::Arc<Waker>) -> Result<(), LoopbackError> {
         let mut buffer = [0; 16 << 10];
+        if let Some(connection) = self.connections.get_mut(&token).filter(|connection| connection.dialling)
+            && let Ok(to) = connection.stream.peer_addr()
+            && let Purpose::Client(no) = connection.purpose
+        {
+            connection.dialling = false;
+            let now = self.now();
+            if let Some(session) = self.clients.session(no) {
+                session.dialled(now, to);
+            }
+            self.client_turn(no);
+        }
         loop {
             let Some(connection) = self.connections.get_mut(&token) else { return Ok(()) };
             match connection.stream.read(&mut buffer) {
@@ -423,6 +484,13 @@
         let now = self.now();
         let Some(connection) = self.connections.get_mut(&token) else { return Ok(()) };
         let purpose = connection.purpose;
+        if let Purpose::Client(no) = purpose {
+            if let Some(session) = self.clients.session(no) {
+                session.octets(now, octets);
+            }
+            self.client_turn(no);
+            return Ok(());
+        }
         if let Purpose::Link { office, to } = purpose {
             self.world.from_controller(now, office, to, octets, self.witness);
             return Ok(());
@@ -454,7 +522,7 @@
                         self.world.wants_all(now, office, self.witness, &mut acts);
                     }
                 }
-                Purpose::Link { .. } => {}
+                Purpose::Link { .. } | Purpose::Client(_) => {}
             }
         }
         self.carry_out(acts, waker)
@@ -479,6 +547,7 @@
                     self.world.died(now, office, self.witness, &mut acts);
                 }
             }
+            Purpose::Client(no) => session_lost(&mut self.clients, now, no, "closed by the controller"),
             Purpose::Directory(_) => {}
         }
         self.carry_out(acts, waker)
@@ -500,6 +569,10 @@
                         let _ = process.child.wait();
                     }
                     self.close(Purpose::Line(office));
+                    for no in self.clients.numbers().into_iter().filter(|no| no.0 == office) {
+                        self.close(Purpose::Client(no));
+                    }
+                    self.clients.killed(office);
                     self.close(Purpose::Directory(office));
                     self.waiting.remove(&office);
                     let links: Vec<u16> = self.places[&office].links.iter().map(|(to, _)| *to).collect();
@@ -510,6 +583,15 @@
                 Act::Octets { office, from, octets } => {
                     self.push(Purpose::Link { office, to: from }, &[&octets])
                 }
+                Act::Offer { office, offer } if !self.clients.none() => {
+                    let (now, no) = (self.now(), self.clients.of(office, offer.call));
+                    self.clients.offer(now, office, offer);
+                    self.client_turn(no);
+                }
+                Act::HangUp { office, call } if !self.clients.none() => {
+                    self.clients.hang_up(office, call);
+                    self.client_turn(self.clients.of(office, call));
+                }
                 Act::Offer { office, offer } => {
                     let asked = Asked { id: Some(json!(offer.call)), request: Request::Offer(offer) };
                     self.push(Purpose::Line(office), &[asked.text().as_bytes(), b"\n"]);
@@ -543,6 +625,12 @@
     }
 }
 
+fn session_lost(clients: &mut Clients, now: Duration, no: ClientNo, why: &str) {
+    if let Some(session) = clients.session(no) {
+        session.lost(now, why);
+    }
+}
+
 /// Asks a controller's admin port for its status.
 pub fn status(admin: SocketAddr) -> io::Result<Value> {
     ask(admin, "status", &Value::Null, None)
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::audit::Verdict;
+use crate::clients::ClientTally;
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -27,6 +28,9 @@
     pub timed_out: u64,
     pub dual_seizures: u64,
     pub transit: u64,
+    /// Of clients over WebSocket, where the day has any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub clients: Option<ClientTally>,
     /// Controllers that ended without being asked to.
     pub crashes: u64,
     /// Circuits that carry nothing and are not free at the end; calls left in hand.
@@ -53,6 +57,7 @@
             timed_out: sum(|tally| tally.timed_out),
             dual_seizures: sum(|tally| tally.dual_seizures),
             transit: sum(|tally| tally.transit),
+            clients: None,
             crashes: 0,
             stuck_circuits: None,
             calls_left: None,
@@ -95,6 +100,13 @@
                 "at the end: {stuck} circuits neither free nor carrying a call, {left} calls in hand"
             ));
         }
+        if let Some(ClientTally { cuts, taken_up, gone }) = self.clients {
+            line(format!(
+                "clients over WebSocket: {cuts} connections cut, {taken_up} sessions taken up, {gone} gone for good \
+                 ({} calls of these without an answer heard)",
+                self.verdict.judged.calls_of_gone
+            ));
+        }
         if self.crashes > 0 {
             line(format!("controllers that ended unasked: {}", self.crashes));
         }
--- a/crates/lab/src/setup.rs
+++ b/crates/lab/src/setup.rs
@@ -59,7 +59,8 @@
             .iter()
             .map(|of| Customer { name: of.name.clone(), share: of.share })
             .collect(),
-        limits: LimitsPlan::default(),
+        // Clients that are gone for good must not hold circuits for half of a day that lasts a minute.
+        limits: LimitsPlan { resume_ms: 3000, ..LimitsPlan::default() },
         tokens: None,
         rules: Rules {
             seizures: day.seizures,
--- a/crates/limits/src/book.rs
+++ b/crates/limits/src/book.rs
@@ -86,6 +86,15 @@
         self.calls.contains_key(&number)
     }
 
+    /// Whether it has been answered, and stands.
+    pub fn stands(&self, number: u64) -> bool {
+        self.calls.get(&number).is_some_and(|entry| entry.progress == Progress::Stands)
+    }
+
+    pub fn numbers(&self) -> impl Iterator<Item = u64> {
+        self.calls.keys().copied()
+    }
+
     /// Calls that have no answer yet.
     pub fn unanswered(&self) -> usize {
         self.due.len()
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -281,6 +281,17 @@
         self.at(now + wait, Event::Dials { caller: id });
     }
 
+    /// The client over which a call was asked for has gone for good.
+    pub fn client_gone(&mut self, now: Duration, office: u16, call: u64, w: &mut dyn Witness) {
+        w.saw(now, Seen::ClientGone { office, call });
+        let caller = self.callers.get(&(call >> 8)).filter(|caller| number(call >> 8, caller.tries) == call);
+        match caller.map(|caller| caller.state) {
+            Some(State::Standing) => self.done(call >> 8, Outcome::Served),
+            Some(_) => self.done(call >> 8, Outcome::GaveUp),
+            None => {}
+        }
+    }
+
     /// A controller died: its callers have no answer, and those who talk are cut off.
     pub(crate) fn callers_of_dead(&mut self, now: Duration, office: u16) {
         let standing = self.callers.iter().filter(|(_, c)| c.from == office && c.state == State::Standing);
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -36,6 +36,8 @@
         customers: Vec<CustomerPlan> = vec![CustomerPlan::default()],
         traffic: Traffic = Traffic::default(),
         callers: Callers = Callers::default(),
+        /// On loopback: sessions over WebSocket that callers ask on. In virtual time there are no connections.
+        clients: Clients = Clients::default(),
         processor: ProcessorPlan = ProcessorPlan::default(),
         directory: DirectoryPlan = DirectoryPlan::default(),
         rules: Rules = Rules::default(),
@@ -99,6 +101,14 @@
         /// Share that hangs up before its time.
         impatient: f64 = 0.005,
     }
+    Clients {
+        /// Of each exchange; 0: all callers of an exchange share one plain line.
+        sessions: u16 = 0,
+        /// Connections cut a second, of all exchanges together; their clients come back by themselves.
+        cuts_per_s: f64 = 0.0,
+        /// Share of the clients cut that never come back; others take their places.
+        gone: f64 = 0.2,
+    }
     /// The processor of each exchange: one line.
     ProcessorPlan {
         /// Share of its time that the planned load takes; its speed follows from it.
@@ -234,6 +244,11 @@
             "speeds".into(),
             "not within 0.05 to 20",
         );
+        let clients = &self.clients;
+        say(clients.sessions > 10_000, "clients.sessions".into(), "are more than 10000");
+        let wrong = !(0.0..=1000.0).contains(&clients.cuts_per_s);
+        say(wrong, "clients.cuts_per_s".into(), "is not within 0 to 1000");
+        say(!(0.0..=1.0).contains(&clients.gone), "clients.gone".into(), "is no share");
         say(self.speeds.is_empty(), "speeds".into(), "are missing");
         say(!(1..=16).contains(&self.seizures), "seizures".into(), "are not 1 to 16");
         say(range(self.network.same_ms), "network.same_ms".into(), "is no range");
--- a/crates/standin/src/witness.rs
+++ b/crates/standin/src/witness.rs
@@ -42,6 +42,11 @@
         office: u16,
         call: u64,
     },
+    /// The client of a call that waits for its answer has gone for good: nobody is there to hear it.
+    ClientGone {
+        office: u16,
+        call: u64,
+    },
     Ended {
         office: u16,
         call: u64,
