--- a/clients/typescript/src/client.ts
+++ b/clients/typescript/src/client.ts
@@ -80,6 +80,7 @@
   #socket: WebSocket | undefined;
   #state: "down" | "greeting" | "open" | "closed" = "down";
   #key: string | undefined;
+  #kept = 0;
   #settling: { owed: number; there: Map<number, CallState> } | undefined;
   #cursor: number | undefined;
   #watches = false;
@@ -234,7 +235,7 @@
     this.#state = "down";
     for (const held of this.#calls.values()) if (held.progress === "sent") held.progress = "in doubt";
     this.#tell({ what: "down", why });
-    this.#timer = setTimeout(() => this.#dial(), this.#back.failed(Date.now()));
+    this.#timer = setTimeout(() => this.#dial(), this.#back.failed(Date.now(), 0, this.#key === undefined ? 0 : this.#kept));
   }
 
   #drop(why: string): void {
@@ -281,6 +282,7 @@
     this.#back.opened(Date.now());
     const takenUp = this.#key !== undefined && welcome.session === this.#key;
     this.#key = welcome.session ?? undefined;
+    this.#kept = welcome.limits.kept_ms;
     this.#tell({ what: "up", takenUp, welcome });
     if (takenUp) {
       this.#settling = { owed: welcome.owed, there: new Map(welcome.calls.map((state) => [state.call, state])) };
@@ -309,10 +311,11 @@
         this.#answered({ call, exchange_call: state.exchange_call, answer: "stands" });
       } else if (state) {
         held.progress = "sent";
-      } else if (held.until > Date.now()) {
-        this.#send(call);
-      } else {
+      } else if (held.progress === "to send" && held.until <= Date.now()) {
         this.#end(call, { answer: "lost", call });
+      } else {
+        // With no time left it only asks for the answer that was lost: no call comes of it.
+        this.#send(call);
       }
     }
   }
--- a/clients/typescript/src/comeback.ts
+++ b/clients/typescript/src/comeback.ts
@@ -12,6 +12,7 @@
 export class ComeBack {
   #failures = 0;
   #opened: number | undefined;
+  #lost: number | undefined;
 
   constructor(
     readonly plan: ComeBackPlan = { first: 100, last: 10_000, steady: 10_000 },
@@ -20,13 +21,20 @@
 
   opened(now: number): void {
     this.#opened = now;
+    this.#lost = undefined;
   }
 
-  /** The connection is lost, or was not to be had. Returns how long to wait; `told`: what the server asked for. */
-  failed(now: number, told = 0): number {
+  /**
+   * The connection is lost, or was not to be had. Returns how long to wait; `told`: what the server asked for; `kept`: how long
+   * it keeps the session.
+   */
+  failed(now: number, told = 0, kept = 0): number {
+    this.#lost ??= now;
     if (this.#opened !== undefined && now - this.#opened >= this.plan.steady) this.#failures = 0;
     this.#opened = undefined;
-    const grown = Math.min(this.plan.first * 2 ** Math.min(this.#failures, 16), this.plan.last);
+    let grown = Math.min(this.plan.first * 2 ** Math.min(this.#failures, 16), this.plan.last);
+    // Guards against coming back to a session that is over.
+    if (now < this.#lost + kept) grown = Math.min(grown, kept / 4);
     this.#failures += 1;
     return told + grown * (0.5 + 0.5 * this.random());
   }
--- a/clients/typescript/test/client.test.mjs
+++ b/clients/typescript/test/client.test.mjs
@@ -154,6 +154,8 @@
   assert.equal(back.failed(500), 1600);
   back.opened(1000);
   assert.equal(back.failed(12_000), 100);
+  back.opened(12_100);
+  assert.deepEqual([0, 0, 0].map(() => back.failed(12_200, 0, 1000)), [200, 250, 250], "the session is kept for a second");
 });
 
 test("what is offered again is bounded by number, time and credit", () => {
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -127,6 +127,8 @@
     book: Book<Offer>,
     vigil: Vigil<()>,
     key: Option<String>,
+    /// How long the server keeps it after a cut.
+    kept: Duration,
     /// What was in hand there when it was taken up, until what is owed has been heard.
     settling: Option<(usize, BTreeMap<u64, CallState>)>,
     /// Of the next event, once subscribed.
@@ -161,6 +163,7 @@
             vigil: Vigil::new(Patience { most_opening: 1, ..plan.patience }),
             plan,
             key: None,
+            kept: Duration::ZERO,
             settling: None,
             cursor: None,
             watches: false,
@@ -281,7 +284,8 @@
                 self.events.push_back(Event::Reply { ask, result });
             }
         }
-        self.link = Link::Down { dial_at: self.back.failed(now, told) };
+        let kept = if self.key.is_some() { self.kept } else { Duration::ZERO };
+        self.link = Link::Down { dial_at: self.back.failed(now, told, kept) };
         self.events.push_back(Event::Down { why: why.to_string() });
     }
 
@@ -431,6 +435,7 @@
         self.back.opened(now);
         let taken_up = self.key.is_some() && self.key == welcome.session;
         self.key = welcome.session.clone();
+        self.kept = Duration::from_millis(welcome.limits.kept_ms);
         let there = welcome.calls.iter().map(|call| (call.call, *call)).collect();
         let owed = welcome.owed;
         self.events.push_back(Event::Up { taken_up, welcome: Box::new(welcome) });
