--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod day;
 mod load;
+mod plan;
 
 use std::io;
 use std::net::SocketAddr;
@@ -77,6 +78,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Works out what a fleet carries, and what breaks first.
+    Plan {
+        #[command(subcommand)]
+        command: plan::PlanCommand,
+    },
     /// What clients speak.
     Api {
         #[command(subcommand)]
@@ -147,6 +153,7 @@
         Command::Far(args) => load::far(&args),
         Command::Status { admin, json } => status(admin, json),
         Command::Trace { admin, call, origin, json } => trace(admin, call, origin, json),
+        Command::Plan { command } => plan::plan(&command),
         Command::Api { command: ApiCommand::Schema } => {
             println!("{}", serde_json::to_string_pretty(&mintstall_callapi::schema()).unwrap_or_default());
             ExitCode::SUCCESS
