Planning: two descriptions side by side; what is written to a capture, and when

plan compare shows which limits and losses differ between two fleets. The controller does not write captures yet.

--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -7,7 +7,7 @@
 use clap::{Args, Subcommand};
 use mintstall_daemon::config::read_json;
 use mintstall_planner::{
-    Fleet, Limit, Solution, erlang, lose, saturate, size_groups, size_processors, solve,
+    Fleet, Limit, Solution, compare, erlang, lose, saturate, size_groups, size_processors, solve,
 };
 use serde_json::json;
 
@@ -58,6 +58,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Two descriptions side by side.
+    Compare {
+        one: PathBuf,
+        other: PathBuf,
+        #[arg(long, default_value_t = 0.02)]
+        blocking: f64,
+        #[arg(long)]
+        json: bool,
+    },
     /// What the loss of a region or of exchanges does to the rest.
     Lose {
         file: PathBuf,
@@ -115,6 +124,13 @@
             }
             with(file, |fleet| order(fleet, *blocking, [*from, *to], *step, *json))
         }
+        PlanCommand::Compare { one, other, blocking, json } => match (read(one), read(other)) {
+            (Ok(one), Ok(other)) => {
+                side_by_side(&one, &other, *blocking, *json);
+                ExitCode::SUCCESS
+            }
+            (Err(code), _) | (_, Err(code)) => code,
+        },
         PlanCommand::Size { file, blocking, goal, growth, json } => {
             if !(*blocking > 0.0 && *blocking < 1.0) {
                 return bad_input("--blocking: is not above 0 and below 1");
@@ -307,6 +323,34 @@
     }
 }
 
+fn side_by_side(one: &Fleet, other: &Fleet, blocking: f64, whole: bool) {
+    let compared = compare(one, other, blocking);
+    let [here, there] = &compared.only;
+    if whole {
+        let limits = |limits: &[Limit]| limits.iter().map(limit_json).collect::<Vec<_>>();
+        println!(
+            "{}",
+            json!({ "stood": compared.stood, "full_in_one": limits(here), "full_in_other": limits(there),
+                    "blocked": compared.blocked, "loads": compared.loads })
+        );
+        return;
+    }
+    println!(
+        "{:.4} of first tries stand in the one, {:.4} in the other",
+        compared.stood[0], compared.stood[1]
+    );
+    here.iter().for_each(|limit| println!("full in the one alone: {}", limit_text(limit)));
+    there.iter().for_each(|limit| println!("full in the other alone: {}", limit_text(limit)));
+    for ([a, b], more) in compared.blocked.iter().take(20) {
+        println!("  group {a} - {b}: {more:+.4} blocked");
+    }
+    compared
+        .loads
+        .iter()
+        .take(20)
+        .for_each(|(no, more)| println!("  processor of {no}: {more:+.3} of its work"));
+}
+
 fn without(fleet: &Fleet, gone: &BTreeSet<u16>, redials: f64, blocking: f64, whole: bool) {
     let lost = lose(fleet, gone, redials, blocking);
     if whole {
--- a/crates/cli/tests/plan.rs
+++ b/crates/cli/tests/plan.rs
@@ -31,12 +31,15 @@
     let shown = said(&["plan", "show", EIGHT, "--json"]);
     assert!(shown["free"]["stood"].as_f64() > Some(0.95) && shown["free"]["settled"] == true, "{shown}");
     let order = said(&["plan", "saturate", EIGHT, "--to", "2", "--step", "0.25", "--json"]);
-    let growth: Vec<f64> = order.as_array().unwrap().iter().map(|of| of["growth"].as_f64().unwrap()).collect();
+    let growth: Vec<f64> =
+        order.as_array().unwrap().iter().map(|of| of["growth"].as_f64().unwrap()).collect();
     assert!(!growth.is_empty() && growth.is_sorted(), "{order}");
     assert_eq!(order[0]["limit"]["group"], json!([1, 2]), "{order}");
     let sized = said(&["plan", "size", EIGHT, "--blocking", "0.01", "--json"]);
     let small = sized["groups"].as_array().unwrap().iter().find(|of| of["between"] == json!([1, 2])).unwrap();
     assert!(small["needed"].as_u64() > Some(30), "{small}");
+    let compared = said(&["plan", "compare", EIGHT, EIGHT, "--json"]);
+    assert_eq!((&compared["blocked"], &compared["loads"]), (&json!([]), &json!([])));
     let lost = said(&["plan", "lose", EIGHT, "--zone", "north", "--redials", "2", "--json"]);
     assert!(lost["gone"].as_f64() > Some(0.7), "{lost}");
 }
--- a/crates/planner/src/answers.rs
+++ b/crates/planner/src/answers.rs
@@ -161,6 +161,49 @@
     Some(high)
 }
 
+/// Two descriptions side by side.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Compared {
+    /// Share of first tries that stands in each.
+    pub stood: [f64; 2],
+    /// Limits reached in the one alone, and in the other alone.
+    pub only: [Vec<Limit>; 2],
+    /// Groups of both, by how much more the second blocks of any call type; those that differ, most first.
+    pub blocked: Vec<([u16; 2], f64)>,
+    /// Processors of both, by how much more the second is offered over what it can do.
+    pub loads: Vec<(u16, f64)>,
+}
+
+/// Differences below this are none.
+const NO_DIFFERENCE: f64 = 1e-4;
+
+pub fn compare(one: &Fleet, other: &Fleet, most_blocked: f64) -> Compared {
+    let solved = [solve(one).free, solve(other).free];
+    let [here, there] = [&solved[0], &solved[1]].map(|solution| reached(solution, most_blocked));
+    let worst = |solution: &Solution| -> BTreeMap<[u16; 2], f64> {
+        let of = |blocked: &[f64]| blocked.iter().copied().fold(0.0, f64::max);
+        let ends = |[a, b]: [u16; 2]| [a.min(b), a.max(b)];
+        solution.groups.iter().map(|group| (ends(group.between), of(&group.blocked))).collect()
+    };
+    let load = |solution: &Solution| -> BTreeMap<u16, f64> {
+        solution.processors.iter().map(|of| (of.exchange, of.load)).collect()
+    };
+    Compared {
+        stood: [solved[0].stood, solved[1].stood],
+        only: [here.difference(&there).copied().collect(), there.difference(&here).copied().collect()],
+        blocked: differences(&worst(&solved[0]), &worst(&solved[1])),
+        loads: differences(&load(&solved[0]), &load(&solved[1])),
+    }
+}
+
+/// What is in both, by how much more the second has; the largest differences first.
+fn differences<K: Ord + Copy>(one: &BTreeMap<K, f64>, other: &BTreeMap<K, f64>) -> Vec<(K, f64)> {
+    let both = one.iter().filter_map(|(key, was)| Some((*key, other.get(key)? - was)));
+    let mut all: Vec<_> = both.filter(|(_, more)| more.abs() > NO_DIFFERENCE).collect();
+    all.sort_by(|a, b| b.1.abs().total_cmp(&a.1.abs()).then(a.0.cmp(&b.0)));
+    all
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -233,6 +276,17 @@
         assert_eq!(size_processors(&narrow, 0.98), None);
     }
 
+    #[test]
+    fn two_fleets_are_compared_by_what_differs() {
+        let (one, mut other) = (fleet().grown(2.0), fleet().grown(2.0));
+        assert_eq!(compare(&one, &one, 0.02).blocked, []);
+        other.groups[0].circuits = 62;
+        let compared = compare(&one, &other, 0.02);
+        assert!(compared.stood[1] > compared.stood[0], "{compared:?}");
+        assert_eq!(compared.only, [vec![Limit::Group { between: [1, 2] }], vec![]]);
+        assert!(compared.blocked[0].0 == [1, 2] && compared.blocked[0].1 < -0.1, "{compared:?}");
+    }
+
     #[test]
     fn a_region_lost_takes_its_traffic_along_and_leaves_the_rest() {
         let fleet = fleet();
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,6 +8,7 @@
 //! | `model` | loads and losses of all groups and processors together, by fixed points |
 //! | `answers` | what saturates first, what a loss of exchanges does |
 //! | `capture` | what controllers saw, as files of lines |
+//! | `recorder` | what is written to such a file, bounded |
 //! | `measure` | a traffic matrix from these, with how sure it is |
 
 pub mod answers;
@@ -16,8 +17,11 @@
 pub mod fleet;
 pub mod measure;
 pub mod model;
+pub mod recorder;
 pub mod widths;
 
-pub use answers::{Limit, Lost, Saturates, Sized, lose, saturate, size_groups, size_processors};
+pub use answers::{
+    Compared, Limit, Lost, Saturates, Sized, compare, lose, saturate, size_groups, size_processors,
+};
 pub use fleet::Fleet;
 pub use model::{Solution, Solved, solve};
