--- a/crates/planner/src/recorder.rs
+++ b/crates/planner/src/recorder.rs
@@ -101,7 +101,7 @@
     }
 
     /// The next to be done; the owner tells of it by [`Recorder::written`] or [`Recorder::failed`].
-    pub fn next(&mut self) -> Option<Act> {
+    pub fn next_act(&mut self) -> Option<Act> {
         let act = self.waiting.pop_front();
         if let Some(Act::Begin { .. }) = act {
             // What was written until now was the last of the file before.
@@ -144,7 +144,7 @@
     }
 
     fn all(recorder: &mut Recorder) -> Vec<Act> {
-        std::iter::from_fn(|| recorder.next()).collect()
+        std::iter::from_fn(|| recorder.next_act()).collect()
     }
 
     #[test]
@@ -166,7 +166,7 @@
         let mut begun = Vec::new();
         for now in 0..5 {
             see(&mut recorder, now);
-            while let Some(act) = recorder.next() {
+            while let Some(act) = recorder.next_act() {
                 match act {
                     Act::Begin { file, remove, .. } => begun.push((file, remove)),
                     Act::Write(_) => recorder.written(60),
@@ -191,9 +191,9 @@
     fn a_failure_leaves_out_what_waits_and_begins_another_file() {
         let mut recorder = Recorder::new(3, Bounds::default());
         (0..3).for_each(|now| see(&mut recorder, now));
-        recorder.next();
+        recorder.next_act();
         recorder.failed(5);
-        assert_eq!((recorder.left_out(), recorder.next()), (4, None));
+        assert_eq!((recorder.left_out(), recorder.next_act()), (4, None));
         see(&mut recorder, 9);
         let acts = all(&mut recorder);
         assert!(matches!(acts[0], Act::Begin { file: 2, .. }), "{acts:?}");
