--- a/clients/typescript/test/site.mjs
+++ b/clients/typescript/test/site.mjs
@@ -2,6 +2,7 @@
 import { spawn } from "node:child_process";
 import { existsSync, mkdtempSync, writeFileSync } from "node:fs";
 import { connect } from "node:net";
+import { after } from "node:test";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -15,7 +16,8 @@
 if (!program) throw new Error("build the command first: cargo build");
 const folder = mkdtempSync(join(tmpdir(), "mintstall-ts-"));
 const children = [];
-process.on("exit", () => children.forEach((child) => child.kill("SIGKILL")));
+// Whatever became of the tests, nothing is left running, or keeps this process waiting.
+after(() => children.forEach((child) => child.kill("SIGKILL")));
 
 function start(args) {
   const child = spawn(program, args, { stdio: ["ignore", "pipe", "inherit"] });
