Review: the load writes through the daemon's outbox, and builds each session in one place

The load had a write loop of its own beside Outbox, without its bound, and told twice how a session is planned. In the module a count became a plain question and a comment line over 110 characters was shortened: the same decisions.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -4,13 +4,14 @@
 //! controller keeps waiting is not left out of its figures (no "coordinated omission").
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
 use mintstall_callapi::{Answered, Final, Offer};
 use mintstall_client::{Event, Plan, Session};
+use mintstall_daemon::wires::Outbox;
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token};
 use rand::{Rng, SeedableRng};
@@ -240,8 +241,7 @@
     stream: TcpStream,
     member: usize,
     connected: bool,
-    out: Vec<u8>,
-    written: usize,
+    out: Outbox,
     waits_to_write: bool,
 }
 
@@ -277,6 +277,12 @@
     buffer: Vec<u8>,
 }
 
+/// The session of the client at this place, which dials then.
+fn session(plan: &LoadPlan, group: &Group, dial_at: Duration, at: usize) -> Session {
+    let named = Plan { token: group.token.clone(), ..Plan::named(format!("load {}", group.name)) };
+    Session::new(dial_at, named, plan.seed.wrapping_add(at as u64))
+}
+
 /// Plays a script that has no faults.
 pub fn play(plan: &LoadPlan, servers: &[SocketAddr]) -> io::Result<LoadReport> {
     let mut members = Vec::new();
@@ -284,9 +290,9 @@
     for (no, group) in plan.groups.iter().enumerate() {
         let first = members.len();
         for at in first..first + group.sessions {
-            let named = Plan { token: group.token.clone(), ..Plan::named(format!("load {}", group.name)) };
             members.push(Member {
-                session: Session::new(Duration::MAX, named, plan.seed.wrapping_add(at as u64)),
+                // Its own begins when it is dialled: until then it wants nothing.
+                session: session(plan, group, Duration::MAX, at),
                 group: no,
                 token: None,
                 alarm: None,
@@ -484,10 +490,7 @@
             Due::Dial(at) => {
                 // Its session waits to be told the time at which it begins.
                 let group = &self.plan.groups[self.members[at].group];
-                let named =
-                    Plan { token: group.token.clone(), ..Plan::named(format!("load {}", group.name)) };
-                let seed = self.plan.seed.wrapping_add(at as u64);
-                self.members[at].session = Session::new(now, named, seed);
+                self.members[at].session = session(self.plan, group, now, at);
                 self.dialled_at[at] = when;
                 self.touched(at);
             }
@@ -664,8 +667,7 @@
                     stream,
                     member: at,
                     connected: false,
-                    out: Vec::new(),
-                    written: 0,
+                    out: Outbox::default(),
                     waits_to_write: true,
                 };
                 self.connections.insert(token, connection);
@@ -735,25 +737,15 @@
         let out = std::mem::take(member.session.out());
         let Some(token) = member.token else { return };
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        connection.out.extend_from_slice(&out);
+        connection.out.push(&out);
         if !connection.connected {
             return;
         }
-        let failed = loop {
-            if connection.written == connection.out.len() {
-                connection.out.clear();
-                connection.written = 0;
-                break None;
-            }
-            match connection.stream.write(&connection.out[connection.written..]) {
-                Ok(0) => break Some("closed by the server".to_string()),
-                Ok(count) => connection.written += count,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break None,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => break Some(error.to_string()),
-            }
+        let (waits, failed) = match connection.out.write_to(&mut connection.stream) {
+            _ if connection.out.overrun() => (false, Some("the server reads too slowly".to_string())),
+            Ok(written) => (!written, None),
+            Err(error) => (false, Some(error.to_string())),
         };
-        let waits = !connection.out.is_empty();
         if waits != connection.waits_to_write {
             connection.waits_to_write = waits;
             let interest = match waits {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -490,17 +490,18 @@
     }
 
     /// Sends on what now finds a way, highest revenue first; none does while the window over all is shut.
-    /// Only calls that may find room, of lots that are taken, are looked at: under pressure the line gets long.
+    /// Only calls that may find room, of lots that are taken, are looked at: a pressed line gets long.
     fn serve_line(&mut self, now: Duration, host: &mut dyn Host) {
         if self.line.is_empty() || !self.window.open() {
             return;
         }
-        let tandems = self.exchanges.values().filter(|far| far.has_room(1.0 + RESERVED)).count() > 0;
+        let tandems = self.exchanges.values().any(|far| far.has_room(1.0 + RESERVED));
         let mut next = BinaryHeap::new();
         for (dest, all) in &self.line {
             let below = self.may_go(now, *dest, tandems);
             let hopeful = all.iter().filter(|(lots, _)| f64::from(**lots) < below * f64::from(LOTS));
-            next.extend(hopeful.filter_map(|(lots, all)| Some(Reverse((*all.first()?, *dest, *lots)))));
+            let firsts = hopeful.filter_map(|(lots, all)| Some((*all.first()?, *dest, *lots)));
+            next.extend(firsts.map(Reverse));
         }
         while self.window.open()
             && let Some(Reverse((place, dest, lots))) = next.pop()
