--- a/src/chance.rs
+++ b/src/chance.rs
@@ -40,3 +40,23 @@
         f64::from(self.next()) / (f64::from(u32::MAX) + 1.0)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_first_draws_of_neighbouring_seeds_are_apart() {
+        for step in [1, 1 << 16, 1 << 32, (1 << 32) + 1] {
+            for nth in 0..3 {
+                let mut bins = [0; 20];
+                for seed in 0..1000u64 {
+                    let mut chance = Chance::new(seed * step);
+                    (0..nth).for_each(|_| _ = chance.below_one());
+                    bins[(chance.below_one() * 20.0) as usize] += 1;
+                }
+                assert!(bins.iter().all(|bin| (20..=80).contains(bin)), "step {step}, draw {nth}: {bins:?}");
+            }
+        }
+    }
+}
