Clients offer again behind a told wait, and one in ten as the controller does

Seen: callers that are told one wait, as `reject` tells all of them, offered again at exactly that time; and of 300 calls that all fail 68 were offered again (one in five, ten at the start), on top of the controller's own further attempts. Ruled out: the controller's balance, which kept to its one in ten in the same run. Lines at fault: `Redial::again` (Rust and TypeScript) took the greater of told wait and draw, where `ComeBack::failed` beside it adds them; `RedialPlan` earned 0.2 and started with ten. Change: the draw follows the told wait; a client starts with two and earns one in ten. Two balances one behind the other make 1.21 tries of a call where they made 1.32. Test: every offer and set-up on the wire over client, exchange and tandem is counted and held to the bound.

--- a/clients/typescript/src/comeback.ts
+++ b/clients/typescript/src/comeback.ts
@@ -40,6 +40,9 @@
   }
 }
 
+/** What a client may offer again before any first offer has earned it: as much as the controller starts with. */
+const SAVED_AT_START = 2;
+
 export interface RedialPlan {
   /** Offers of one call, the first among them. */
   offers: number;
@@ -56,10 +59,10 @@
   #saved: number;
 
   constructor(
-    readonly plan: RedialPlan = { offers: 3, first: 250, earned: 0.2, mostSaved: 10, leastLeft: 300 },
+    readonly plan: RedialPlan = { offers: 3, first: 250, earned: 0.1, mostSaved: 10, leastLeft: 300 },
     readonly random: () => number = Math.random,
   ) {
-    this.#saved = plan.mostSaved;
+    this.#saved = Math.min(plan.mostSaved, SAVED_AT_START);
   }
 
   firstOffer(): void {
@@ -70,7 +73,8 @@
   again(left: number, offers: number, told = 0): number | undefined {
     if (offers >= this.plan.offers) return undefined;
     const grown = this.plan.first * 2 ** Math.min(offers - 1, 16);
-    const wait = Math.max(told, grown * (0.5 + 0.5 * this.random()));
+    // All callers are told alike: they spread behind what they were told.
+    const wait = told + grown * (0.5 + 0.5 * this.random());
     if (wait + this.plan.leastLeft > left || this.#saved < 1) return undefined;
     this.#saved -= 1;
     return wait;
--- /dev/null
+++ b/crates/lab/tests/second_tries.rs
@@ -0,0 +1,340 @@
+//! Every second try that one call causes, counted on the wire over all layers: offers of a client, set-ups of the exchange that
+//! took it, onward set-ups of tandems. The bounds are those of the table in `docs/hardening-review.md`.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use mintstall::host::*;
+use mintstall_callapi::{Asked, Final, Heard, Offer, Request};
+use mintstall_client::{Redial, RedialPlan};
+use mintstall_daemon::Config;
+use mintstall_daemon::exchange::{Exchange, LineNo, Port};
+use mintstall_isup::{Body, CauseIndicators, Cic, Data, Deframer, Frame, Location, Message, Q850, Rel};
+use mintstall_office::{Answer, CallEnd, GroupPlan, Office, OfficePlan, Plant, Timers};
+use serde_json::json;
+
+const START: Duration = Duration::from_secs(3600);
+const DEST: u16 = 2;
+const TANDEMS: [u16; 2] = [3, 4];
+
+/// What is on its way between exchanges, and what the client was told.
+#[derive(Default)]
+struct Wires {
+    from: u16,
+    sent: VecDeque<(u16, u16, Vec<u8>)>,
+    said: Vec<Heard>,
+}
+
+impl Port for Wires {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]) {
+        self.sent.push_back((1, to.0, octets.to_vec()));
+    }
+    fn close_link(&mut self, _: OfficeNo, why: &str) {
+        panic!("{why}");
+    }
+    fn say(&mut self, _: LineNo, text: &str) {
+        self.said.push(Heard::read(text.as_bytes()).unwrap());
+    }
+    fn close_line(&mut self, _: LineNo, why: &str) {
+        panic!("{why}");
+    }
+    fn has_room(&self, _: LineNo) -> bool {
+        true
+    }
+    fn reply(&mut self, _: &str) {}
+    fn note(&mut self, _: &str) {}
+}
+
+impl Plant for Wires {
+    fn send(&mut self, to: OfficeNo, octets: &[u8]) {
+        self.sent.push_back((self.from, to.0, octets.to_vec()));
+    }
+    fn close(&mut self, _: OfficeNo, why: &str) {
+        panic!("{why}");
+    }
+    fn answer(&mut self, _: CallId, _: Answer) {}
+    fn ended(&mut self, _: CallId, _: CallEnd) {}
+    fn note(&mut self, _: &str) {}
+}
+
+/// How the destination treats set-ups.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Far {
+    Full,
+    Busy,
+    Silent,
+}
+
+struct Net {
+    now: Duration,
+    first: Exchange,
+    tandems: BTreeMap<u16, Office>,
+    wires: Wires,
+    far: Far,
+    line: LineNo,
+    /// Set-ups by the first exchange, and onward ones, by its number of the call.
+    set_ups: BTreeMap<u64, (u32, u32)>,
+    offers: u32,
+}
+
+fn tandem(own: u16) -> OfficePlan {
+    let kind = CallTypeData {
+        setup_target: Duration::from_secs(2),
+        guard_time: Duration::from_secs(9),
+        revenue: 1.0,
+        width: 1,
+        mean_hold: Duration::from_secs(10),
+        repeats: Repeats::Freely,
+        pools: Vec::new(),
+    };
+    OfficePlan {
+        own: OfficeNo(own),
+        data: OfficeData {
+            own: Some(OfficeNo(own)),
+            call_types: vec![kind],
+            seizure_limit: 5,
+            may_cancel: true,
+            longest_come_back: Duration::from_secs(2),
+            must_subscribe: false,
+            may_tell: false,
+            fall_multiple: 2.5,
+            cold_share: 0.3,
+            warm_up: Duration::from_secs(15),
+            release_wait: Duration::from_millis(200),
+            repeat_after: Duration::ZERO,
+        },
+        groups: [1, DEST].map(|to| GroupPlan { to: OfficeNo(to), circuits: 310 }).to_vec(),
+        numbers: Vec::new(),
+        timers: Timers::default(),
+        most_calls: 1000,
+        traces: 10,
+    }
+}
+
+impl Net {
+    fn new(far: Far, direct: u16) -> Self {
+        let link = |to: u16, circuits: u16| json!({ "to": to, "circuits": circuits });
+        let config: Config = serde_json::from_value(json!({
+            "exchange": 1,
+            "signalling": { "listen": "127.0.0.1:1",
+                            "links": [link(DEST, direct), link(TANDEMS[0], 310), link(TANDEMS[1], 310)] },
+            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                             "mean_hold_ms": 10000 }],
+        }))
+        .unwrap();
+        let lines: Vec<_> = (1..=4)
+            .map(|no| RosterLine {
+                exchange: ExchangeId(no),
+                office: OfficeNo(no as u16),
+                zone: Zone(0),
+                standing: Standing::Ready,
+                started: Duration::ZERO,
+            })
+            .collect();
+        let mut first = Exchange::new(START, &config, 1, 1);
+        let line = first.line_open(START).unwrap();
+        let mut wires = Wires::default();
+        let entry = |no: u16| json!({ "exchange": no, "office": no, "region": 0, "standing": "ready" });
+        let news = json!({ "version": 1, "entries": [entry(1), entry(2), entry(3), entry(4)] });
+        let note = mintstall_roster::FeedNote::Roster(serde_json::from_value(news).unwrap());
+        first.feed_note(START, &mut wires, &note);
+        let tandems = TANDEMS.map(|no| (no, Office::new(START, &tandem(no), 1, no.into()))).into();
+        let (set_ups, offers) = (BTreeMap::new(), 0);
+        let mut net = Self { now: START, first, tandems, wires, far, line, set_ups, offers };
+        for to in [DEST, TANDEMS[0], TANDEMS[1]] {
+            net.first.link_up(START, &mut net.wires, OfficeNo(to));
+        }
+        for no in TANDEMS {
+            net.wires.from = no;
+            let office = net.tandems.get_mut(&no).unwrap();
+            office.roster(START, &mut net.wires, &lines);
+            [1, DEST].iter().for_each(|to| office.link_up(START, &mut net.wires, OfficeNo(*to)));
+        }
+        net.carry();
+        net
+    }
+
+    /// What the destination does with a frame; the time that passes on the way is none.
+    fn at_dest(&self, from: u16, octets: &[u8]) -> Vec<u8> {
+        let mut out = Vec::new();
+        let mut frames = Deframer::default();
+        frames.push(octets);
+        let frame = frames.next().unwrap().unwrap().to_vec();
+        let mut write = |cic: Cic, body: Body| {
+            let mut user = Vec::new();
+            Message::new(cic, body).write(&mut user);
+            let (opc, dpc) = (DEST.into(), from.into());
+            Frame::Data(Data { opc, dpc, service: 5, network: 2, priority: 0, sls: 0, user: &user }).write(&mut out);
+        };
+        match Frame::read(&frame).unwrap() {
+            Frame::AspUp { .. } => {
+                Frame::AspUpAck { asp: Some(DEST.into()) }.write(&mut out);
+                Frame::AspUp { asp: Some(DEST.into()) }.write(&mut out);
+                Frame::AspActive.write(&mut out);
+            }
+            Frame::AspActive => Frame::AspActiveAck.write(&mut out),
+            Frame::Beat(data) => Frame::BeatAck(data).write(&mut out),
+            Frame::Data(data) => {
+                let Message { cic, body } = Message::read(data.user).unwrap();
+                match body {
+                    Body::Iam(_) if self.far == Far::Silent => {}
+                    Body::Iam(_) => {
+                        let why = if self.far == Far::Busy { Q850::UserBusy } else { Q850::Congestion };
+                        write(cic, Body::Rel(Rel::new(CauseIndicators::new(Location::Local, why))));
+                    }
+                    Body::Grs { count } => write(cic, Body::Gra(mintstall_isup::RangeStatus { count, status: 0 })),
+                    Body::Rel(_) => write(cic, Body::Rlc { other: Vec::new() }),
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+        out
+    }
+
+    fn carry(&mut self) {
+        while let Some((from, to, octets)) = self.wires.sent.pop_front() {
+            self.count(from, &octets);
+            self.give(from, to, &octets);
+        }
+    }
+
+    fn give(&mut self, from: u16, to: u16, octets: &[u8]) {
+        self.wires.from = to;
+        let (now, far) = (self.now, OfficeNo(from));
+        match to {
+            1 => self.first.link_octets(now, &mut self.wires, far, octets),
+            DEST => {
+                let back = self.at_dest(from, octets);
+                if !back.is_empty() {
+                    self.wires.sent.push_back((DEST, from, back));
+                }
+            }
+            tandem => self.tandems.get_mut(&tandem).unwrap().octets(now, &mut self.wires, far, octets),
+        }
+    }
+
+    fn count(&mut self, from: u16, octets: &[u8]) {
+        let mut frames = Deframer::default();
+        frames.push(octets);
+        while let Ok(Some(frame)) = frames.next() {
+            if let Ok(Frame::Data(data)) = Frame::read(frame)
+                && let Ok(Message { body: Body::Iam(iam), .. }) = Message::read(data.user)
+            {
+                let (first, onward) = self.set_ups.entry(iam.identity.unwrap().call).or_default();
+                *(if from == 1 { first } else { onward }) += 1;
+            }
+        }
+    }
+
+    fn pass_until(&mut self, end: Duration) {
+        loop {
+            let tandems = self.tandems.iter().filter_map(|(no, office)| Some((office.next_alarm()?, *no)));
+            let next = tandems.chain(self.first.next_alarm().map(|at| (at, 1))).min();
+            let Some((at, no)) = next.filter(|(at, _)| *at <= end) else { break };
+            self.now = self.now.max(at);
+            let now = self.now;
+            self.wires.from = no;
+            match no {
+                1 => self.first.ring(now, &mut self.wires),
+                tandem => self.tandems.get_mut(&tandem).unwrap().ring(now, &mut self.wires),
+            }
+            self.carry();
+        }
+        self.now = end;
+    }
+
+    fn offer(&mut self, call: u64, left: Duration, redial: bool) {
+        let offer = Offer {
+            call,
+            call_type: 0,
+            customer: 0,
+            dest: DEST,
+            number: 1000 + call,
+            time_left_ms: left.as_millis() as u32,
+            advised: None,
+            cut: false,
+            redial,
+        };
+        self.offers += 1;
+        let text = Asked { id: Some(json!(call)), request: Request::Offer(offer) }.text();
+        let now = self.now;
+        self.first.line_text(now, &mut self.wires, self.line, text.as_bytes());
+        self.carry();
+    }
+}
+
+/// A client's call that waits for an answer, or for its next offer.
+struct Wish {
+    until: Duration,
+    offers: u8,
+    at: Duration,
+}
+
+/// 300 calls, ten a second, all of which fail; the figures of the whole.
+fn all_fail(far: Far, direct: u16) -> (u32, u32, u32) {
+    const CALLS: u64 = 300;
+    let mut net = Net::new(far, direct);
+    let mut redial = Redial::new(RedialPlan::default(), 1);
+    // By the number of the offer, ten apart; by the exchange's number, which client's call it was.
+    let mut wishes: BTreeMap<u64, Wish> = BTreeMap::new();
+    let mut of_call: BTreeMap<u64, (u32, u32, u32)> = BTreeMap::new();
+    for call in 0..CALLS {
+        let at = START + Duration::from_millis(100 * call);
+        wishes.insert(10 * call, Wish { until: at + Duration::from_secs(9), offers: 0, at });
+    }
+    while let Some((no, at)) = wishes.iter().map(|(no, wish)| (*no, wish.at)).min_by_key(|(_, at)| *at) {
+        // Answers come in between: time passes in small steps.
+        let step = (net.now + Duration::from_millis(10)).min(at);
+        net.pass_until(step.max(net.now));
+        if net.now >= at {
+            let wish = wishes.get_mut(&no).unwrap();
+            (wish.offers, wish.at) = (wish.offers + 1, Duration::MAX);
+            let (left, again) = (wish.until.saturating_sub(net.now), wish.offers > 1);
+            if !again {
+                redial.first_offer();
+            }
+            let name = no + u64::from(wish.offers);
+            of_call.entry(no).or_default().0 += 1;
+            net.offer(name, left, again);
+        }
+        for heard in std::mem::take(&mut net.wires.said) {
+            let Heard::Answered(answered) = heard else { panic!("{heard:?}") };
+            let no = answered.call / 10 * 10;
+            let (first, onward) = net.set_ups.remove(&answered.exchange_call).unwrap_or_default();
+            let of = of_call.entry(no).or_default();
+            (of.1, of.2) = (of.1 + first, of.2 + onward);
+            let wish = wishes.get_mut(&no).unwrap();
+            let told = match answered.answer {
+                Final::Stands => panic!("all fail"),
+                Final::Refused { come_back_ms } => Some(Duration::from_millis(come_back_ms.into())),
+                Final::Fails => None,
+            };
+            match redial.again(net.now, wish.until, wish.offers, told) {
+                Ok(at) => wish.at = at,
+                Err(_) => _ = wishes.remove(&no),
+            }
+        }
+    }
+    for (call, (offers, first, onward)) in &of_call {
+        assert!(*offers <= 3 && *first <= 4 * offers && onward <= first, "{call}: {offers} {first} {onward}");
+    }
+    let sum = of_call.values().fold((0, 0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1, sum.2 + of.2));
+    // One in ten of the client's calls is offered again, and one in ten of the exchange's offers is seized again,
+    // besides what each starts with: two, and two.
+    let (offers, first, _) = sum;
+    assert!(f64::from(offers) <= 1.1 * CALLS as f64 + 2.0, "{far:?}: {offers} offers of {CALLS} calls");
+    assert!(f64::from(first) <= 1.1 * f64::from(offers) + 2.0, "{far:?}: {first} set-ups of {offers} offers");
+    sum
+}
+
+#[test]
+fn each_layer_keeps_to_its_own_bound_and_the_product_is_as_stated() {
+    let (offers, first, onward) = all_fail(Far::Full, 310);
+    assert!(offers > 302 && first > 10 && onward == 0, "direct, full: {offers} {first} {onward}");
+    let (offers, first, onward) = all_fail(Far::Busy, 310);
+    assert!(offers > 302 && first > 200 && onward == 0, "direct, busy: {offers} {first} {onward}");
+    // One direct circuit: the others go over tandems.
+    let (offers, first, onward) = all_fail(Far::Silent, 1);
+    assert!(offers > 302 && first > 10 && onward > 10, "over tandems, silent: {offers} {first} {onward}");
+}
--- a/crates/limits/src/comeback.rs
+++ b/crates/limits/src/comeback.rs
@@ -66,6 +66,10 @@
     }
 }
 
+/// What a client may offer again before any first offer has earned it. The controller starts with as much and earns as much,
+/// one in ten: two such balances one behind the other make 1.21 tries of a call, and no more however many fail.
+const SAVED_AT_START: f64 = 2.0;
+
 /// Calls that are offered again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RedialPlan {
@@ -85,7 +89,7 @@
         Self {
             offers: 3,
             first: Duration::from_millis(250),
-            earned: 0.2,
+            earned: 0.1,
             most_saved: 10.0,
             least_left: Duration::from_millis(300),
         }
@@ -112,7 +116,7 @@
 
 impl Redial {
     pub fn new(plan: RedialPlan, seed: u64) -> Self {
-        Self { plan, chance: Chance::new(seed), saved: plan.most_saved }
+        Self { plan, chance: Chance::new(seed), saved: plan.most_saved.min(SAVED_AT_START) }
     }
 
     /// A call is offered for the first time.
@@ -134,7 +138,8 @@
         }
         let grown = self.plan.first.saturating_mul(1 << u32::from(offers.saturating_sub(1)).min(16));
         let drawn = grown.mul_f64(0.5 + 0.5 * self.chance.below_one());
-        let at = now + told.map_or(drawn, |told| told.max(drawn));
+        // All callers are told alike: they spread behind what they were told.
+        let at = now + told.map_or(drawn, |told| told + drawn);
         if at + self.plan.least_left > until {
             return Err(NotAgain::Time);
         }
@@ -207,7 +212,7 @@
     fn a_call_is_offered_again_within_its_time_and_number_and_after_the_told_wait() {
         let mut redial = Redial::new(RedialPlan::default(), 1);
         let at = redial.again(ms(0), ms(3000), 1, Some(ms(900))).unwrap();
-        assert_eq!(at, ms(900));
+        assert!(at >= ms(900 + 125) && at <= ms(900 + 250), "{at:?}");
         assert!(redial.again(ms(0), ms(3000), 1, None).unwrap() >= ms(125));
         assert_eq!(redial.again(ms(0), ms(3000), 3, None), Err(NotAgain::Offers(3)));
         assert_eq!(redial.again(ms(0), ms(1000), 1, Some(ms(900))), Err(NotAgain::Time));
