Office timers that repeat are drawn out by up to a quarter

Seen: eleven neighbours of an exchange that died repeat their releases, resets and signs of life at the same millisecond (REL: eleven times 1000 ms, the T1 of the test). Ruled out: reconnects, which the shell jitters; the grace of a link, after which each acts for itself and nothing is sent. Lines at fault: `release_held`, `circuit_timer`, `reset_timer`, `reset_system`, `announce`, `link_timer`, `opened` and `audit` set fixed spans. Change: T1, T16, T17, T22, T(ack), the heartbeat and the audits run up to a quarter longer, drawn anew each time; the last repeat before T5 is not pulled forward to it. All stay within the ranges of Q.764 table A.1. An audit's two rounds take up to a quarter longer, as said.

--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mintstall::Controller;
+use mintstall::chance::Chance;
 use mintstall::host::{
     AlarmId, CallId, Cause, Ended, ExchangeId, Host, OfficeNo, PeerNo, Report as FarReport, SeizureNo,
 };
@@ -18,7 +19,7 @@
 use crate::circuits::{Group, Use};
 use crate::legs::{Held, Leg, Out, Sink, Source};
 use crate::links::Link;
-use crate::plan::{HOPS, Timers};
+use crate::plan::{HOPS, SPREAD, Timers};
 use crate::plant::{Answer, Plant};
 use crate::queries::Audit;
 use crate::state::Tally;
@@ -41,6 +42,8 @@
     /// At most `most_calls`; emptied as calls end.
     pub legs: BTreeMap<CallId, Leg>,
     pub timers: TimerQueue,
+    /// For timers that must not run in step with those of others.
+    pub chance: Chance,
     /// By the roster, and emptied by it.
     pub exchanges: BTreeMap<ExchangeId, OfficeNo>,
     /// Numbers with few lines: how many, and how many are taken. Fixed at start.
@@ -79,6 +82,11 @@
         FarReport { free: Some(free as f64), size: Some(size as f64), ..FarReport::default() }
     }
 
+    /// A span that is drawn out a little.
+    pub fn spread(&mut self, span: Duration) -> Duration {
+        span.mul_f64(1.0 + SPREAD * self.chance.below_one())
+    }
+
     /// Forgets a call of which nothing is left.
     pub fn drop_leg(&mut self, call: CallId) {
         if let Some(leg) = self.legs.remove(&call) {
@@ -149,7 +157,7 @@
     pub fn release_held(&mut self, held: &Held, rel: Rel) {
         let rel = Rel { report: rel.report.or(self.desk.report), ..rel };
         self.send(held.to, Cic::at(held.first()), Body::Rel(rel));
-        let (since, t1) = (self.now, self.desk.t.t1);
+        let (since, t1) = (self.now, self.desk.spread(self.desk.t.t1));
         let timer = self.desk.timers.set(since + t1, Timer::Circuit(held.to, held.first()));
         self.put_first(held, Use::Releasing { since, timer });
     }
@@ -164,6 +172,7 @@
     }
 
     pub fn reset_timer(&mut self, to: OfficeNo, place: u16, after: Duration) -> Set {
+        let after = self.desk.spread(after);
         self.desk.timers.set(self.now + after, Timer::Circuit(to, place))
     }
 
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mintstall::Controller;
+use mintstall::chance::Chance;
 use mintstall::host::{
     CallId, CallType, Cause, CustomerNo, Dialled, Ended, ExchangeId, Offer, OfficeNo, RosterLine, SeizureNo,
     Standing,
@@ -77,6 +78,8 @@
             audits: BTreeMap::new(),
             legs: BTreeMap::new(),
             timers: TimerQueue::default(),
+            // Apart from the decisions' own numbers, which a seed must leave as they are.
+            chance: Chance::new(!seed),
             exchanges: BTreeMap::new(),
             lines: plan.numbers.iter().map(|number| (number.dialled, (number.lines, 0))).collect(),
             report: None,
@@ -94,7 +97,8 @@
         // The looks at the groups are spread over the time between two at one.
         for (turn, to) in plan.groups.iter().map(|group| group.to).enumerate() {
             let share = (turn + 1) as f64 / plan.groups.len() as f64;
-            desk.timers.set(now + plan.timers.audit.mul_f64(share), Timer::Audit(to));
+            let first = desk.spread(plan.timers.audit.mul_f64(share));
+            desk.timers.set(now + first, Timer::Audit(to));
         }
         Self { controller: Controller::new(&plan.data, seed), desk, service: Service::Open }
     }
@@ -484,7 +488,9 @@
             Use::Releasing { since, .. } => {
                 self.desk.tally.releases_repeated += 1;
                 self.send(to, Cic::at(place), Body::Rel(normal(Location::Local)));
-                let timer = self.desk.timers.set((now + t.t1).min(since + t.t5), Timer::Circuit(to, place));
+                // The last of these is past T5, and apart from those of others.
+                let again = now + self.desk.spread(t.t1);
+                let timer = self.desk.timers.set(again, Timer::Circuit(to, place));
                 self.put_first(&held, Use::Releasing { since, timer });
             }
             Use::Resetting { .. } => {
@@ -529,7 +535,7 @@
 
     fn announce(&mut self, to: OfficeNo) {
         let own = u32::from(self.desk.own.0);
-        let again = self.now + self.desk.t.link_ack;
+        let again = self.now + self.desk.spread(self.desk.t.link_ack);
         let Some(link) = self.desk.links.get_mut(&to) else { return };
         let frame = match link.phase {
             Phase::Announcing => Frame::AspUp { asp: Some(own) },
@@ -551,7 +557,7 @@
 
     /// T(ack), or time for a sign of life.
     fn link_timer(&mut self, to: OfficeNo) {
-        let beat = self.desk.t.beat;
+        let beat = self.desk.spread(self.desk.t.beat);
         let Some(link) = self.desk.links.get_mut(&to) else { return };
         link.timer = None;
         match link.phase {
@@ -571,7 +577,7 @@
     /// Both ends take traffic. A process that has just started has the far end forget all calls of one before it; a link
     /// that was away has what it missed said again.
     pub fn opened(&mut self, to: OfficeNo) {
-        let beat = self.now + self.desk.t.beat;
+        let beat = self.now + self.desk.spread(self.desk.t.beat);
         let Some(link) = self.desk.links.get_mut(&to) else { return };
         let set = self.desk.timers.set(beat, Timer::Link(to));
         let before = [link.timer.replace(set), link.grace.take()];
@@ -631,6 +637,7 @@
             open.iter().for_each(|place| group.put(*place, Use::Resetting { timer: None }));
         }
         self.desk.tally.resets += 1;
+        let again = self.desk.spread(again);
         self.desk.timers.set(self.now + again, Timer::GroupReset(to, first));
         self.send(to, Cic::at(first), Body::Grs { count: (end - first) as u8 });
     }
--- a/crates/office/src/plan.rs
+++ b/crates/office/src/plan.rs
@@ -35,7 +35,9 @@
     pub lines: u16,
 }
 
-/// Timers of Q.764 table A.1 as far as they bear here, and those of the links.
+/// Timers of Q.764 table A.1 as far as they bear here, and those of the links. What is repeated, but T5 and the grace, runs
+/// up to a quarter longer, drawn anew each time: the neighbours of one dead exchange would repeat all in step. That
+/// stays within the standard's ranges.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timers {
     /// T1: a release that is not completed is sent again (15 to 60 s).
@@ -77,6 +79,9 @@
     }
 }
 
+/// By how much a repeated timer is drawn out at the most.
+pub(crate) const SPREAD: f64 = 0.25;
+
 /// Half a second before the caller's time is up nothing is decided any more on lines that are slow; within one machine or
 /// site a fiftieth does: an answer needs its way back.
 pub(crate) const ANSWER_WAY: Duration = Duration::from_millis(20);
--- a/crates/office/src/queries.rs
+++ b/crates/office/src/queries.rs
@@ -5,7 +5,7 @@
 //! nothing; nobody would ever release it. Each link's group is asked about one system at a time, in turn. A
 //! disagreement counts only when two looks in a row find it and the circuit has not changed in between: what is on its
 //! way at one look has arrived by the next, so that no live circuit is freed. A stuck circuit is found within two
-//! rounds: `2 x audit x systems`.
+//! rounds: `2 x 1.25 x audit x systems`, as each look is drawn out by a quarter at the most.
 
 use std::collections::BTreeMap;
 
@@ -67,7 +67,7 @@
 impl Working<'_> {
     /// Asks the far end about the next system of its group, and sets the next look.
     pub fn audit(&mut self, to: OfficeNo) {
-        let next = self.now + self.desk.t.audit;
+        let next = self.now + self.desk.spread(self.desk.t.audit);
         self.desk.timers.set(next, Timer::Audit(to));
         let Some(size) = self.desk.groups.get(&to).map(Group::size).filter(|size| *size > 0) else { return };
         let audit = self.desk.audits.entry(to).or_default();
