A stop sends no set-up, waits for transit and releases, and answers who waits

Seen, each by a test that failed before: (1) letting all go with calls held in the line sent 4 new set-ups and released them at once; (2) where a seizure may not be cancelled its circuit stayed taken at both ends, the process gone; (3) offers that waited for their turn when all was let go never had an answer (3 of 6); (4) calls in transit and seizures whose caller had gone did not hold the stop up, and it ended without awaiting release complete. Ruled out: second answers to subscribers (`caller_gone` gives one, the model finds no other), answers later than a guard time above the stop's 30 s: those calls fail at 30 s. Lines at fault: `Office::release_all` went through the calls by number, so that what it let go gave held ones a way, and relied on `withdrawn` to cancel; `Exchange::release_all` left `ready` alone; `Shell::stopped` asked `owes` and left once all was written. Change: held calls go first; what is still out is released whether or not the decisions may cancel; whose turn comes is refused; the stop waits while anything is unsettled (30 s at the most), lets go, and ends once all is written and completed by far ends that can be reached (2 s at the most: T1 is longer, they are left to their own timers).

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -325,6 +325,8 @@
     /// All calls that are left are let go.
     pub fn release_all(&mut self, now: Duration, port: &mut dyn Port) {
         self.with(now, port, |office, wire| office.release_all(now, wire));
+        // Their answers gave others their turn, which are refused: nobody is let in any more.
+        self.take_ready(now, port);
     }
 
     // Subscriber lines.
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -37,10 +37,12 @@
 
 /// The clock starts an hour in: processors that started before this process are told by their age.
 const CLOCK_START: Duration = Duration::from_secs(3600);
-/// An orderly stop gives calls that wait for an answer so long; every caller's time is shorter.
+/// An orderly stop gives calls that wait for an answer so long, those in transit too. A call whose caller would wait
+/// longer than that fails then, before its caller's time.
 const STOP_WITHIN: Duration = Duration::from_secs(30);
-/// What is still to be written after the last call is let go gets this long.
-const FLUSH_WITHIN: Duration = Duration::from_secs(2);
+/// After the last call is let go, what is still to be written and to be completed by far ends that can be reached gets
+/// this long. T1 is longer: a far end that does not answer in this time is left to its own timers.
+const LET_GO_WITHIN: Duration = Duration::from_secs(2);
 /// Connections that have not said which exchange they are.
 const MOST_STRANGERS: usize = 64;
 const STRANGER_FOR: Duration = Duration::from_secs(5);
@@ -305,6 +307,8 @@
     keep: Option<PathBuf>,
     tokens: Option<PathBuf>,
     stopping: Option<Instant>,
+    /// Since when nothing is left but releases to be completed.
+    let_go: Option<Instant>,
     /// Read buffer, kept for its room.
     buffer: Vec<u8>,
 }
@@ -376,6 +380,7 @@
             keep: config.directory.as_ref().and_then(|directory| directory.keep.clone()),
             tokens: config.tokens.clone(),
             stopping: None,
+            let_go: None,
             buffer: vec![0; 64 << 10],
         };
         if let Some(path) = &config.tokens {
@@ -501,12 +506,26 @@
         }
     }
 
-    /// Whether all that was taken is answered and written.
+    /// Whether all that was taken is answered, let go, completed and written.
     fn stopped(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
-        if self.exchange.office.owes() && since.elapsed() < STOP_WITHIN {
+        let Some(let_go) = self.let_go else {
+            if !self.exchange.office.unsettled() || since.elapsed() >= STOP_WITHIN {
+                self.let_all_go();
+            }
+            return false;
+        };
+        let written = self.wires.connections.values().all(|connection| connection.out.waiting() == 0);
+        let over = written && !self.exchange.office.awaits_release();
+        if !over && let_go.elapsed() < LET_GO_WITHIN {
             return false;
         }
+        info!(written, released = !self.exchange.office.awaits_release(), "stopped");
+        true
+    }
+
+    fn let_all_go(&mut self) {
+        self.let_go = Some(Instant::now());
         let now = self.now();
         self.exchange.release_all(now, &mut self.wires);
         let clients: Vec<Token> = self.wires.lines.values().copied().collect();
@@ -518,19 +537,7 @@
                 self.wires.pump(token);
             }
         }
-        let until = Instant::now() + FLUSH_WITHIN;
-        let mut events = Events::with_capacity(64);
-        while Instant::now() < until {
-            self.settle();
-            if self.wires.connections.values().all(|connection| connection.out.waiting() == 0) {
-                break;
-            }
-            let _ = self.wires.poll.poll(&mut events, Some(Duration::from_millis(20)));
-            let tokens: Vec<Token> = self.wires.connections.keys().copied().collect();
-            tokens.into_iter().for_each(|token| self.wires.flush(token));
-        }
-        info!("stopped");
-        true
+        self.settle();
     }
 
     fn accept(&mut self, on: Token) {
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -500,3 +500,20 @@
     room.ask(watcher, subscribe(Some(99)));
     assert!(matches!(room.wires.said.remove(&watcher).unwrap()[..], [Heard::Fault { code: -32602, .. }]));
 }
+
+#[test]
+fn what_waits_for_its_turn_when_all_is_let_go_is_answered_too() {
+    let mut room = Room::new(unanswered(2));
+    let line = room.line();
+    (0..3).for_each(|call| room.offer(line, call, 0));
+    room.exchange.stop(&mut room.wires);
+    // Offered while the stop waits for those that are out: nobody's turn comes any more.
+    (3..6).for_each(|call| room.offer(line, call, 0));
+    let now = room.now;
+    room.exchange.release_all(now, &mut room.wires);
+    let mut answers = room.answers(line);
+    answers.sort_by_key(|(call, _)| *call);
+    let calls: Vec<u64> = answers.iter().map(|(call, _)| *call).collect();
+    assert_eq!(calls, [0, 1, 2, 3, 4, 5], "{answers:?}");
+    assert_eq!(room.figures(), (0, 0));
+}
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -6,8 +6,8 @@
 use mintstall::Controller;
 use mintstall::chance::Chance;
 use mintstall::host::{
-    CallId, CallType, Cause, CustomerNo, Dialled, Ended, ExchangeId, Offer, OfficeNo, RosterLine, SeizureNo,
-    Standing,
+    CallId, CallType, Cause, CustomerNo, Dialled, Ended, ExchangeId, Host, Offer, OfficeNo, RosterLine,
+    SeizureNo, Standing,
 };
 use mintstall_isup::{
     Body, CauseIndicators, Cic, Frame, Identity, Location, Number, Q850, RangeStatus, Rel, Report,
@@ -117,6 +117,19 @@
         self.desk.owed > 0
     }
 
+    /// Whether a call has no answer yet, one in transit too, or a seizure is out whose caller has gone.
+    pub fn unsettled(&self) -> bool {
+        self.desk.legs.values().any(|leg| matches!(leg.sink, Sink::Open | Sink::Seized(_)))
+    }
+
+    /// Whether a far end that can be reached has yet to complete a release or a reset.
+    pub fn awaits_release(&self) -> bool {
+        let there = |to: &OfficeNo| self.desk.links.get(to).is_some_and(Link::usable);
+        let leaves = |used| matches!(used, Use::Releasing { .. } | Use::Resetting { timer: Some(_) });
+        let mut groups = self.desk.groups.iter().filter(|(to, _)| there(to));
+        groups.any(|(_, group)| group.all().any(|(_, circuit)| leaves(circuit.used)))
+    }
+
     /// Runs one thing that happens, and all that follows from it.
     pub(crate) fn happens(
         &mut self,
@@ -279,13 +292,21 @@
 
     /// Lets go of all calls that stand; those that wait for an answer fail.
     pub fn release_all(&mut self, now: Duration, plant: &mut dyn Plant) {
-        let calls: Vec<CallId> = self.desk.legs.keys().copied().collect();
-        for call in calls {
+        // Calls that are held go first: what is let go next would give them a way, and set-ups would go out.
+        let holds = |leg: &Leg| !matches!(leg.sink, Sink::Open);
+        let mut calls: Vec<_> = self.desk.legs.iter().map(|(call, leg)| (holds(leg), *call)).collect();
+        calls.sort_unstable();
+        for (_, call) in calls {
             self.happens(now, plant, |controller, w| {
                 let standing = w.desk.legs.get(&call).is_some_and(|leg| {
                     matches!((&leg.source, &leg.sink), (Source::Subscriber, Sink::Standing(_)))
                 });
                 w.caller_gone(controller, call, failure(Q850::OutOfOrder));
+                // What is still out may not be cancelled, or its caller had gone before: nobody is left to await its end.
+                if let Some(Leg { sink: Sink::Seized(Out { no, .. }), .. }) = w.desk.legs.get(&call) {
+                    let no = *no;
+                    w.cancel(call, no);
+                }
                 if standing {
                     w.desk.tally.cut += 1;
                     w.trace(call, Step::Ended(CallEnd::Cut));
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -481,6 +481,69 @@
     assert!(matches!(trace.last(), Some((_, Step::Answered(_)))));
 }
 
+#[test]
+fn letting_all_go_sends_no_set_up() {
+    let mut table = Table::new(2, 31);
+    // More calls than may be out to one exchange at a time: the rest are held.
+    let calls: Vec<_> = (0..8).map(|no| table.call(1, 2, no, 0)).collect();
+    let sent = table.take(1, 2).len();
+    assert!(sent < calls.len(), "some are held");
+    table.with(1, |office, _, _| office.stop());
+    table.with(1, |office, now, wires| office.release_all(now, wires));
+    let names: Vec<_> = table.take(1, 2).iter().filter_map(|octets| name(octets)).collect();
+    assert_eq!(names, vec!["REL"; sent]);
+    let answers = table.answers(1);
+    assert!(answers.len() == 8 && answers.iter().all(|(_, answer)| *answer != Answer::Stands), "{answers:?}");
+}
+
+#[test]
+fn letting_all_go_releases_what_may_not_be_cancelled_too() {
+    let mut table = Table::new(2, 31);
+    let mut plan = common::plan(1, &[2], 31);
+    plan.data.may_cancel = false;
+    table.offices.get_mut(&1).unwrap().0 = mintstall_office::Office::new(table.now, &plan, 2, 9);
+    table.listed(1);
+    table.cut(1, 2);
+    table.mend(1, 2);
+    table.carry();
+    // One caller waits for an answer, one has gone: the seizures of both are out.
+    let (gone, waits) = (table.call(1, 2, 5, 0), table.call(1, 2, 6, 0));
+    table.with(1, |office, now, wires| office.hang_up(now, wires, gone));
+    let iams = table.take(1, 2);
+    assert_eq!(iams.len(), 2);
+    iams.iter().for_each(|iam| table.give(1, 2, iam));
+    table.take(2, 1);
+    table.with(1, |office, now, wires| office.release_all(now, wires));
+    table.carry();
+    assert_eq!(table.answers(1), [(gone, Answer::Fails), (waits, Answer::Fails)]);
+    table.all_quiet();
+}
+
+#[test]
+fn a_stop_waits_for_calls_in_transit_and_for_releases_to_be_completed() {
+    let mut table = Table::new(3, 4);
+    (0..4).for_each(|no| _ = table.call(1, 2, no, 0));
+    table.carry();
+    let round = table.call(1, 2, 9, 0);
+    let iam = table.take(1, 3).concat();
+    table.give(1, 3, &iam);
+    // The tandem is told to stop while its onward set-up is out.
+    table.with(3, |office, _, _| office.stop());
+    assert!(table.offices[&3].0.unsettled() && !table.offices[&3].0.owes());
+    table.answers(1);
+    table.carry();
+    assert_eq!(table.answers(1), [(round, Answer::Stands)]);
+    assert!(!table.offices[&3].0.unsettled());
+    table.with(3, |office, now, wires| office.release_all(now, wires));
+    assert!(table.offices[&3].0.awaits_release());
+    table.carry();
+    assert!(!table.offices[&3].0.awaits_release());
+    // A link that is down has nothing to complete.
+    table.with(1, |office, now, wires| office.release_all(now, wires));
+    table.cut(1, 2);
+    assert!(!table.offices[&1].0.awaits_release());
+}
+
 #[test]
 fn neighbours_of_a_dead_exchange_do_not_repeat_their_releases_resets_and_signs_of_life_in_step() {
     let mut table = Table::new(12, 40);
