A set-up that meets a release is told so, and a crossed one is not called busy

Beside it: the end that prevails in dual seizure took the far end's release of its own given-up set-up for a busy number, refused the call and kept all others from that number for two seconds. Ruled out: the spread of the timers itself (both stories fail without it too), the books of the office (`faults` finds none), a lost message. Lines at fault: `Working::incoming`, whose comment held only for the circuit that the release is signalled on; `seizure_cause` for a release that crossed. Change: such a set-up is released with cause 44 on its own circuit, so that it is tried again at once; a seizure that prevailed and then hears a release that is not "user busy" found no circuit.

--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -67,7 +67,9 @@
     let tandem = || start("three.json", 3, &[(1, Some(first)), (2, Some(second))]);
     let mut three = tandem();
     let all_idle = |three: &Controller| {
-        [(&one, 3), (&two, 3), (three, 1), (three, 2)].iter().for_each(|(controller, to)| idle(controller, *to));
+        [(&one, 3), (&two, 3), (three, 1), (three, 2)]
+            .iter()
+            .for_each(|(controller, to)| idle(controller, *to));
     };
     all_idle(&three);
     idle(&one, 2);
--- a/crates/lab/tests/second_tries.rs
+++ b/crates/lab/tests/second_tries.rs
@@ -164,7 +164,8 @@
             let mut user = Vec::new();
             Message::new(cic, body).write(&mut user);
             let (opc, dpc) = (DEST.into(), from.into());
-            Frame::Data(Data { opc, dpc, service: 5, network: 2, priority: 0, sls: 0, user: &user }).write(&mut out);
+            Frame::Data(Data { opc, dpc, service: 5, network: 2, priority: 0, sls: 0, user: &user })
+                .write(&mut out);
         };
         match Frame::read(&frame).unwrap() {
             Frame::AspUp { .. } => {
@@ -182,7 +183,9 @@
                         let why = if self.far == Far::Busy { Q850::UserBusy } else { Q850::Congestion };
                         write(cic, Body::Rel(Rel::new(CauseIndicators::new(Location::Local, why))));
                     }
-                    Body::Grs { count } => write(cic, Body::Gra(mintstall_isup::RangeStatus { count, status: 0 })),
+                    Body::Grs { count } => {
+                        write(cic, Body::Gra(mintstall_isup::RangeStatus { count, status: 0 }))
+                    }
                     Body::Rel(_) => write(cic, Body::Rlc { other: Vec::new() }),
                     _ => {}
                 }
--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -293,7 +293,8 @@
             call,
             Traced::Seized { no, exchange: to, to: office, cic: first, circuits, limit: span },
         );
-        leg.sink = Sink::Seized(Out { no, exchange: to, held: held.clone(), at: now, limit: Some(set) });
+        let (at, limit, prevailed) = (now, Some(set), false);
+        leg.sink = Sink::Seized(Out { no, exchange: to, held: held.clone(), at, limit, prevailed });
         self.put(&held, Use::SeizedOut(call));
         self.send(office, first, Body::Iam(iam));
     }
--- a/crates/office/src/legs.rs
+++ b/crates/office/src/legs.rs
@@ -51,6 +51,8 @@
     pub held: Held,
     pub at: Duration,
     pub limit: Option<Set>,
+    /// A set-up of the far end met it on its circuits, and it prevailed.
+    pub prevailed: bool,
 }
 
 pub(crate) enum Sink {
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -154,8 +154,11 @@
                 // Also where a release of ours is on its way: each end completes the other's (Q.764 clause 2.3.1).
                 self.send(from, cic, Body::Rlc { other: Vec::new() });
                 if let Some(call) = used.call() {
-                    let cause =
-                        if matches!(used, Use::SeizedOut(_)) { seizure_cause(&rel) } else { end_cause(&rel) };
+                    let cause = match used {
+                        Use::SeizedOut(call) if self.prevailed(call) => crossed_cause(&rel),
+                        Use::SeizedOut(_) => seizure_cause(&rel),
+                        _ => end_cause(&rel),
+                    };
                     self.side_lost(controller, call, (from, place), cause, &onward(&rel), Held::idle);
                 }
             }
@@ -240,6 +243,10 @@
         }
     }
 
+    fn prevailed(&self, call: CallId) -> bool {
+        matches!(self.desk.legs.get(&call), Some(Leg { sink: Sink::Seized(Out { prevailed: true, .. }), .. }))
+    }
+
     fn reported(&mut self, controller: &mut Controller, from: OfficeNo, report: &Option<Report>) {
         let Some(report) = report else { return };
         let far = FarReport {
@@ -530,11 +537,14 @@
             return None;
         };
         let uses: Vec<_> = places.iter().filter_map(|place| group.get(*place).copied()).collect();
-        // A release or a reset of ours is on its way: the far end gives the set-up up once it has that.
-        if uses.iter().any(|circuit| {
-            matches!(circuit.used, Use::Releasing { .. } | Use::Resetting { .. } | Use::Along(_))
-        }) {
+        // A release or a reset of ours is on its way: the far end gives the set-up up once it has that, if it is for
+        // the circuit that it signals on; of another it is told here, or it would wait until its limit.
+        let closing = |used| matches!(used, Use::Releasing { .. } | Use::Resetting { .. } | Use::Along(_));
+        if uses.iter().any(|circuit| closing(circuit.used)) {
             self.desk.tally.unexpected += 1;
+            if matches!(uses[0].used, Use::Idle | Use::Along(_)) {
+                self.send(from, cic, Body::Rel(failure(Q850::CircuitNotAvailable)));
+            }
             return None;
         }
         let mut yielding = Vec::new();
@@ -550,6 +560,9 @@
                     };
                     if prevails {
                         // The far end finds the same and yields.
+                        if let Some(Leg { sink: Sink::Seized(out), .. }) = self.desk.legs.get_mut(&call) {
+                            out.prevailed = true;
+                        }
                         return None;
                     }
                     yielding.push((*place, call));
@@ -612,6 +625,15 @@
     }
 }
 
+/// And for one that prevailed over a set-up of the far end, which then gave its own up: it ignored ours meanwhile, and
+/// says nothing of the number called.
+fn crossed_cause(rel: &Rel) -> Cause {
+    match seizure_cause(rel) {
+        Cause::Busy if rel.cause.cause != Q850::UserBusy => Cause::NoCircuit,
+        cause => cause,
+    }
+}
+
 /// And for a call that stands.
 fn end_cause(rel: &Rel) -> Cause {
     match rel.cause.cause {
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -561,7 +561,9 @@
         for from in 2..=12 {
             for octets in table.take(from, 1) {
                 let name = name(&octets).unwrap_or_else(|| "link".to_string());
-                when.entry(format!("{name} of {from}")).or_default().push((table.now - start).as_millis() as u64);
+                when.entry(format!("{name} of {from}"))
+                    .or_default()
+                    .push((table.now - start).as_millis() as u64);
             }
         }
     }
@@ -574,3 +576,40 @@
         assert!(firsts.len() == 11 && apart.len() >= 6, "{kind}: {firsts:?}");
     }
 }
+
+#[test]
+fn a_set_up_that_meets_a_release_on_another_circuit_is_turned_away_with_a_word() {
+    let mut table = Table::new(2, 4);
+    // 1 takes circuits 1, 3 and 4 and gives up at once; 2 takes 2, 3 and 4 before it hears of either.
+    let gone = table.call(1, 2, 5, 1);
+    table.with(1, |office, now, wires| office.hang_up(now, wires, gone));
+    let call = table.call(2, 1, 6, 1);
+    let iam = table.take(2, 1).concat();
+    table.give(2, 1, &iam);
+    for _ in 0..30 {
+        table.carry();
+        table.pass(ms(10));
+    }
+    table.carry();
+    assert_eq!(table.answers(2), [(call, Answer::Stands)], "no sooner than its limit without that word");
+    table.with(2, |office, now, wires| office.hang_up(now, wires, call));
+    table.carry();
+    table.all_quiet();
+}
+
+#[test]
+fn a_set_up_that_prevailed_is_tried_again_when_the_far_end_gives_up_its_own() {
+    let mut table = Table::new(2, 1);
+    // Both seize the one circuit, which 1 controls; the caller of 2 hangs up before either set-up arrives.
+    let (low, high) = (table.call(1, 2, 5, 0), table.call(2, 1, 6, 0));
+    table.with(2, |office, now, wires| office.hang_up(now, wires, high));
+    for _ in 0..30 {
+        table.carry();
+        table.pass(ms(10));
+    }
+    table.carry();
+    assert_eq!(table.answers(1), [(low, Answer::Stands)], "the number was never busy");
+    table.with(1, |office, now, wires| office.hang_up(now, wires, low));
+    table.carry();
+    table.all_quiet();
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -433,7 +433,11 @@
 
 /// The most that fall into one stretch of ten milliseconds.
 fn most_in_step(times: &[u64]) -> usize {
-    times.iter().map(|from| times.iter().filter(|at| (*from..from + 10).contains(at)).count()).max().unwrap_or(0)
+    times
+        .iter()
+        .map(|from| times.iter().filter(|at| (*from..from + 10).contains(at)).count())
+        .max()
+        .unwrap_or(0)
 }
 
 #[test]
