Call numbers and seeds set starts and exchanges apart

Seen: call numbers came from seconds shifted right by one: two starts within two seconds gave the same numbers, which traces of neighbours and clients that still know the old ones would take for the old calls. Exchanges configured alike, seed included, drew the same numbers: all hundred of them the same first draw. Ruled out: first draws of neighbouring seeds, which are apart. Lines at fault: `Office::new` (`incarnation >> 1`), `Shell::open`, `Exchange::new`. Change: numbers start from milliseconds times 2,048, still below 2^53; the exchange's own number goes into the seed.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -143,6 +143,12 @@
     askers: BTreeMap<CallId, Asker>,
 }
 
+/// What starts an exchange's random numbers. Guards against exchanges that are configured alike, seed included, drawing
+/// alike and so trying again in step.
+pub fn own_seed(exchange: u16, seed: u64) -> u64 {
+    seed ^ u64::from(exchange) << 40
+}
+
 /// A roster's lines as the decisions read them.
 pub fn roster_lines(held: &[mintstall_roster::Held]) -> Vec<RosterLine> {
     let line = |held: &mintstall_roster::Held| RosterLine {
@@ -186,7 +192,8 @@
 
 impl Exchange {
     /// `now` must be well above zero: it is the clock on which processors that started earlier are told.
-    pub fn new(now: Duration, config: &Config, incarnation: u32, seed: u64) -> Self {
+    pub fn new(now: Duration, config: &Config, incarnation: u64, seed: u64) -> Self {
+        let seed = own_seed(config.exchange, seed);
         let shares = (0..).map(CustomerNo).zip(config.customers.iter().map(|customer| customer.share));
         Self {
             office: Office::new(now, &config.plan(), incarnation, seed),
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -349,8 +349,8 @@
         let links = links.filter_map(|link| Some((Dialled::Link(OfficeNo(link.to)), redial(link.connect?))));
         let directory =
             config.directory.iter().map(|directory| (Dialled::Directory, redial(directory.connect)));
-        // Seconds since 2020 as the number of this start: it grows, and fits for a century.
-        let incarnation = (wall_ms() / 1000).saturating_sub(1_577_836_800) as u32;
+        // Milliseconds since 2020 as the number of this start: it grows, and fits for a century.
+        let incarnation = wall_ms().saturating_sub(1_577_836_800_000);
         let seed = config.seed.unwrap_or_else(|| rand::rng().random());
         let mut shell = Self {
             exchange: Exchange::new(CLOCK_START, config, incarnation, seed),
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use mintstall::host::OfficeNo;
 use mintstall_callapi::{Asked, Final, Hangup, Heard, Offer, Request};
 use mintstall_daemon::config::LimitsPlan;
-use mintstall_daemon::exchange::{Exchange, LineNo, Port};
+use mintstall_daemon::exchange::{Exchange, LineNo, Port, own_seed};
 use serde_json::json;
 
 use common::{FAR, Far};
@@ -517,3 +517,10 @@
     assert_eq!(calls, [0, 1, 2, 3, 4, 5], "{answers:?}");
     assert_eq!(room.figures(), (0, 0));
 }
+
+#[test]
+fn controllers_with_one_configured_seed_do_not_draw_alike() {
+    let draw = |exchange: u16| mintstall::chance::Chance::new(own_seed(exchange, 7)).below_one();
+    let thousandths: BTreeSet<u32> = (1..=100).map(|exchange| (draw(exchange) * 1e3) as u32).collect();
+    assert!(thousandths.len() >= 90, "{thousandths:?}");
+}
--- a/crates/lab/src/virtual_day.rs
+++ b/crates/lab/src/virtual_day.rs
@@ -195,7 +195,12 @@
                 let config = config(&self.world, office, &Places::default());
                 let seed = config.seed.unwrap_or(0).wrapping_add(u64::from(incarnation) << 32);
                 let seat = Seat {
-                    office: Office::new(now + CLOCK_START, &config.plan(), incarnation, seed),
+                    office: Office::new(
+                        now + CLOCK_START,
+                        &config.plan(),
+                        u64::from(incarnation) << 11,
+                        seed,
+                    ),
                     roster: Roster::new(Limits::default()),
                     calls: BTreeMap::new(),
                     names: BTreeMap::new(),
--- a/crates/office/src/office.rs
+++ b/crates/office/src/office.rs
@@ -65,8 +65,9 @@
 }
 
 impl Office {
-    /// `incarnation` sets the call numbers of this process apart from those before it: it must grow with each start.
-    pub fn new(now: Duration, plan: &OfficePlan, incarnation: u32, seed: u64) -> Self {
+    /// `incarnation` sets the call numbers of this process apart from those before it: it must grow with each start, by
+    /// one for each 2,048 calls that it may have taken. Milliseconds of a clock do.
+    pub fn new(now: Duration, plan: &OfficePlan, incarnation: u64, seed: u64) -> Self {
         let group = |group: &crate::GroupPlan| (group.to, Group::new(plan.own, group.to, group.circuits));
         let mut desk = Desk {
             own: plan.own,
@@ -87,7 +88,7 @@
             changed: BTreeSet::new(),
             // Below 2^63, above which the decisions keep numbers of their own.
             // Below 2^53, so that clients without wider integers read it whole (RFC 8259 clause 6).
-            next_call: u64::from(incarnation >> 1) << 22,
+            next_call: (incarnation << 11) & ((1 << 53) - 1),
             owed: 0,
             tally: Tally::default(),
             traces: Traces::new(plan.traces),
