Model: the crowd at a cold exchange finds a planted fault of the fourth rule

Seen: with the cold share taken out of the module the crowd's runs still passed: too few set-ups reached the cold machine.

--- a/crates/lab/tests/model/controllers.rs
+++ b/crates/lab/tests/model/controllers.rs
@@ -60,6 +60,8 @@
     /// Calls that have an answer, or whose caller has gone.
     closed: BTreeSet<Whose>,
     hung: BTreeMap<u32, Duration>,
+    /// All far ends answer at once, and have circuits for all.
+    easy: bool,
 }
 
 impl World {
@@ -84,6 +86,9 @@
         if self.hung.get(&to).is_some_and(|until| *until > self.now) {
             return (Duration::MAX, Some(Cause::TimedOut));
         }
+        if self.easy {
+            return (self.span(10, 30), None);
+        }
         let way = self.span(0, 120);
         let waits = [0, 120, 900, 20_000];
         let wait = ms(waits[self.chance.random_range(0..waits.len())]);
@@ -224,6 +229,7 @@
         out: BTreeMap::new(),
         closed: BTreeSet::new(),
         hung: BTreeMap::new(),
+        easy: run.crowd,
     };
     let line = |office: u16| RosterLine {
         exchange: ExchangeId(office.into()),
@@ -287,10 +293,12 @@
                 self.with(whose.0, |controller, now, hand| controller.withdrawn(now, hand, CallId(whose.2)));
             }
             Next::Reports(no, to) => {
-                let free = [0.0, 1.0, 3.0, 20.0][self.world.chance.random_range(0..4)];
-                let rate =
-                    self.world.chance.random_bool(0.2).then(|| self.world.chance.random_range(5.0..80.0));
-                let report = Report { free: Some(free), size: Some(20.0), rate, ..Report::default() };
+                let easy = self.world.easy;
+                let free =
+                    if easy { 500.0 } else { [0.0, 1.0, 3.0, 20.0][self.world.chance.random_range(0..4)] };
+                let tells = !easy && self.world.chance.random_bool(0.2);
+                let rate = tells.then(|| self.world.chance.random_range(5.0..80.0));
+                let report = Report { free: Some(free), size: Some(500.0), rate, ..Report::default() };
                 self.with(no, |controller, now, hand| {
                     controller.reported(now, hand, ExchangeId(to), &report)
                 });
@@ -357,7 +365,7 @@
             redial: false,
         };
         w.model.note(w.now, whose, What::Taken { until: offer.until });
-        if w.chance.random_bool(0.1) {
+        if w.chance.random_bool(0.2) {
             let span = w.span(0, left - 10);
             w.after(span, Next::HangsUp(whose));
         }
@@ -445,8 +453,10 @@
             standing,
             started,
         };
+        // A crowd finds one machine that has just started.
+        let replaced = machine > MACHINE;
         match self.world.chance.random_range(0..10) {
-            0..3 => {
+            0..3 if !(self.run.crowd && replaced) => {
                 // Drained, gone, and replaced by a cold machine; or the replacement is told first.
                 let next = machine + MACHINE;
                 self.tell_all(0, line(machine, Standing::Draining, Duration::ZERO));
--- a/crates/lab/tests/model/main.rs
+++ b/crates/lab/tests/model/main.rs
@@ -65,12 +65,12 @@
 fn a_crowd_that_calls_a_cold_exchange_does_not_push_it_over() {
     let (mut cold, mut sent) = (0, 0);
     for seed in 1..=20 {
-        let run = controllers::Run { seed, calls_per_s: 70.0, crowd: true, lasts: Duration::from_secs(4) };
+        let run = controllers::Run { seed, calls_per_s: 56.0, crowd: true, lasts: Duration::from_secs(4) };
         let model = controllers::play(run);
         cold += starts(&model);
         sent += model.count(|what| matches!(what, What::Seized { to } if *to > 100));
     }
-    assert!(cold >= 20 && sent >= 300, "{cold} cold starts, {sent} set-ups at them");
+    assert!(cold >= 15 && sent >= 1000, "{cold} cold starts, {sent} set-ups at them");
 }
 
 #[test]
