--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -844,8 +844,8 @@
                 self.with(now, port, |office, wire| office.circuits(now, wire, OfficeNo(*to), *in_service));
                 false
             }
-            FeedNote::Processor { rate, hold_back } => {
-                self.office.processor(processor_report(*rate, *hold_back));
+            FeedNote::Processor(note) => {
+                self.office.processor(processor_report(note.rate));
                 false
             }
         }
@@ -1000,10 +1000,7 @@
 }
 
 /// A report in the thousandths that the signalling carries; what is no figure is not told.
-pub fn processor_report(rate: Option<f64>, hold_back: Option<f64>) -> Report {
-    let milli = |value: f64| (value.is_finite() && value >= 0.0).then_some(value * 1e3);
-    Report {
-        rate_milli: rate.and_then(milli).map(|milli| milli.min(f64::from(u32::MAX)) as u32),
-        hold_back_milli: hold_back.and_then(milli).map(|milli| milli.min(1000.0) as u16),
-    }
+pub fn processor_report(rate: Option<f64>) -> Report {
+    let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+    Report { rate_milli: rate.map(|rate| (rate * 1e3).min(f64::from(u32::MAX)) as u32) }
 }
--- a/crates/isup/src/message.rs
+++ b/crates/isup/src/message.rs
@@ -127,10 +127,6 @@
     Cqr {
         states: Vec<CircuitState>,
     },
-    /// Ours: asks for a report.
-    Probe,
-    /// Ours: the answer.
-    Reported(Report),
     /// Ours: a short message from controller to controller.
     Peer(&'a [u8]),
     /// Any other.
@@ -183,8 +179,6 @@
             Body::Cgua { .. } => "CGUA",
             Body::Cqm { .. } => "CQM",
             Body::Cqr { .. } => "CQR",
-            Body::Probe => "PROBE",
-            Body::Reported(_) => "REPORT",
             Body::Peer(_) => "PEER",
             Body::Unknown { .. } => "UNKNOWN",
         }
@@ -244,8 +238,6 @@
                 let states = states.get(..count).ok_or(short)?;
                 Body::Cqr { states: states.iter().map(|octet| CircuitState::read(*octet)).collect() }
             }
-            national::PROBE_MESSAGE => Body::Probe,
-            national::REPORT_MESSAGE => Body::Reported(Report::read(fixed.rest())?),
             national::PEER_MESSAGE => Body::Peer(fixed.rest()),
             kind => Body::Unknown { kind, octets: fixed.rest() },
         };
@@ -325,11 +317,6 @@
                 let octets: Vec<u8> = states.iter().take(count).map(|state| state.write()).collect();
                 Parts::begin(out, [&[count as u8 - 1][..], &octets], false);
             }
-            Body::Probe => out.push(national::PROBE_MESSAGE),
-            Body::Reported(report) => {
-                out.push(national::REPORT_MESSAGE);
-                out.extend_from_slice(&report.write());
-            }
             Body::Peer(octets) => {
                 out.push(national::PEER_MESSAGE);
                 out.extend_from_slice(octets);
--- a/crates/isup/src/national.rs
+++ b/crates/isup/src/national.rs
@@ -15,10 +15,6 @@
 /// Parameter: whose call it is, see [`Identity`].
 pub const IDENTITY: u8 = 0xfc;
 
-/// Message: asks the far processor for its report.
-pub const PROBE_MESSAGE: u8 = 0xff;
-/// Message: the answer to a probe.
-pub const REPORT_MESSAGE: u8 = 0xfe;
 /// Message: a short message from one controller to another.
 pub const PEER_MESSAGE: u8 = 0xfd;
 
@@ -27,25 +23,18 @@
 pub struct Report {
     /// New set-ups a second that it can take from all senders, in thousandths.
     pub rate_milli: Option<u32>,
-    /// Share of new set-ups that it asks each sender to hold back, in thousandths.
-    pub hold_back_milli: Option<u16>,
 }
 
 impl Report {
     pub(crate) fn read(octets: &[u8]) -> Result<Self, IsupError> {
         let mut octets = Octets::new(octets, "processor's report");
-        let (told, rate, hold_back) = (octets.u8()?, octets.u32()?, octets.u16()?);
-        Ok(Self {
-            rate_milli: (told & 1 != 0).then_some(rate),
-            hold_back_milli: (told & 2 != 0).then_some(hold_back),
-        })
+        let (told, rate) = (octets.u8()?, octets.u32()?);
+        Ok(Self { rate_milli: (told & 1 != 0).then_some(rate) })
     }
 
-    pub(crate) fn write(self) -> [u8; 7] {
-        let told = u8::from(self.rate_milli.is_some()) | u8::from(self.hold_back_milli.is_some()) << 1;
+    pub(crate) fn write(self) -> [u8; 5] {
         let [a, b, c, d] = self.rate_milli.unwrap_or(0).to_be_bytes();
-        let [e, f] = self.hold_back_milli.unwrap_or(0).to_be_bytes();
-        [told, a, b, c, d, e, f]
+        [u8::from(self.rate_milli.is_some()), a, b, c, d]
     }
 }
 
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -13,7 +13,7 @@
 use mintstall_callapi::{Asked, Hangup, Heard, LineCutter, Request};
 use mintstall_daemon::wires::Outbox;
 use mintstall_office::Tally;
-use mintstall_roster::{FeedNote, Reply};
+use mintstall_roster::{FeedNote, ProcessorNote, Reply};
 use mintstall_standin::{Act, Day, Score, Wiring, Witness, World};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -604,8 +604,8 @@
                 Act::Circuits { office, to, in_service } => {
                     self.feed(office, &FeedNote::Circuits { to, in_service })
                 }
-                Act::Report { office, rate, hold_back } => {
-                    self.feed(office, &FeedNote::Processor { rate, hold_back })
+                Act::Report { office, rate } => {
+                    self.feed(office, &FeedNote::Processor(ProcessorNote { rate: Some(rate) }))
                 }
             }
         }
--- a/crates/office/src/desk.rs
+++ b/crates/office/src/desk.rs
@@ -331,12 +331,6 @@
         }
     }
 
-    fn probe(&mut self, exchange: ExchangeId) {
-        if let Some(office) = self.desk.exchanges.get(&exchange).copied() {
-            self.send(office, Cic(0), Body::Probe);
-        }
-    }
-
     fn tell(&mut self, peer: Option<PeerNo>, message: &[u8]) {
         let all = self.desk.links.keys().copied();
         let to: Vec<_> = all.filter(|office| peer.is_none_or(|peer| peer.0 == office.0)).collect();
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -105,13 +105,8 @@
 
     fn message(&mut self, controller: &mut Controller, from: OfficeNo, message: Message, closing: bool) {
         let cic = message.cic;
-        match message.body {
-            Body::Probe => {
-                return self.send(from, Cic(0), Body::Reported(self.desk.report.unwrap_or_default()));
-            }
-            Body::Reported(report) => return self.reported(controller, from, &Some(report)),
-            Body::Peer(octets) => return controller.heard(self.now, self, PeerNo(from.0), octets),
-            _ => {}
+        if let Body::Peer(octets) = message.body {
+            return controller.heard(self.now, self, PeerNo(from.0), octets);
         }
         let Some(place) = self.desk.groups.get(&from).and_then(|group| group.place(cic)) else {
             self.desk.tally.unexpected += 1;
@@ -239,7 +234,7 @@
             Body::Cqr { states } => self.audited(controller, from, cic, &states),
             Body::Bla | Body::Uba | Body::Cgba { .. } | Body::Cgua { .. } => {}
             Body::Unknown { .. } => self.desk.tally.unexpected += 1,
-            Body::Probe | Body::Reported(_) | Body::Peer(_) => {}
+            Body::Peer(_) => {}
         }
     }
 
@@ -249,11 +244,8 @@
 
     fn reported(&mut self, controller: &mut Controller, from: OfficeNo, report: &Option<Report>) {
         let Some(report) = report else { return };
-        let far = FarReport {
-            rate: report.rate_milli.map(|milli| f64::from(milli) / 1e3),
-            hold_back: report.hold_back_milli.map(|milli| f64::from(milli) / 1e3),
-            ..FarReport::default()
-        };
+        let far =
+            FarReport { rate: report.rate_milli.map(|milli| f64::from(milli) / 1e3), ..FarReport::default() };
         let there: Vec<_> = self.desk.exchanges_at(from).collect();
         there.into_iter().for_each(|id| controller.reported(self.now, self, id, &far));
     }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -7,5 +7,5 @@
 mod feed;
 mod roster;
 
-pub use feed::{Ask, FeedNote, Reply};
+pub use feed::{Ask, FeedNote, ProcessorNote, Reply};
 pub use roster::{Entry, Held, Kept, KeptError, Limits, News, Refusal, Roster, Standing, Told, Verdict};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -260,23 +260,18 @@
     /// Changed lines of the roster only.
     pub fn roster_changes(&mut self, now: Duration, host: &mut dyn Host, lines: &[RosterLine]) {
         for line in lines {
-            // A machine that replaces another is sent what that one was, over the same groups.
-            let new = !self.exchanges.contains_key(&line.exchange);
-            let mut before = self.exchanges.values().filter(|far| new && far.office == line.office);
-            let latest = before.next_back().map(|far| (far.most, far.free, far.size, far.beyond.clone()));
-            let (most, free, size, beyond) = latest.unwrap_or_default();
             let exchange = self.exchanges.entry(line.exchange).or_insert_with(|| Exchange {
                 office: line.office,
                 zone: line.zone,
                 standing: line.standing,
                 started: line.started,
-                free,
-                size,
+                free: None,
+                size: 0.0,
                 respite: Respite::default(),
                 window: Window { size: WINDOW_AT_START, ..Window::default() },
-                beyond,
+                beyond: BTreeMap::new(),
                 eased: (1.0, now),
-                most,
+                most: 0.0,
             });
             let (was, is) = ((exchange.standing, exchange.started), (line.standing, line.started));
             if was != is {
@@ -394,7 +389,7 @@
         }
     }
 
-    /// A report, asked for or not: it came with an outcome or a probe, or tells of a change in the own group.
+    /// A report: it came with an outcome, or tells of a change in the own group.
     pub fn reported(&mut self, now: Duration, host: &mut dyn Host, exchange: ExchangeId, report: &Report) {
         if let Some(far) = self.exchanges.get_mut(&exchange) {
             far.free = report.free.or(far.free);
--- a/src/host.rs
+++ b/src/host.rs
@@ -47,8 +47,6 @@
     fn release(&mut self, call: CallId);
     /// Rings `alarm` once `after` has passed.
     fn alarm(&mut self, after: Duration, alarm: AlarmId);
-    /// Asks an exchange for a report.
-    fn probe(&mut self, exchange: ExchangeId);
     /// Sends a short message to one other controller, or to all of them.
     fn tell(&mut self, peer: Option<PeerNo>, message: &[u8]);
     /// Asks the roster for its changes from now on, where they don't come by themselves.
@@ -198,13 +196,6 @@
 pub struct Report {
     pub free: Option<f64>,
     pub size: Option<f64>,
-    pub working: Option<f64>,
-    pub queue: Option<f64>,
-    pub busy: Option<f64>,
-    /// The wait at its processor.
-    pub wait: Option<Duration>,
     /// New set-ups a second that it can take from all senders.
     pub rate: Option<f64>,
-    /// Share of new set-ups that it asks each sender to hold back.
-    pub hold_back: Option<f64>,
 }
