Rejected callers are told times to come back that are drawn, not one for all

Seen: `give_up` told every caller the longest wait that callers follow: those rejected together come back together (300 of 300 at 2 s). Line at fault: `Controller::give_up`. None is told where none is followed. Before and after: 300 of 300 within ten milliseconds, at most 20 now.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -596,7 +596,11 @@
         self.remember(now, &call);
         match call.spent {
             true => host.release(call.offer.call),
-            false => host.reject(call.offer.call, self.come_back),
+            false => {
+                // Guards against callers who were rejected together coming back together.
+                let share = 1.0 - 0.5 * self.chance.below_one();
+                host.reject(call.offer.call, self.come_back.mul_f64(share));
+            }
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,6 +21,8 @@
 #[derive(Default)]
 struct Notes {
     did: Vec<Did>,
+    /// The times that callers were told to come back after.
+    come_back: Vec<Duration>,
     alarms: Vec<(Duration, AlarmId)>,
     now: Duration,
 }
@@ -33,7 +35,8 @@
     fn cancel(&mut self, call: CallId, _: SeizureNo) {
         self.did.push(Did::Cancelled(call.0));
     }
-    fn reject(&mut self, call: CallId, _: Duration) {
+    fn reject(&mut self, call: CallId, come_back: Duration) {
+        self.come_back.push(come_back);
         self.did.push(Did::Rejected(call.0));
     }
     fn release(&mut self, call: CallId) {
@@ -120,6 +123,11 @@
         std::mem::take(&mut self.notes.did)
     }
 
+    /// When those that were rejected are asked to come back.
+    pub fn told_to_come_back(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.notes.come_back)
+    }
+
     pub fn free(&mut self, exchange: u32, free: f64) {
         self.has(exchange, free, 20.0);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -473,3 +473,18 @@
         assert!(at_once || did.first() == Some(&Seized(1, 1)), "seed {seed}: {did:?}");
     }
 }
+
+#[test]
+fn callers_who_are_rejected_together_are_not_told_to_come_back_together() {
+    let mut desk = Desk::new(&office(), 0.0);
+    (0..300).for_each(|call| desk.calls(call, 1));
+    desk.pass(ms(1100));
+    let told = desk.told_to_come_back();
+    assert!(told.len() == 300 && told.iter().all(|wait| (ms(1000)..=ms(2000)).contains(wait)));
+    let times: Vec<u64> = told.iter().map(|wait| wait.as_millis() as u64).collect();
+    assert!(most_in_step(&times) <= 20, "of 300 within ten milliseconds");
+    let mut desk = Desk::new(&OfficeData { longest_come_back: ms(0), ..office() }, 0.0);
+    desk.calls(1, 1);
+    desk.pass(ms(1100));
+    assert_eq!(desk.told_to_come_back(), [ms(0)], "who follows no wait is told none");
+}
