--- a/clients/typescript/test/client.test.mjs
+++ b/clients/typescript/test/client.test.mjs
@@ -163,7 +163,7 @@
   const redial = new Redial(plan, () => 0);
   assert.equal(redial.again(5000, 3), undefined);
   assert.equal(redial.again(1000, 1, 900), undefined);
-  assert.equal(redial.again(5000, 1, 900), 900);
+  assert.equal(redial.again(5000, 1, 900), 900 + 125, "a draw behind the told wait");
   assert.equal(redial.again(5000, 1), undefined, "spent");
   redial.firstOffer();
   redial.firstOffer();
--- a/crates/cli/tests/calls.rs
+++ b/crates/cli/tests/calls.rs
@@ -376,3 +376,23 @@
     let call = client.start(offer(2, 5_551_001, Duration::from_millis(600))).unwrap();
     assert_eq!(client.outcome(call).unwrap(), Outcome::Lost, "{nobody}");
 }
+
+#[test]
+fn a_stop_does_not_wait_for_a_caller_whose_time_is_longer_than_its_own() {
+    // It answers no pings while it waits.
+    let patient = json!({ "calls": { "listen": "127.0.0.1:0", "quiet_ms": 300_000 },
+                          "call_types": [{ "name": "call", "setup_target_ms": 600_000, "guard_time_ms": 600_000,
+                                           "revenue": 1, "mean_hold_ms": 10_000 }] });
+    let mut site = Site::start("patient.json", silent(), patient);
+    let mut client = Ws::open(site.calls());
+    client.stream.set_read_timeout(Some(4 * LONG)).unwrap();
+    client.offer(1, 500_000);
+    site.until("the seizure", |status| status["groups"][0]["seized"] == 1);
+    site.controller.kill("-TERM");
+    let asked = Instant::now();
+    assert_eq!(client.hear().unwrap()["result"]["answer"], "fails");
+    assert_eq!(client.hear().unwrap_err().code, 1001);
+    assert!(asked.elapsed() < 3 * LONG, "the stop's own bound, not the caller's time");
+    assert_eq!(site.controller.wait(), Some(0));
+    assert_eq!(site.far.tally().in_use, 0, "its seizure is released before the process ends");
+}
