A release beside a prevailing set-up, and set-ups within a group reset

Seen: a longer search of the model's runs. Ruled out: the model's own book of circuits, mended first where it was at fault (the circuit that a call signals on is in it now); the spread timers. Lines at fault: `message` at REL, at GRS (each circuit set free before the next was looked at); `Working::incoming`, whose word to a stale set-up left its circuit free to be seized before the release was completed; `Auditor::sent` at RSC and GRS. Change: such a release is completed and nothing else; no circuit of a reset may be seized until it is acknowledged; the stale set-up's circuit is released as any other.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -120,6 +120,13 @@
     transit: BTreeMap<(u16, u16), (Duration, u64, Vec<u16>)>,
 }
 
+impl Desk {
+    /// A reset of any circuit of a wider call tells where it came from that the call is over.
+    fn forget_transit(&mut self, to: u16, cic: u16) {
+        self.transit.retain(|(from, _), (.., all)| *from != to || !all.contains(&cic));
+    }
+}
+
 struct Cold {
     since: Duration,
     set_ups: f64,
@@ -245,13 +252,13 @@
                 self.seizure_over(at, office, (to, cic), Some("time-out or cancel"));
             }
             Body::Rsc => {
-                self.desk(office).transit.remove(&(to, cic));
+                self.desk(office).forget_transit(to, cic);
                 self.desk(office).closing.insert((to, cic));
                 self.seizure_over(at, office, (to, cic), Some("reset"));
             }
             Body::Grs { count } => {
                 for cic in range(cic, count) {
-                    self.desk(office).transit.remove(&(to, cic));
+                    self.desk(office).forget_transit(to, cic);
                     self.desk(office).closing.insert((to, cic));
                 }
             }
--- a/crates/lab/tests/model/main.rs
+++ b/crates/lab/tests/model/main.rs
@@ -77,7 +77,8 @@
 fn offices_joined_by_octets_keep_the_rules_through_all_that_happens_to_them() {
     let mut seen = [0; 10];
     let mut held = Duration::ZERO;
-    for seed in 1..=25 {
+    // The last two found faults in a longer search.
+    for seed in (1..=25).chain([53, 123]) {
         let run = offices::Run { seed, offices: 4, calls_per_s: 14.0, lasts: Duration::from_secs(12) };
         let played = offices::play(run);
         let model = &played.model;
--- a/crates/lab/tests/model/offices.rs
+++ b/crates/lab/tests/model/offices.rs
@@ -77,8 +77,10 @@
 /// What one end of a circuit carries, as its octets tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Line {
+    /// Signalling is on the circuit at `first`.
     Out {
         whose: Whose,
+        first: u16,
         stands: bool,
     },
     In {
@@ -460,7 +462,9 @@
             };
         }
         match line {
-            Some(Line::Out { whose, stands: false }) => self.model.note(self.now, whose, What::Ended { how }),
+            Some(Line::Out { whose, stands: false, .. }) => {
+                self.model.note(self.now, whose, What::Ended { how })
+            }
             Some(Line::In { whose, stands: false }) => self.over_with(whose, told),
             _ => {}
         }
@@ -474,7 +478,7 @@
             Body::Iam(iam) => {
                 let whose = self.whose(no, iam);
                 self.model.note(self.now, whose, What::Seized { to: to.into() });
-                let line = Line::Out { whose, stands: false };
+                let line = Line::Out { whose, first: place, stands: false };
                 places(message.cic, iam)
                     .into_iter()
                     .for_each(|place| _ = self.lines.insert((no, to, place), line));
@@ -526,7 +530,7 @@
         match &message.body {
             Body::Iam(iam) => self.set_up_came(from, no, message.cic, iam),
             Body::Anm { .. } => match self.lines.get(&end).copied() {
-                Some(Line::Out { whose, stands: false }) => {
+                Some(Line::Out { whose, stands: false, .. }) => {
                     self.model.note(self.now, whose, What::Ended { how: Ending::Stood });
                     self.stands(end);
                 }
@@ -539,6 +543,11 @@
                     Q850::TemporaryFailure => Ending::Reset,
                     _ => Ending::Rejected,
                 };
+                // Where dual seizure is settled the far end may release what it had set up beside.
+                if matches!(self.lines.get(&end), Some(Line::Out { first, stands: false, .. }) if *first != place)
+                {
+                    return;
+                }
                 // A release of its own that is on its way is completed for itself.
                 if !matches!(self.lines.get(&end), Some(Line::Closing(_))) {
                     self.lost(end, how, What::Withdrawn, None);
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -148,7 +148,7 @@
                 self.reported(controller, from, &rel.report);
                 // Also where a release of ours is on its way: each end completes the other's (Q.764 clause 2.3.1).
                 self.send(from, cic, Body::Rlc { other: Vec::new() });
-                if let Some(call) = used.call() {
+                if let Some(call) = used.call().filter(|call| !self.is_beside(*call, from, place)) {
                     let cause = match used {
                         Use::SeizedOut(call) if self.prevailed(call) => crossed_cause(&rel),
                         Use::SeizedOut(_) => seizure_cause(&rel),
@@ -177,15 +177,19 @@
                 self.far_reset(controller, from, place, used);
             }
             Body::Grs { count } => {
-                let range = RangeStatus { count, status: 0 };
+                let meant = in_range(&self.desk.groups[&from], cic, RangeStatus { count, status: 0 });
+                let meant: Vec<u16> = meant.into_iter().map(|(place, _)| place).collect();
+                // None may be seized until all are reset and that is acknowledged: what the end of one call sets free
+                // would be reset with the next, its set-up on the way.
+                meant.iter().for_each(|place| self.block_there(from, *place, true));
                 let mut status = 0;
-                for (at, (place, _)) in in_range(&self.desk.groups[&from], cic, range).into_iter().enumerate()
-                {
-                    let Some(circuit) = self.desk.groups[&from].get(place).copied() else { continue };
+                for (at, place) in meant.iter().enumerate() {
+                    let Some(circuit) = self.desk.groups[&from].get(*place).copied() else { continue };
                     status |= u32::from(circuit.blocked.here()) << at;
-                    self.far_reset(controller, from, place, circuit.used);
+                    self.carried_no_more(controller, from, *place, circuit.used);
                 }
                 self.send(from, cic, Body::Gra(RangeStatus { count, status }));
+                meant.iter().for_each(|place| self.block_there(from, *place, false));
             }
             Body::Gra(range) => {
                 for (place, blocked) in in_range(&self.desk.groups[&from], cic, range) {
@@ -242,6 +246,17 @@
         matches!(self.desk.legs.get(&call), Some(Leg { sink: Sink::Seized(Out { prevailed: true, .. }), .. }))
     }
 
+    /// Whether a call's set-up prevailed, and this is not the circuit on which it signals: what is released there is the far
+    /// end's own set-up, which it has given up.
+    fn is_beside(&self, call: CallId, from: OfficeNo, place: u16) -> bool {
+        match self.desk.legs.get(&call) {
+            Some(Leg { sink: Sink::Seized(out), .. }) => {
+                out.prevailed && out.held.to == from && out.held.first() != place
+            }
+            _ => false,
+        }
+    }
+
     fn reported(&mut self, controller: &mut Controller, from: OfficeNo, report: &Option<Report>) {
         let Some(report) = report else { return };
         let far =
@@ -260,6 +275,10 @@
     /// The far end resets a circuit: what it carried is cut, and its block there is forgotten (Q.764 clause 2.9.3).
     fn far_reset(&mut self, controller: &mut Controller, from: OfficeNo, place: u16, used: Use) {
         self.block_there(from, place, false);
+        self.carried_no_more(controller, from, place, used);
+    }
+
+    fn carried_no_more(&mut self, controller: &mut Controller, from: OfficeNo, place: u16, used: Use) {
         match used {
             Use::Releasing { .. } => self.idle(from, place),
             _ => {
@@ -535,7 +554,8 @@
         if uses.iter().any(|circuit| closing(circuit.used)) {
             self.desk.tally.unexpected += 1;
             if matches!(uses[0].used, Use::Idle | Use::Along(_)) {
-                self.send(from, cic, Body::Rel(failure(Q850::CircuitNotAvailable)));
+                let held = Held { to: from, places: vec![first] };
+                self.release_held(&held, failure(Q850::CircuitNotAvailable));
             }
             return None;
         }
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -613,3 +613,56 @@
     table.carry();
     table.all_quiet();
 }
+
+#[test]
+fn a_wide_set_up_that_prevailed_outlives_the_release_of_a_narrow_one_beside_it() {
+    let mut table = Table::new(2, 4);
+    // 1 seizes circuit 3 and gives up; 2 seizes circuits 2, 3 and 4 before it hears of either.
+    let first = table.call(1, 2, 4, 0);
+    table.carry();
+    let gone = table.call(1, 2, 5, 0);
+    table.with(1, |office, now, wires| office.hang_up(now, wires, gone));
+    let call = table.call(2, 1, 6, 1);
+    for octets in table.take(1, 2) {
+        table.give(1, 2, &octets);
+    }
+    let names: Vec<_> = table.take(2, 1).iter().filter_map(|octets| name(octets)).collect();
+    assert_eq!(names, ["IAM", "RLC"], "the release is completed");
+    assert_eq!((table.group(2, 1).seized, table.answers(2)), (3, vec![]), "and its own set-up is out still");
+    table.with(2, |office, now, wires| office.hang_up(now, wires, call));
+    table.with(1, |office, now, wires| office.hang_up(now, wires, first));
+}
+
+#[test]
+fn a_group_reset_gives_no_held_call_a_circuit_that_it_resets_next() {
+    let mut table = Table::new(2, 4);
+    table.cut(1, 2);
+    (0..2).for_each(|no| _ = table.call(1, 2, no, 0));
+    table.pass(ms(3000));
+    // The far end comes back as a new process. Silent so far, it is tried with one call; one three circuits wide is held.
+    let (office, wires) = table.offices.get_mut(&2).unwrap();
+    *office = mintstall_office::Office::new(table.now, &common::plan(2, &[1], 4), 4096, 9);
+    wires.sent.clear();
+    table.listed(2);
+    table.mend(1, 2);
+    let mut resets = Vec::new();
+    for _ in 0..6 {
+        table.take(1, 2).iter().for_each(|octets| table.give(1, 2, octets));
+        for octets in table.take(2, 1) {
+            match name(&octets).as_deref() {
+                Some("GRS") => resets.push(octets),
+                _ => table.give(2, 1, &octets),
+            }
+        }
+    }
+    (0..2).for_each(|wide| _ = table.call(1, 2, 8, wide));
+    let sent =
+        |table: &mut Table| -> Vec<_> { table.take(1, 2).iter().filter_map(|octets| name(octets)).collect() };
+    assert_eq!(sent(&mut table), ["IAM"]);
+    resets.iter().for_each(|octets| table.give(2, 1, octets));
+    let names = sent(&mut table);
+    assert!(
+        names.first().is_some_and(|name| name == "GRA"),
+        "a set-up before it is reset with it: {names:?}"
+    );
+}
