--- a/src/choice.rs
+++ b/src/choice.rs
@@ -572,8 +572,9 @@
         let doublings = u32::from(call.seizures.saturating_sub(1)).min(8);
         let ceiling = LAST_CEILING.min(FIRST_CEILING * 2u32.pow(doublings));
         let drawn = ceiling.mul_f64(self.chance.below_one());
-        // The release time is the same for all, and mostly longer than the draw. Guards against instances whose
-        // seizures timed out, or were cut, together sending them again together; could cost a call its last try.
+        // The release time, or a stated wait, is the same for all, and mostly longer than the draw. Guards
+        // against instances whose seizures ended together sending them again together; could cost a call its
+        // last try.
         let wait = told + drawn;
         let fits = now + wait + USEFUL + RESERVE <= call.offer.until;
         let may = !call.offer.transit && !call.spent && call.seizures < self.seizure_limit;
