--- a/crates/cli/tests/calls.rs
+++ b/crates/cli/tests/calls.rs
@@ -13,9 +13,7 @@
 use mintstall_websocket::{Dialled, End, Ended, Event as Heard, Progress};
 use serde_json::{Value, json};
 
-use common::{CIRCUITS, Controller, ask};
-
-const LONG: Duration = Duration::from_secs(20);
+use common::{CIRCUITS, Controller, LONG};
 
 /// A controller with its far exchange, the link up.
 struct Site {
@@ -39,21 +37,11 @@
     }
 
     fn status(&self) -> Value {
-        let mut admin = self.controller.connect("admin");
-        ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#)["result"].clone()
+        self.controller.status()
     }
 
-    /// Waits for what must come.
     fn until(&self, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
-        let start = Instant::now();
-        loop {
-            let status = self.status();
-            if holds(&status) {
-                return status;
-            }
-            assert!(start.elapsed() < LONG, "{what} does not come: {status}");
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        self.controller.until(what, holds)
     }
 
     /// All circuits are back, and no call is in hand.
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -23,6 +23,9 @@
     String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr)
 }
 
+/// What must come within this, comes.
+pub const LONG: Duration = Duration::from_secs(20);
+
 /// Of the group to that exchange.
 pub const CIRCUITS: u16 = 310;
 
@@ -63,10 +66,28 @@
     pub fn connect(&self, what: &str) -> BufReader<TcpStream> {
         let addr: SocketAddr = self.ready[what].as_str().unwrap().parse().unwrap();
         let stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
         BufReader::new(stream)
     }
 
+    pub fn status(&self) -> Value {
+        let mut admin = self.connect("admin");
+        ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#)["result"].clone()
+    }
+
+    /// Waits for what must come.
+    pub fn until(&self, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
+        let start = Instant::now();
+        loop {
+            let status = self.status();
+            if holds(&status) {
+                return status;
+            }
+            assert!(start.elapsed() < LONG, "{what} does not come: {status}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     pub fn stop(mut self) -> Option<i32> {
         self.kill("-TERM");
         self.wait()
--- a/crates/cli/tests/neighbours.rs
+++ b/crates/cli/tests/neighbours.rs
@@ -3,15 +3,14 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use mintstall_client::{Client, Event, Outcome, Plan, offer};
 use serde_json::{Value, json};
 
-use common::{Controller, ask};
+use common::{Controller, LONG};
 
-const LONG: Duration = Duration::from_secs(20);
 /// Of each group.
 const CIRCUITS: u64 = 3;
 
@@ -31,28 +30,13 @@
     controller.ready[what].as_str().unwrap().parse().unwrap()
 }
 
-fn status(controller: &Controller) -> Value {
-    let stream = TcpStream::connect(addr(controller, "admin")).unwrap();
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    let mut admin = std::io::BufReader::new(stream);
-    ask(&mut admin, r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#)["result"].clone()
-}
-
 fn group(status: &Value, to: u16) -> Value {
     let groups = status["groups"].as_array().unwrap();
     groups.iter().find(|group| group["to"] == to).unwrap().clone()
 }
 
-fn until(controller: &Controller, what: &str, holds: impl Fn(&Value) -> bool) {
-    let start = Instant::now();
-    while !holds(&status(controller)) {
-        assert!(start.elapsed() < LONG, "{what} does not come: {}", status(controller));
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 fn idle(controller: &Controller, to: u16) {
-    until(controller, "an idle group", |status| {
+    controller.until("an idle group", |status| {
         let group = group(status, to);
         group["link"] == "up" && group["free"] == CIRCUITS
     });
@@ -84,7 +68,7 @@
         }
     };
     fill(&mut client, CIRCUITS + 1);
-    assert_eq!(group(&status(&two), 3)["standing"], 1, "one stands over the tandem");
+    assert_eq!(group(&two.status(), 3)["standing"], 1, "one stands over the tandem");
     three.kill("-KILL");
     three.wait();
     let killed = Instant::now();
@@ -96,11 +80,11 @@
     assert!(matches!(cut, Some(Event::Ended { .. })), "{cut:?}");
 
     fill(&mut client, 1);
-    assert_eq!(group(&status(&two), 3)["standing"], 1);
+    assert_eq!(group(&two.status(), 3)["standing"], 1);
     // Told to stop it lets go of what stands, and is gone only when both neighbours have completed that.
     assert_eq!(three.stop(), Some(0));
     for (controller, to) in [(&one, 3), (&two, 3)] {
-        let group = group(&status(controller), to);
+        let group = group(&controller.status(), to);
         let held = [&group["seized"], &group["standing"], &group["releasing"], &group["resetting"]];
         assert!(held.iter().all(|count| **count == 0), "{group}");
     }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -516,11 +516,11 @@
             return false;
         };
         let written = self.wires.connections.values().all(|connection| connection.out.waiting() == 0);
-        let over = written && !self.exchange.office.awaits_release();
-        if !over && let_go.elapsed() < LET_GO_WITHIN {
+        let released = !self.exchange.office.awaits_release();
+        if !(written && released) && let_go.elapsed() < LET_GO_WITHIN {
             return false;
         }
-        info!(written, released = !self.exchange.office.awaits_release(), "stopped");
+        info!(written, released, "stopped");
         true
     }
 
--- a/crates/lab/tests/model/controllers.rs
+++ b/crates/lab/tests/model/controllers.rs
@@ -8,11 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::rules::{Answer, Ending, Figures, Model, What, Whose};
-
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
+use crate::rules::{Answer, Ending, Model, What, Whose};
+use crate::{call_type, figures, ms, office_data};
 
 const CONTROLLERS: u16 = 3;
 const OFFICES: u16 = 5;
@@ -162,47 +159,13 @@
     fn log(&mut self, _: &str) {}
 }
 
-pub fn figures() -> Figures {
-    Figures {
-        drain_grace: ms(0),
-        release: ms(200),
-        capacity: 40.0,
-        cold_share: 0.3,
-        warm_up: ms(10_000),
-        multiple: 2.5,
-        window: ms(1000),
-        chance: 10.0,
-    }
-}
-
 fn data(own: u16) -> OfficeData {
-    let kind = |revenue, width, repeats| CallTypeData {
-        setup_target: ms(800),
-        guard_time: ms(4000),
-        revenue,
-        width,
-        mean_hold: ms(2000),
-        repeats,
-        pools: Vec::new(),
-    };
-    OfficeData {
-        own: Some(OfficeNo(own)),
-        call_types: vec![
-            kind(1.0, 1, Repeats::Freely),
-            kind(8.0, 1, Repeats::Freely),
-            kind(3.0, 3, Repeats::Never),
-        ],
-        seizure_limit: 5,
-        may_cancel: own != 2,
-        longest_come_back: ms(2000),
-        must_subscribe: false,
-        may_tell: own == 3,
-        fall_multiple: 2.5,
-        cold_share: 0.3,
-        warm_up: ms(10_000),
-        release_wait: ms(200),
-        repeat_after: Duration::ZERO,
-    }
+    let kinds = vec![
+        call_type(1.0, 1, Repeats::Freely),
+        call_type(8.0, 1, Repeats::Freely),
+        call_type(3.0, 3, Repeats::Never),
+    ];
+    OfficeData { may_tell: own == 3, ..office_data(own, kinds) }
 }
 
 struct Table {
@@ -224,7 +187,7 @@
         chance: Pcg64Mcg::seed_from_u64(run.seed),
         due: BTreeMap::new(),
         count: 0,
-        model: Model::new(figures(), run.seed),
+        model: Model::new(figures(40.0, 10.0), run.seed),
         out: BTreeMap::new(),
         closed: BTreeSet::new(),
         hung: BTreeMap::new(),
--- a/crates/lab/tests/model/main.rs
+++ b/crates/lab/tests/model/main.rs
@@ -9,7 +9,56 @@
 
 use std::time::Duration;
 
-use rules::{Ending, Model, What};
+use mintstall::host::{CallTypeData, OfficeData, OfficeNo, Repeats};
+use rules::{Ending, Figures, Model, What};
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn call_type(revenue: f64, width: u16, repeats: Repeats) -> CallTypeData {
+    CallTypeData {
+        setup_target: ms(800),
+        guard_time: ms(4000),
+        revenue,
+        width,
+        mean_hold: ms(2000),
+        repeats,
+        pools: Vec::new(),
+    }
+}
+
+/// What the real code is told, with the figures of the rules; one exchange may not cancel.
+fn office_data(own: u16, call_types: Vec<CallTypeData>) -> OfficeData {
+    OfficeData {
+        own: Some(OfficeNo(own)),
+        call_types,
+        seizure_limit: 5,
+        may_cancel: own != 2,
+        longest_come_back: ms(2000),
+        must_subscribe: false,
+        may_tell: false,
+        fall_multiple: 2.5,
+        cold_share: 0.3,
+        warm_up: ms(10_000),
+        release_wait: ms(200),
+        repeat_after: Duration::ZERO,
+    }
+}
+
+/// What the model holds it to.
+fn figures(capacity: f64, chance: f64) -> Figures {
+    Figures {
+        drain_grace: ms(0),
+        release: ms(200),
+        capacity,
+        cold_share: 0.3,
+        warm_up: ms(10_000),
+        multiple: 2.5,
+        window: ms(1000),
+        chance,
+    }
+}
 
 fn calls_of(model: &Model) -> usize {
     model.count(|what| matches!(what, What::Taken { .. }))
@@ -76,7 +125,7 @@
 #[test]
 fn offices_joined_by_octets_keep_the_rules_through_all_that_happens_to_them() {
     let mut seen = [0; 10];
-    let mut held = Duration::ZERO;
+    let (mut held, mut circuits) = (Duration::ZERO, 0);
     // The last two found faults in a longer search.
     for seed in (1..=25).chain([53, 123]) {
         let run = offices::Run { seed, offices: 4, calls_per_s: 14.0, lasts: Duration::from_secs(12) };
@@ -98,8 +147,9 @@
         let dual: u64 = played.tallies.iter().map(|tally| tally.dual_seizures).sum();
         assert!(seed > 1 || dual > 0 || played.seen.transit > 0);
         held = held.max(played.seen.longest_held);
+        circuits = circuits.max(played.seen.held_of_dead);
     }
     assert!(seen.iter().all(|seen| *seen >= 10), "{seen:?}");
     // Circuits of a dead neighbour: until its next life resets them, or the link's grace is over.
-    assert!(held > Duration::ZERO && held <= Duration::from_secs(6), "{held:?}");
+    assert!(circuits > 0 && held > Duration::ZERO && held <= Duration::from_secs(6), "{held:?}");
 }
--- a/crates/lab/tests/model/offices.rs
+++ b/crates/lab/tests/model/offices.rs
@@ -12,11 +12,8 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::rules::{Answer, Ending, Figures, Model, What, Whose};
-
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
+use crate::rules::{Answer, Ending, Model, What, Whose};
+use crate::{call_type, figures, ms, office_data};
 
 const START: Duration = Duration::from_secs(3600);
 const CIRCUITS: u16 = 7;
@@ -161,36 +158,15 @@
 }
 
 fn plan(own: u16, count: u16) -> OfficePlan {
-    let kind = |revenue, width, repeats| CallTypeData {
-        setup_target: ms(800),
-        guard_time: ms(4000),
-        revenue,
-        width,
-        mean_hold: ms(2000),
-        repeats,
-        pools: Vec::new(),
-    };
+    let kinds = vec![
+        call_type(1.0, 1, Repeats::Freely),
+        call_type(3.0, 3, Repeats::Freely),
+        call_type(8.0, 1, Repeats::Never),
+    ];
     let others = (1..=count).filter(|other| *other != own);
     OfficePlan {
         own: OfficeNo(own),
-        data: OfficeData {
-            own: Some(OfficeNo(own)),
-            call_types: vec![
-                kind(1.0, 1, Repeats::Freely),
-                kind(3.0, 3, Repeats::Freely),
-                kind(8.0, 1, Repeats::Never),
-            ],
-            seizure_limit: 5,
-            may_cancel: own != 2,
-            longest_come_back: ms(2000),
-            must_subscribe: false,
-            may_tell: true,
-            fall_multiple: 2.5,
-            cold_share: 0.3,
-            warm_up: ms(10_000),
-            release_wait: ms(200),
-            repeat_after: Duration::ZERO,
-        },
+        data: OfficeData { may_tell: true, ..office_data(own, kinds) },
         groups: others.map(|to| GroupPlan { to: OfficeNo(to), circuits: CIRCUITS }).collect(),
         numbers: vec![NumberPlan { dialled: 77, lines: 1 }],
         timers: timers(),
@@ -199,19 +175,6 @@
     }
 }
 
-pub fn figures() -> Figures {
-    Figures {
-        drain_grace: ms(0),
-        release: ms(200),
-        capacity: 12.0,
-        cold_share: 0.3,
-        warm_up: ms(10_000),
-        multiple: 2.5,
-        window: ms(1000),
-        chance: 6.0,
-    }
-}
-
 /// The message of a frame, if it carries one.
 fn with_message(octets: &[u8], f: &mut dyn FnMut(&Message)) {
     let mut frames = Deframer::default();
@@ -248,7 +211,7 @@
         chance: Pcg64Mcg::seed_from_u64(run.seed),
         due: BTreeMap::new(),
         count: 0,
-        model: Model::new(figures(), run.seed),
+        model: Model::new(figures(12.0, 6.0), run.seed),
         seats: BTreeMap::new(),
         lives: BTreeMap::new(),
         lists: (1..=count).map(|no| (no, list.clone())).collect(),
--- a/crates/lab/tests/second_tries.rs
+++ b/crates/lab/tests/second_tries.rs
@@ -10,7 +10,7 @@
 use mintstall_daemon::Config;
 use mintstall_daemon::exchange::{Exchange, LineNo, Port};
 use mintstall_isup::{Body, CauseIndicators, Cic, Data, Deframer, Frame, Location, Message, Q850, Rel};
-use mintstall_office::{Answer, CallEnd, GroupPlan, Office, OfficePlan, Plant, Timers};
+use mintstall_office::{Answer, CallEnd, Office, Plant};
 use serde_json::json;
 
 const START: Duration = Duration::from_secs(3600);
@@ -74,54 +74,23 @@
     line: LineNo,
     /// Set-ups by the first exchange, and onward ones, by its number of the call.
     set_ups: BTreeMap<u64, (u32, u32)>,
-    offers: u32,
 }
 
-fn tandem(own: u16) -> OfficePlan {
-    let kind = CallTypeData {
-        setup_target: Duration::from_secs(2),
-        guard_time: Duration::from_secs(9),
-        revenue: 1.0,
-        width: 1,
-        mean_hold: Duration::from_secs(10),
-        repeats: Repeats::Freely,
-        pools: Vec::new(),
-    };
-    OfficePlan {
-        own: OfficeNo(own),
-        data: OfficeData {
-            own: Some(OfficeNo(own)),
-            call_types: vec![kind],
-            seizure_limit: 5,
-            may_cancel: true,
-            longest_come_back: Duration::from_secs(2),
-            must_subscribe: false,
-            may_tell: false,
-            fall_multiple: 2.5,
-            cold_share: 0.3,
-            warm_up: Duration::from_secs(15),
-            release_wait: Duration::from_millis(200),
-            repeat_after: Duration::ZERO,
-        },
-        groups: [1, DEST].map(|to| GroupPlan { to: OfficeNo(to), circuits: 310 }).to_vec(),
-        numbers: Vec::new(),
-        timers: Timers::default(),
-        most_calls: 1000,
-        traces: 10,
-    }
+/// Links are to an exchange, with so many circuits.
+fn config(own: u16, links: &[(u16, u16)]) -> Config {
+    let links = links.iter().map(|(to, circuits)| json!({ "to": to, "circuits": circuits }));
+    serde_json::from_value(json!({
+        "exchange": own,
+        "signalling": { "listen": "127.0.0.1:1", "links": links.collect::<Vec<_>>() },
+        "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
+                         "mean_hold_ms": 10000 }],
+    }))
+    .unwrap()
 }
 
 impl Net {
     fn new(far: Far, direct: u16) -> Self {
-        let link = |to: u16, circuits: u16| json!({ "to": to, "circuits": circuits });
-        let config: Config = serde_json::from_value(json!({
-            "exchange": 1,
-            "signalling": { "listen": "127.0.0.1:1",
-                            "links": [link(DEST, direct), link(TANDEMS[0], 310), link(TANDEMS[1], 310)] },
-            "call_types": [{ "name": "call", "setup_target_ms": 2000, "guard_time_ms": 9000, "revenue": 1,
-                             "mean_hold_ms": 10000 }],
-        }))
-        .unwrap();
+        let own = config(1, &[(DEST, direct), (TANDEMS[0], 310), (TANDEMS[1], 310)]);
         let lines: Vec<_> = (1..=4)
             .map(|no| RosterLine {
                 exchange: ExchangeId(no),
@@ -131,16 +100,16 @@
                 started: Duration::ZERO,
             })
             .collect();
-        let mut first = Exchange::new(START, &config, 1, 1);
+        let mut first = Exchange::new(START, &own, 1, 1);
         let line = first.line_open(START).unwrap();
         let mut wires = Wires::default();
         let entry = |no: u16| json!({ "exchange": no, "office": no, "region": 0, "standing": "ready" });
         let news = json!({ "version": 1, "entries": [entry(1), entry(2), entry(3), entry(4)] });
         let note = mintstall_roster::FeedNote::Roster(serde_json::from_value(news).unwrap());
         first.feed_note(START, &mut wires, &note);
-        let tandems = TANDEMS.map(|no| (no, Office::new(START, &tandem(no), 1, no.into()))).into();
-        let (set_ups, offers) = (BTreeMap::new(), 0);
-        let mut net = Self { now: START, first, tandems, wires, far, line, set_ups, offers };
+        let tandem = |no: u16| Office::new(START, &config(no, &[(1, 310), (DEST, 310)]).plan(), 1, no.into());
+        let (tandems, set_ups) = (TANDEMS.map(|no| (no, tandem(no))).into(), BTreeMap::new());
+        let mut net = Self { now: START, first, tandems, wires, far, line, set_ups };
         for to in [DEST, TANDEMS[0], TANDEMS[1]] {
             net.first.link_up(START, &mut net.wires, OfficeNo(to));
         }
@@ -259,7 +228,6 @@
             cut: false,
             redial,
         };
-        self.offers += 1;
         let text = Asked { id: Some(json!(call)), request: Request::Offer(offer) }.text();
         let now = self.now;
         self.first.line_text(now, &mut self.wires, self.line, text.as_bytes());
--- a/crates/office/src/signalling.rs
+++ b/crates/office/src/signalling.rs
@@ -148,12 +148,16 @@
                 self.reported(controller, from, &rel.report);
                 // Also where a release of ours is on its way: each end completes the other's (Q.764 clause 2.3.1).
                 self.send(from, cic, Body::Rlc { other: Vec::new() });
-                if let Some(call) = used.call().filter(|call| !self.is_beside(*call, from, place)) {
-                    let cause = match used {
-                        Use::SeizedOut(call) if self.prevailed(call) => crossed_cause(&rel),
-                        Use::SeizedOut(_) => seizure_cause(&rel),
-                        _ => end_cause(&rel),
-                    };
+                let cause = match used {
+                    Use::SeizedOut(call) => match self.prevailed_on(call) {
+                        // Beside the circuit on which it signals: the far end gives up its own set-up.
+                        Some(first) if first != place => return,
+                        Some(_) => crossed_cause(&rel),
+                        None => seizure_cause(&rel),
+                    },
+                    _ => end_cause(&rel),
+                };
+                if let Some(call) = used.call() {
                     self.side_lost(controller, call, (from, place), cause, &onward(&rel), Held::idle);
                 }
             }
@@ -242,18 +246,11 @@
         }
     }
 
-    fn prevailed(&self, call: CallId) -> bool {
-        matches!(self.desk.legs.get(&call), Some(Leg { sink: Sink::Seized(Out { prevailed: true, .. }), .. }))
-    }
-
-    /// Whether a call's set-up prevailed, and this is not the circuit on which it signals: what is released there is the far
-    /// end's own set-up, which it has given up.
-    fn is_beside(&self, call: CallId, from: OfficeNo, place: u16) -> bool {
-        match self.desk.legs.get(&call) {
-            Some(Leg { sink: Sink::Seized(out), .. }) => {
-                out.prevailed && out.held.to == from && out.held.first() != place
-            }
-            _ => false,
+    /// The circuit on which a seizure signals, if it prevailed over a set-up of the far end.
+    fn prevailed_on(&self, call: CallId) -> Option<u16> {
+        match &self.desk.legs.get(&call)?.sink {
+            Sink::Seized(out) if out.prevailed => Some(out.held.first()),
+            _ => None,
         }
     }
 
