--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! Carries the decisions of mintstall over the bench's wire: standard input to standard output.
 
 mod frames;
-mod office;
 mod switchroom;
 
 use std::io::{self, BufReader, Read, Write};
--- a/crates/benchlink/src/switchroom.rs
+++ b/crates/benchlink/src/switchroom.rs
@@ -11,8 +11,9 @@
     Report, RosterLine, SeizureNo, Standing, Stood, Zone,
 };
 
-use crate::frames::{Fields, Read, Record, bad};
-use crate::office::{self, ReportLayout};
+use mintstall_settings::{ReportLayout, from_lines};
+
+use crate::frames::{BadFrame, Fields, Read, Record, bad};
 
 /// Writes what one controller does into the reply.
 struct Line<'a> {
@@ -202,8 +203,9 @@
         if code == 0 {
             let seed = f.u64()?;
             let length = f.u32()? as usize;
-            let (data, layout) = office::read(f.take(length)?)?;
-            self.instances.insert(number, Instance { controller: Controller::new(&data, seed), layout });
+            let trade = from_lines(f.take(length)?).map_err(|error| BadFrame(error.0))?;
+            let controller = Controller::new(&trade.office, seed);
+            self.instances.insert(number, Instance { controller, layout: trade.reports });
             return Ok(());
         }
         if code == 9 {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod day;
 mod load;
+mod node;
 mod plan;
 
 use std::io;
@@ -47,6 +48,11 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Runs a controller on the operators' platform: SIP for callers, its binary messages for exchanges.
+    ///
+    /// Configured by LB_CONFIG, LB_LISTEN and LB_NAME; SIGHUP has the configuration read again, SIGTERM ends it once all
+    /// that was taken is answered.
+    Node(node::NodeArgs),
     /// Checks configurations.
     Config {
         #[command(subcommand)]
@@ -135,6 +141,7 @@
     }
     match cli.command {
         Command::Run { config } => run(&config),
+        Command::Node(args) => node::node(args),
         Command::Config { command: ConfigCommand::Check { file } } => match Config::read(&file) {
             Ok(config) => {
                 println!(
--- /dev/null
+++ b/crates/cli/src/node.rs
@@ -0,0 +1,40 @@
+//! `mintstall node`: a controller on the operators' platform.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use mintstall_node::Node;
+use mintstall_platform::Config;
+
+#[derive(Args)]
+pub struct NodeArgs {
+    /// What the platform hands the controller, JSON; read again at a SIGHUP.
+    #[arg(long, env = "LB_CONFIG", value_name = "FILE")]
+    config: PathBuf,
+    /// Where callers connect; the configuration's `listen` otherwise.
+    #[arg(long, env = "LB_LISTEN", value_name = "ADDRESS")]
+    listen: Option<SocketAddr>,
+    /// Its name, for the log; the configuration's `name` otherwise.
+    #[arg(long, env = "LB_NAME", value_name = "NAME")]
+    name: Option<String>,
+}
+
+pub fn node(args: NodeArgs) -> ExitCode {
+    let config = match Config::read(&args.config) {
+        Ok(config) => config,
+        Err(error) => return crate::bad_input(error),
+    };
+    let listen = args.listen.unwrap_or(config.listen);
+    let node = match Node::open(&config, listen, args.config) {
+        Ok(node) => node,
+        Err(error) => return crate::failed(error),
+    };
+    let name = args.name.unwrap_or(config.name);
+    tracing::info!(name, %listen, sockets = config.sockets, "takes calls");
+    match node.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => crate::failed(error),
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,461 @@
+//! A controller on the operators' platform as a process: sockets, timers and signals around a [`Core`].
+//!
+//! It decides nothing. What came is handed to the core in the order bus, exchanges, callers; what the core wants written is
+//! written at the end of each turn. Every queue has a bound: reads are cut to a share of a turn, a caller that does not
+//! read is not read either, and accepted connections leave the descriptors that links and the bus need.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mintstall_daemon::wires::Outbox;
+use mintstall_platform::{Broke, CallerNo, Config, Core, LinkNo, Port};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use thiserror::Error;
+use tracing::{info, warn};
+
+#[derive(Debug, Error)]
+pub enum NodeError {
+    #[error("callers' address {addr}: {error}")]
+    Listen { addr: SocketAddr, error: io::Error },
+    #[error("no event loop: {0}")]
+    Poll(io::Error),
+}
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+const FIRST: usize = 2;
+const READ: usize = 16 << 10;
+/// Reads of one connection in a turn: a flooder waits for the others.
+const READS: usize = 4;
+/// Connections accepted in a turn.
+const ACCEPTS: usize = 64;
+/// Octets that may wait for a connection; a caller is not read while half of that waits.
+const MOST_WAITING: usize = 128 << 10;
+/// A connection told why it is closed is read on for so long, or the reset for what it still sends would take the
+/// words away.
+const LINGER: Duration = Duration::from_millis(1500);
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Purpose {
+    Bus,
+    Link(LinkNo),
+    Caller(CallerNo),
+    /// A caller's, told why it is closed: what still comes is thrown away until then.
+    Leaving,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Dialled,
+    Open,
+    /// Open, and waits until more can be written.
+    Full,
+}
+
+struct Connection {
+    stream: TcpStream,
+    purpose: Purpose,
+    phase: Phase,
+    out: Outbox,
+}
+
+struct Wires {
+    poll: Poll,
+    connections: BTreeMap<Token, Connection>,
+    links: BTreeMap<LinkNo, Token>,
+    bus: Option<Token>,
+    callers: usize,
+    /// Connections with something to write.
+    dirty: Vec<Token>,
+    /// Connections with more to read than their share of a turn.
+    more: Vec<Token>,
+    /// What failed in the midst of a turn, to be told at its end.
+    failed: Vec<(Purpose, Broke)>,
+    /// Connections that linger, by when they go.
+    leaving: VecDeque<(Instant, Token)>,
+    next: usize,
+}
+
+impl Wires {
+    fn add(&mut self, mut stream: TcpStream, purpose: Purpose, phase: Phase) -> io::Result<Token> {
+        let token = Token(self.next);
+        self.next += 1;
+        // Small messages must not wait for each other; where it can't be set, they do.
+        let _ = stream.set_nodelay(true);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, token, interest)?;
+        self.connections.insert(token, Connection { stream, purpose, phase, out: Outbox::new(MOST_WAITING) });
+        Ok(token)
+    }
+
+    fn dial_out(&mut self, to: SocketAddr, purpose: Purpose) -> Option<Token> {
+        let dialled = TcpStream::connect(to).and_then(|stream| self.add(stream, purpose, Phase::Dialled));
+        match dialled {
+            Ok(token) => Some(token),
+            Err(error) => {
+                self.failed.push((purpose, broke(&error)));
+                None
+            }
+        }
+    }
+
+    fn push(&mut self, token: Option<Token>, octets: &[u8]) {
+        let Some(token) = token else { return };
+        if let Some(connection) = self.connections.get_mut(&token) {
+            connection.out.push(octets);
+            self.dirty.push(token);
+        }
+    }
+
+    fn remove(&mut self, token: Token) -> Option<Connection> {
+        let mut connection = self.connections.remove(&token)?;
+        // One that was never registered, or is closed by now, needs no taking out.
+        let _ = self.poll.registry().deregister(&mut connection.stream);
+        match connection.purpose {
+            Purpose::Bus => self.bus = None,
+            Purpose::Link(no) => drop(self.links.remove(&no)),
+            Purpose::Caller(_) | Purpose::Leaving => self.callers -= 1,
+        }
+        Some(connection)
+    }
+
+    /// A connection broke: told at the end of the turn.
+    fn fail(&mut self, token: Token, how: Broke) {
+        if let Some(connection) = self.remove(token) {
+            self.failed.push((connection.purpose, how));
+        }
+    }
+
+    fn flush(&mut self, token: Token) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        if connection.phase == Phase::Dialled {
+            return;
+        }
+        if connection.out.overrun() {
+            return self.fail(token, Broke::Lost);
+        }
+        let had = connection.out.waiting() >= MOST_WAITING / 2;
+        match connection.out.write_to(&mut connection.stream) {
+            Ok(true) => {
+                connection.phase = Phase::Open;
+                if connection.purpose == Purpose::Leaving {
+                    // Fails where the other side has closed: nothing is lost by it.
+                    let _ = connection.stream.shutdown(Shutdown::Write);
+                }
+                if had {
+                    self.more.push(token);
+                }
+            }
+            Ok(false) => connection.phase = Phase::Full,
+            Err(error) => self.fail(token, broke(&error)),
+        }
+    }
+
+    fn flush_all(&mut self) {
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.sort_unstable();
+        dirty.dedup();
+        dirty.drain(..).for_each(|token| self.flush(token));
+        if self.dirty.is_empty() {
+            // Kept for its room.
+            self.dirty = dirty;
+        }
+    }
+}
+
+fn broke(error: &io::Error) -> Broke {
+    if error.kind() == io::ErrorKind::ConnectionRefused { Broke::Refused } else { Broke::Lost }
+}
+
+impl Port for Wires {
+    fn say(&mut self, caller: CallerNo, octets: &[u8]) {
+        self.push(Some(Token(caller.0 as usize)), octets);
+    }
+
+    fn hang_up(&mut self, caller: CallerNo) {
+        let token = Token(caller.0 as usize);
+        if let Some(connection) = self.connections.get_mut(&token) {
+            connection.purpose = Purpose::Leaving;
+            self.leaving.push_back((Instant::now() + LINGER, token));
+            self.dirty.push(token);
+            self.more.push(token);
+        }
+    }
+
+    fn dial(&mut self, link: LinkNo, to: SocketAddr) {
+        if let Some(token) = self.dial_out(to, Purpose::Link(link)) {
+            self.links.insert(link, token);
+        }
+    }
+
+    fn send(&mut self, link: LinkNo, octets: &[u8]) {
+        self.push(self.links.get(&link).copied(), octets);
+    }
+
+    fn backed_up(&self, link: LinkNo) -> bool {
+        let connection = self.links.get(&link).and_then(|token| self.connections.get(token));
+        connection.is_none_or(|connection| connection.phase == Phase::Full)
+    }
+
+    fn cut(&mut self, link: LinkNo) {
+        if let Some(token) = self.links.get(&link).copied() {
+            // What was sent before goes out first: a release, mostly.
+            self.flush(token);
+            self.remove(token);
+        }
+    }
+
+    fn dial_bus(&mut self, to: SocketAddr) {
+        self.cut_bus();
+        self.bus = self.dial_out(to, Purpose::Bus);
+    }
+
+    fn ask_bus(&mut self, text: &str) {
+        self.push(self.bus, text.as_bytes());
+    }
+
+    fn cut_bus(&mut self) {
+        if let Some(token) = self.bus {
+            self.remove(token);
+        }
+    }
+
+    fn note(&mut self, line: &str) {
+        info!(target: "mintstall::mode", "{line}");
+    }
+}
+
+/// A controller with its sockets.
+pub struct Node {
+    core: Core,
+    wires: Wires,
+    listener: TcpListener,
+    signals: Signals,
+    config: PathBuf,
+    /// The Unix clock at the start, carried on by one that never steps.
+    epoch: Duration,
+    started: Instant,
+    most_callers: usize,
+    buffer: Vec<u8>,
+}
+
+impl Node {
+    /// Listens and dials; `path` is read again at a SIGHUP.
+    pub fn open(config: &Config, listen: SocketAddr, path: PathBuf) -> Result<Self, NodeError> {
+        let poll = Poll::new().map_err(NodeError::Poll)?;
+        let mut listener =
+            TcpListener::bind(listen).map_err(|error| NodeError::Listen { addr: listen, error })?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(NodeError::Poll)?;
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(NodeError::Poll)?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(NodeError::Poll)?;
+        let mut wires = Wires {
+            poll,
+            connections: BTreeMap::new(),
+            links: BTreeMap::new(),
+            bus: None,
+            callers: 0,
+            dirty: Vec::new(),
+            more: Vec::new(),
+            failed: Vec::new(),
+            leaving: VecDeque::new(),
+            next: FIRST,
+        };
+        // A clock before the epoch is none that processors' starts could be told by.
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started = Instant::now();
+        let core = Core::new(config, epoch, &mut wires);
+        Ok(Self {
+            core,
+            wires,
+            listener,
+            signals,
+            config: path,
+            epoch,
+            started,
+            most_callers: config.sockets * 5 / 8,
+            buffer: vec![0; READ],
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.epoch + self.started.elapsed()
+    }
+
+    /// Runs until it is told to stop and owes nothing.
+    pub fn run(mut self) -> Result<(), NodeError> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            self.told_of_failures();
+            self.wires.flush_all();
+            if self.core.stopped(self.now()) {
+                self.wires.flush_all();
+                return Ok(());
+            }
+            match self.wires.poll.poll(&mut events, Some(self.rest())) {
+                Ok(()) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(NodeError::Poll(error)),
+            }
+            let mut ready: Vec<_> = events.iter().map(|event| (event.token(), event.is_writable())).collect();
+            ready.extend(std::mem::take(&mut self.wires.more).into_iter().map(|token| (token, false)));
+            // The bus first: nothing new may go where it has told a drain.
+            ready.sort_by_key(|(token, _)| (self.wires.connections.get(token).map(|of| of.purpose), *token));
+            for (token, writable) in ready {
+                match token {
+                    LISTENER => self.accept(),
+                    SIGNALS => self.signalled(),
+                    token => self.turn(token, writable),
+                }
+                self.told_of_failures();
+            }
+            let now = self.now();
+            self.core.ring(now, &mut self.wires);
+            self.let_go();
+        }
+    }
+
+    /// How long to wait for what comes.
+    fn rest(&self) -> Duration {
+        const LONGEST: Duration = Duration::from_millis(250);
+        if !self.wires.more.is_empty() || !self.wires.failed.is_empty() {
+            return Duration::ZERO;
+        }
+        let alarm = self.core.next_alarm().map(|due| due.saturating_sub(self.now()));
+        alarm.map_or(LONGEST, |rest| rest.min(LONGEST))
+    }
+
+    fn told_of_failures(&mut self) {
+        while let Some((purpose, how)) = self.wires.failed.pop() {
+            let now = self.now();
+            match purpose {
+                Purpose::Bus => self.core.bus_down(now, &mut self.wires),
+                Purpose::Link(no) => self.core.link_down(now, &mut self.wires, no, how),
+                Purpose::Caller(no) => self.core.caller_left(now, &mut self.wires, no),
+                Purpose::Leaving => {}
+            }
+        }
+    }
+
+    /// Connections told why they are closed go once their time is up.
+    fn let_go(&mut self) {
+        let now = Instant::now();
+        while let Some((_, token)) = self.wires.leaving.pop_front_if(|(due, _)| *due <= now) {
+            self.wires.remove(token);
+        }
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // One that has gone before it was accepted, or no descriptor free: others may come.
+                Err(_) => continue,
+            };
+            if self.wires.callers >= self.most_callers {
+                self.make_room();
+            }
+            let caller = CallerNo(self.wires.next as u64);
+            match self.wires.add(stream, Purpose::Caller(caller), Phase::Open) {
+                Ok(_) => {
+                    self.wires.callers += 1;
+                    self.core.caller_came(self.now(), caller);
+                }
+                Err(error) => warn!("a caller's connection can't be watched: {error}"),
+            }
+        }
+        self.wires.more.push(LISTENER);
+    }
+
+    /// Closes the connection that is missed least.
+    fn make_room(&mut self) {
+        if let Some((_, token)) = self.wires.leaving.pop_front() {
+            self.wires.remove(token);
+        } else if let Some(idle) = self.core.idlest() {
+            self.core.caller_left(self.now(), &mut self.wires, idle);
+            self.wires.remove(Token(idle.0 as usize));
+        }
+    }
+
+    fn signalled(&mut self) {
+        let pending: Vec<_> = self.signals.pending().collect();
+        for signal in pending {
+            let now = self.now();
+            match signal {
+                SIGHUP => match Config::read(&self.config) {
+                    Ok(config) => self.core.configured(now, &mut self.wires, &config),
+                    Err(error) => warn!("the configuration stays as it was: {error}"),
+                },
+                _ => self.core.stop(now, &mut self.wires),
+            }
+        }
+    }
+
+    /// Something can be read or written on a connection.
+    fn turn(&mut self, token: Token, writable: bool) {
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+        if connection.phase == Phase::Dialled {
+            if !writable || !self.dialled(token) {
+                return;
+            }
+        } else if writable && connection.phase == Phase::Full {
+            self.wires.flush(token);
+        }
+        self.read(token);
+    }
+
+    /// A dial has come to something; whether the connection is there.
+    fn dialled(&mut self, token: Token) -> bool {
+        let Some(connection) = self.wires.connections.get_mut(&token) else { return false };
+        let error = connection.stream.take_error().ok().flatten();
+        match error.map_or_else(|| connection.stream.peer_addr().map(drop), Err) {
+            Ok(()) => {
+                connection.phase = Phase::Open;
+                let (purpose, now) = (connection.purpose, self.now());
+                match purpose {
+                    Purpose::Link(no) => self.core.link_up(now, &mut self.wires, no),
+                    _ => self.core.bus_up(now, &mut self.wires),
+                }
+                true
+            }
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => false,
+            Err(error) => {
+                self.wires.fail(token, broke(&error));
+                false
+            }
+        }
+    }
+
+    fn read(&mut self, token: Token) {
+        for _ in 0..READS {
+            let Some(connection) = self.wires.connections.get_mut(&token) else { return };
+            // Who does not read is not read either; flushing takes it up again.
+            if connection.out.waiting() >= MOST_WAITING / 2 {
+                return;
+            }
+            let purpose = connection.purpose;
+            match connection.stream.read(&mut self.buffer) {
+                Ok(0) => return self.wires.fail(token, Broke::Lost),
+                Ok(count) => {
+                    let (now, octets) = (self.epoch + self.started.elapsed(), &self.buffer[..count]);
+                    match purpose {
+                        Purpose::Bus => self.core.bus_said(now, &mut self.wires, octets),
+                        Purpose::Link(no) => self.core.link_said(now, &mut self.wires, no, octets),
+                        Purpose::Caller(no) => self.core.caller_said(now, &mut self.wires, no, octets),
+                        Purpose::Leaving => {}
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return self.wires.fail(token, broke(&error)),
+            }
+        }
+        self.wires.more.push(token);
+    }
+}
