Free circuits are believed from one link of an exchange; a fault is no busy number

Logs of each step of its calls: two groups had 206 seizures that ended moot for want of a circuit, half of all sent to them, though the controller counted circuits free; and 1,612 seizures at one exchange ended with cause 47 without a note, a random four in five of those sent there. Cause 1: each change of a group's state comes on up to four links. The copy that is read after a further seizure went out set the count back up (Core::exchange_says took all). Ruled out: late reports alone, since from one link the moots are 2. Cause 2: adapter and core called a signalling fault busy, and the module then refused the number for 2 s: 1,075 of 3,645 rejections followed a fault of the same number within 2 s, without a try. Change: the oldest link that is up tells the state, the next takes over with what it was told last. Cause::Fault: repeated from the balance like a failed set-up, a tandem that faults is not tried for the place for a while, the number is not blocked.

--- a/crates/benchlink/src/switchroom.rs
+++ b/crates/benchlink/src/switchroom.rs
@@ -79,7 +79,8 @@
     let wait = Duration::from_millis(u64::from(clear_code >> 4));
     Ok(match (code, clear_code & 15) {
         (10, _) => Cause::Done,
-        (20, _) => Cause::Busy,
+        (20, 4) => Cause::Busy,
+        (20, _) => Cause::Fault,
         (30, 1) => Cause::NoCircuit,
         (30, 2) => Cause::TurnedBack { beyond: clear_code & 16 != 0 },
         (30, _) => Cause::ProcessorFull { wait },
--- a/crates/lab/tests/model/controllers.rs
+++ b/crates/lab/tests/model/controllers.rs
@@ -96,7 +96,8 @@
             75..80 => Some(Cause::ProcessorFull { wait }),
             80..85 => Some(Cause::Cut),
             85..88 => Some(Cause::Unreachable),
-            88..91 => Some(Cause::Busy),
+            88..90 => Some(Cause::Busy),
+            90..91 => Some(Cause::Fault),
             91..94 => Some(Cause::NotSent { own_down: self.chance.random() }),
             _ => return (Duration::MAX, Some(Cause::TimedOut)),
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! read is not read either, and accepted connections leave the descriptors that links and the bus need.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Arguments;
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::path::PathBuf;
@@ -17,7 +18,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use thiserror::Error;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -229,6 +230,10 @@
     fn note(&mut self, line: &str) {
         info!(target: "mintstall::mode", "{line}");
     }
+
+    fn detail(&mut self, step: Arguments) {
+        debug!(target: "mintstall::calls", "{step}");
+    }
 }
 
 /// A controller with its sockets.
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -126,7 +126,7 @@
         let mut cutter = std::mem::take(&mut caller.cutter);
         cutter.push(octets);
         loop {
-            match cutter.next() {
+            match cutter.next_message() {
                 Ok(Some(message)) => self.message(port, no, &message),
                 Ok(None) => break,
                 Err(spoilt) => {
@@ -241,6 +241,7 @@
             until = until.min(by);
         }
         let id = CallId(self.desk.number());
+        port.detail(format_args!("{} offered by {}: {set_up:?}", set_up.id, no.0));
         let call = Call {
             id: set_up.id,
             caller: no,
@@ -333,7 +334,7 @@
 
     pub fn link_down(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo, how: Broke) {
         self.desk.now = now;
-        let lost = self.desk.lose(port, no);
+        let lost = self.lose(port, no);
         if let (Some((exchange, LinkState::Dialled)), Broke::Refused) = (lost, how) {
             let far = self.desk.exchanges.get(&exchange);
             let up = |no: &LinkNo| self.desk.links.get(no).is_some_and(|link| link.state == LinkState::Up);
@@ -345,6 +346,19 @@
         self.settle(port);
     }
 
+    /// A link goes. Where it told the group's state, what the next one was told last holds from now on.
+    fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
+        let exchange = self.desk.links.get(&no)?.to;
+        let told = self.desk.teller(exchange) == Some(no);
+        let lost = self.desk.lose(port, no);
+        let next =
+            self.desk.teller(exchange).filter(|_| told).and_then(|next| self.desk.links.get_mut(&next));
+        if let Some(report) = next.and_then(|link| link.state_told.take()) {
+            self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
+        }
+        lost
+    }
+
     pub fn link_said(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo, octets: &[u8]) {
         self.desk.now = now;
         let Some(link) = self.desk.links.get_mut(&no) else { return };
@@ -353,11 +367,11 @@
         let mut cutter = std::mem::take(&mut link.cutter);
         cutter.push(octets);
         loop {
-            match cutter.next() {
+            match cutter.next_message() {
                 Ok(Some(message)) => self.exchange_says(port, no, exchange, &message),
                 Ok(None) => break,
                 Err(_spoilt) => {
-                    self.desk.lose(port, no);
+                    self.lose(port, no);
                     break;
                 }
             }
@@ -380,6 +394,10 @@
         match message.kind {
             Kind::Answer => self.answered(port, no, exchange, message),
             Kind::Release => self.released(port, no, exchange, message),
+            Kind::State if self.desk.teller(exchange) != Some(no) => {
+                let told = message.report.and_then(|text| self.trade.reports.named_report(text));
+                self.desk.links.entry(no).and_modify(|link| link.state_told = told.or(link.state_told));
+            }
             Kind::State | Kind::TestResult => self.report(port, exchange, message.report),
             Kind::SetUp | Kind::Progress | Kind::ReleaseHeard | Kind::Test => {}
         }
@@ -387,6 +405,7 @@
 
     fn report(&mut self, port: &mut dyn Port, exchange: ExchangeId, text: Option<&str>) {
         let report = text.and_then(|text| self.trade.reports.named_report(text));
+        port.detail(format_args!("exchange {} reports {text:?}", exchange.0));
         if let Some(report) = report {
             self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
         }
@@ -403,6 +422,7 @@
             return;
         };
         let Some(description) = message.description else { return };
+        port.detail(format_args!("{} answered by exchange {}", message.call, exchange.0));
         let now = self.desk.now;
         let Some(call) = self.desk.calls.get_mut(&id) else { return };
         let Some(out) = call.out.take() else { return };
@@ -430,6 +450,8 @@
     ) {
         let cause = message.cause.unwrap_or(BROKEN);
         let waits = self.desk.links.get(&no).and_then(|link| link.out.get(&message.call).copied());
+        let (id, note) = (message.call, message.note.unwrap_or("-"));
+        port.detail(format_args!("{id} released by exchange {}: cause {cause} {note}", exchange.0));
         if let Some(id) = waits {
             self.report(port, exchange, message.report);
             self.desk.end(id, before_answer(cause, message));
@@ -575,7 +597,7 @@
             }
             if std::mem::replace(&mut far.at, target.endpoint) != target.endpoint {
                 let links = far.links.clone();
-                links.into_iter().for_each(|link| drop(self.desk.lose(port, link)));
+                links.into_iter().for_each(|link| _ = self.desk.lose(port, link));
             }
         }
         let missing = |id: &ExchangeId| topology.all && lines.iter().all(|line| line.exchange != *id);
@@ -589,7 +611,7 @@
             self.desk.exchanges.iter().filter(|(_, far)| gone(far)).map(|(id, _)| *id).collect();
         for id in all {
             let links = self.desk.exchanges.get(&id).map(|far| far.links.clone()).unwrap_or_default();
-            links.into_iter().for_each(|link| drop(self.desk.lose(port, link)));
+            links.into_iter().for_each(|link| _ = self.desk.lose(port, link));
             if let Some(far) = self.desk.exchanges.remove(&id) {
                 self.uids.remove(&far.uid);
                 far.waiting.into_iter().for_each(|call| self.desk.end(call, Cause::Unreachable));
@@ -627,7 +649,7 @@
             Timer::Guard(call) => self.time_is_up(port, call, 408),
             Timer::Dial(link) => {
                 if self.desk.links.get(&link).is_some_and(|link| link.state == LinkState::Dialled) {
-                    self.desk.lose(port, link);
+                    self.lose(port, link);
                 }
             }
             Timer::Tend(exchange) => self.desk.tend(port, exchange),
@@ -661,7 +683,7 @@
         }
         let links = self.desk.links.iter().filter(|(_, link)| late(link.half, HALF_ANSWER_FOR));
         for no in links.map(|(no, _)| *no).collect::<Vec<_>>() {
-            self.desk.lose(port, no);
+            self.lose(port, no);
         }
         let patience = if self.bus_state == BusState::Dialled { BUS_DIAL } else { BUS_SILENT };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
@@ -704,7 +726,8 @@
         (34, Some("crankback")) => Cause::TurnedBack { beyond: false },
         (34, Some("remote_throttled")) => Cause::TurnedBack { beyond: true },
         (34, _) => Cause::ProcessorFull { wait },
-        (17 | 47, _) => Cause::Busy,
+        (17 | 47, Some("engaged")) => Cause::Busy,
+        (17 | 47, _) => Cause::Fault,
         (102, note) => Cause::NotSent { own_down: note == Some("throttled") },
         _ => Cause::Cut,
     }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -7,7 +7,7 @@
 
 use mintstall::chance::Chance;
 use mintstall::host::{
-    AlarmId, CallId, Cause, Ended, ExchangeId, Host, PeerNo, SeizureNo, Standing as Service,
+    AlarmId, CallId, Cause, Ended, ExchangeId, Host, PeerNo, Report, SeizureNo, Standing as Service,
 };
 use mintstall_sip as sip;
 
@@ -125,6 +125,8 @@
     pub half: Option<Duration>,
     /// Set-ups out on it.
     pub out: BTreeMap<WireId, CallId>,
+    /// The group's state that came last on it, while another link's is believed.
+    pub state_told: Option<Report>,
 }
 
 /// One exchange. Emptied by the bus, once it is gone.
@@ -236,6 +238,7 @@
             self.calls.remove(&id);
         }
         port.say(caller, &octets);
+        port.detail(format_args!("{wire} told {status} {more:?}"));
     }
 
     /// Tells a caller that its call is over: on its own connection, else on any, else on the next that opens.
@@ -348,6 +351,7 @@
             out.link = Some(no);
         }
         port.send(no, &octets);
+        port.detail(format_args!("{wire} sent on link {} with {patience} ms", no.0));
         true
     }
 
@@ -449,7 +453,8 @@
     fn dial(&mut self, port: &mut dyn Port, to: ExchangeId, at: SocketAddr) {
         let no = LinkNo(self.number());
         let (state, cutter) = (LinkState::Dialled, message::Cutter::default());
-        let link = Link { to, state, cutter, heard: self.now, half: None, out: BTreeMap::new() };
+        let link =
+            Link { to, state, cutter, heard: self.now, half: None, out: BTreeMap::new(), state_told: None };
         self.links.insert(no, link);
         self.exchanges.entry(to).and_modify(|far| far.links.push(no));
         self.set(self.dial_within, Timer::Dial(no));
@@ -513,6 +518,13 @@
         }
     }
 
+    /// The link whose word of its group's state is believed: the oldest that is up. Each link is told each change, and
+    /// a copy that comes after a further seizure would set the free circuits back up.
+    pub fn teller(&self, of: ExchangeId) -> Option<LinkNo> {
+        let mut links = self.exchanges.get(&of)?.links.iter();
+        links.find(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Up)).copied()
+    }
+
     /// Calls that stand at an exchange since before some time, taken off the books.
     pub fn take_standing(&mut self, at: ExchangeId, before: Duration) -> Vec<(WireId, Standing)> {
         self.standing.extract_if(.., |_, call| call.exchange == at && call.since < before).collect()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod message;
 pub mod offer;
 
+use std::fmt::Arguments;
 use std::net::SocketAddr;
 
 pub use crate::config::{Config, ConfigError};
@@ -51,4 +52,6 @@
     fn cut_bus(&mut self);
     /// One line of the log: a change of mode.
     fn note(&mut self, line: &str);
+    /// One step of a call, for whoever has asked to see them all.
+    fn detail(&mut self, step: Arguments);
 }
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -164,7 +164,7 @@
     }
 
     /// The next whole message, if there is one.
-    pub fn next(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
+    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
         let rest = &self.held[self.done..];
         let [high, low, after @ ..] = rest else {
             if rest.is_empty() {
@@ -226,13 +226,13 @@
         let mut cutter = Cutter::default();
         for octet in &octets[..octets.len() - 1] {
             cutter.push(&[*octet]);
-            assert_eq!(cutter.next(), Ok(None));
+            assert_eq!(cutter.next_message(), Ok(None));
             assert!(cutter.half());
         }
         cutter.push(&octets[octets.len() - 1..]);
-        let message = cutter.next().unwrap().unwrap();
+        let message = cutter.next_message().unwrap().unwrap();
         assert_eq!((message.cause, message.note, message.wait_ms), (Some(34), Some("throttled"), Some(250)));
-        assert!(cutter.next() == Ok(None) && !cutter.half());
+        assert!(cutter.next_message() == Ok(None) && !cutter.half());
     }
 
     #[test]
@@ -240,7 +240,7 @@
         let spoilt = |octets: &[u8]| {
             let mut cutter = Cutter::default();
             cutter.push(octets);
-            cutter.next().unwrap_err()
+            cutter.next_message().unwrap_err()
         };
         assert_eq!(spoilt(&written(Kind::Answer, &[])), Spoilt::Value(48));
         assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1, 2])])), Spoilt::Value(47));
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -100,7 +100,7 @@
     }
 
     /// The next whole message, if there is one.
-    pub fn next(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
+    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
         // Empty lines between messages keep connections alive (RFC 5626).
         while self.held.get(self.done).is_some_and(|octet| matches!(octet, b'\r' | b'\n')) {
             self.done += 1;
@@ -240,7 +240,7 @@
         let mut cutter = Cutter::default();
         cutter.push(octets);
         let mut count = 0;
-        while cutter.next()?.is_some() {
+        while cutter.next_message()?.is_some() {
             count += 1;
         }
         Ok(count)
@@ -251,13 +251,16 @@
         let mut cutter = Cutter::default();
         for octet in &INVITE[..INVITE.len() - 1] {
             cutter.push(&[*octet]);
-            assert!(cutter.next().unwrap().is_none() && cutter.half());
+            assert!(cutter.next_message().unwrap().is_none() && cutter.half());
         }
         cutter.push(b"o\r\n");
-        let message = cutter.next().unwrap().unwrap();
+        let message = cutter.next_message().unwrap().unwrap();
         assert_eq!((message.user(), message.cseq()), (Some("7f3a9c21e0b4d655"), Some((1, "INVITE"))));
         assert_eq!((message.header("call-id"), message.body), (Some("9b1f03aa5c7e2d41"), &b"hello"[..]));
-        assert!(cutter.next().unwrap().is_none() && !cutter.half(), "an empty line is no half message");
+        assert!(
+            cutter.next_message().unwrap().is_none() && !cutter.half(),
+            "an empty line is no half message"
+        );
         assert_eq!(cut(&[INVITE, INVITE, &INVITE[..9]].concat()), Ok(2));
     }
 
@@ -291,7 +294,7 @@
         write(&mut out, "SIP/2.0 503 Service Unavailable", &[("Call-ID", "a"), ("CSeq", "7 INVITE")], b"x");
         let mut cutter = Cutter::default();
         cutter.push(&out);
-        let message = cutter.next().unwrap().unwrap();
+        let message = cutter.next_message().unwrap().unwrap();
         assert_eq!((message.start, message.cseq()), (Start::Response { status: 503 }, Some((7, "INVITE"))));
         assert_eq!(message.body, b"x");
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -550,7 +550,8 @@
 
     /// A seizure came to nothing: only what a further attempt may mend pays for one.
     fn failed(&mut self, now: Duration, host: &mut dyn Host, mut call: Call, to: ExchangeId, cause: Cause) {
-        let maybe = matches!(cause, Cause::TimedOut | Cause::Cut | Cause::Cancelled | Cause::Busy);
+        use Cause::{Busy, Cancelled, Cut, Fault, TimedOut, TurnedBack};
+        let maybe = matches!(cause, TimedOut | Cut | Cancelled | Busy | Fault);
         call.spent |= maybe && self.kinds[call.kind].repeats != Repeats::Freely;
         let told = match cause {
             Cause::TimedOut | Cause::Cut | Cause::Cancelled => self.release_wait,
@@ -562,8 +563,9 @@
             Cause::Done | Cause::NotSent { own_down: true } => return self.give_up(now, host, call),
             _ => Duration::ZERO,
         };
-        if let (Cause::TurnedBack { .. }, Some(tandem)) = (cause, self.exchanges.get_mut(&to)) {
-            // Guards against turn-backs piling up on tandems without room beyond; this call skips it too.
+        let tandem = self.exchanges.get_mut(&to).filter(|far| far.office != call.offer.dest);
+        if let (TurnedBack { .. } | Fault, Some(tandem)) = (cause, tandem) {
+            // Guards against turn-backs and faults piling up on tandems without room beyond; this call skips it too.
             let way = tandem.beyond.entry(call.offer.dest).or_default();
             let (until, width) = &mut way.blocked;
             *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
--- a/src/host.rs
+++ b/src/host.rs
@@ -167,8 +167,10 @@
 pub enum Cause {
     /// The call stood and has ended.
     Done,
-    /// All lines of the number are busy, or a signalling fault.
+    /// All lines of the number are busy.
     Busy,
+    /// A signalling fault: says nothing of the number.
+    Fault,
     /// Full: no circuit or agent there.
     NoCircuit,
     /// The tandem turned the call back; `beyond`: the processor after it was full.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -386,6 +386,21 @@
     assert_eq!(desk.did(), [Seized(1, 1)]);
 }
 
+#[test]
+fn a_fault_is_not_held_against_the_number() {
+    let mut desk = Desk::new(&office(), 99.0);
+    desk.calls_as(1, 1, |offer| offer.dialled = Dialled(7));
+    desk.ended(1, 0, 1, Cause::Fault);
+    assert_eq!(desk.did(), [Seized(1, 1)], "tried again after a draw");
+    desk.pass(ms(100));
+    desk.ended(1, 1, 1, Cause::Fault);
+    desk.pass(ms(200));
+    desk.ended(1, 2, 1, Cause::Fault);
+    assert_eq!(desk.did(), [Seized(1, 1), Seized(1, 1), Rejected(1)], "as far as the balance goes");
+    desk.calls_as(2, 1, |offer| offer.dialled = Dialled(7));
+    assert_eq!(desk.did(), [Seized(2, 1)], "and so is its caller who dials again");
+}
+
 #[test]
 fn a_busy_number_is_not_tried_again_at_once() {
     let mut desk = Desk::new(&office(), 99.0);
