--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,7 +5,7 @@
 mod node;
 mod plan;
 
-use std::io;
+use std::io::{self, IsTerminal};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -134,7 +134,8 @@
         Ok(filter) => filter,
         Err(error) => return bad_input(format!("--log {}: {error}", cli.log)),
     };
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr);
+    let colours = io::stderr().is_terminal();
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(io::stderr);
     match cli.log_format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -7,6 +7,7 @@
 use clap::Args;
 use mintstall_node::Node;
 use mintstall_platform::Config;
+use serde_json::json;
 
 #[derive(Args)]
 pub struct NodeArgs {
@@ -31,6 +32,9 @@
         Ok(node) => node,
         Err(error) => return crate::failed(error),
     };
+    if let Ok(addr) = node.listens() {
+        println!("{}", json!({ "callers": addr }));
+    }
     let name = args.name.unwrap_or(config.name);
     tracing::info!(name, %listen, sockets = config.sockets, "takes calls");
     match node.run() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -247,6 +247,8 @@
     epoch: Duration,
     started: Instant,
     most_callers: usize,
+    /// Connections wait that could not be accepted.
+    accept_later: bool,
     buffer: Vec<u8>,
 }
 
@@ -284,10 +286,16 @@
             epoch,
             started,
             most_callers: config.sockets * 5 / 8,
+            accept_later: false,
             buffer: vec![0; READ],
         })
     }
 
+    /// Where callers connect.
+    pub fn listens(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     fn now(&self) -> Duration {
         self.epoch + self.started.elapsed()
     }
@@ -319,6 +327,9 @@
                 }
                 self.told_of_failures();
             }
+            if std::mem::take(&mut self.accept_later) {
+                self.accept();
+            }
             let now = self.now();
             self.core.ring(now, &mut self.wires);
             self.let_go();
@@ -360,11 +371,13 @@
             let stream = match self.listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                // One that has gone before it was accepted, or no descriptor free: others may come.
-                Err(_) => continue,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                // No descriptor is free, against all bounds: tried again with the next alarm, not at once.
+                Err(_) => return self.accept_later = true,
             };
-            if self.wires.callers >= self.most_callers {
-                self.make_room();
+            if self.wires.callers >= self.most_callers && !self.make_room() {
+                // Closed at once: all that are open have set-ups in hand.
+                continue;
             }
             let caller = CallerNo(self.wires.next as u64);
             match self.wires.add(stream, Purpose::Caller(caller), Phase::Open) {
@@ -378,14 +391,16 @@
         self.wires.more.push(LISTENER);
     }
 
-    /// Closes the connection that is missed least.
-    fn make_room(&mut self) {
-        if let Some((_, token)) = self.wires.leaving.pop_front() {
-            self.wires.remove(token);
-        } else if let Some(idle) = self.core.idlest() {
-            self.core.caller_left(self.now(), &mut self.wires, idle);
-            self.wires.remove(Token(idle.0 as usize));
+    /// Closes the connection that is missed least; whether there was one.
+    fn make_room(&mut self) -> bool {
+        while let Some((_, token)) = self.wires.leaving.pop_front() {
+            if self.wires.remove(token).is_some() {
+                return true;
+            }
         }
+        let Some(idle) = self.core.idlest() else { return false };
+        self.core.caller_left(self.now(), &mut self.wires, idle);
+        self.wires.remove(Token(idle.0 as usize)).is_some()
     }
 
     fn signalled(&mut self) {
--- /dev/null
+++ b/crates/platform/tests/stories.rs
@@ -0,0 +1,644 @@
+//! Stories of the core on a fake platform, in virtual time. Whatever crosses the wire is judged by the rules as it goes:
+//! one final answer a call, one seizure out at a time, nothing new after a drain's grace or within the release time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Arguments;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use mintstall_platform::message::{self, Kind, WireId, code};
+use mintstall_platform::{Broke, CallerNo, Config, Core, LinkNo, Port};
+use mintstall_sip as sip;
+use serde_json::json;
+
+const START: Duration = Duration::from_secs(1_800_000_000);
+const RELEASE_WAIT: Duration = Duration::from_millis(200);
+const GRACE: Duration = Duration::from_secs(2);
+const SDP: &[u8] = b"from the exchange";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn target(uid: &str, office: u16, state: &str, boot_ms: u64) -> serde_json::Value {
+    json!({"uid": uid, "endpoint": format!("10.0.0.{office}:3868"), "az": "east", "model": "std",
+        "pod_group": office, "state": state, "capacity_hint": 1, "boot_ms": boot_ms})
+}
+
+fn config_with(change: impl FnOnce(&mut serde_json::Value)) -> Result<Config, String> {
+    let targets = [
+        target("own", 0, "in_service", 0),
+        target("one", 1, "in_service", 0),
+        target("two", 2, "in_service", 0),
+    ];
+    let mut config = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bus": "127.0.0.1:4222",
+        "limits": {"cores": 0.3, "memory_mb": 32, "sockets": 256},
+        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"rev": 1, "all": true, "targets": targets}}]},
+        "settings": {
+            "lanes": [{"name": "voice", "aim_s": 0.8, "hard_limit_s": 3.0, "worth": 1.0}],
+            "tenants": [{"name": "acme"}], "dcs": ["east"],
+            "specifics": {"own_number": 0, "widths": [1], "call_length_s": [5.0], "clear_wait_s": 0.2},
+            "limits": {"most_tries": 5, "cancelling": true, "retry_after": true, "max_retry_after_s": 2.0,
+                "dial_timeout_s": 0.5},
+            "report": {"fields": ["idle", "circuits"]},
+            "rules": {"fall_multiple": 2.5, "cold_from": 0.3, "ramp_time_s": 15.0}
+        }
+    });
+    change(&mut config);
+    Config::parse(Path::new("config.json"), config.to_string().as_bytes()).map_err(|error| error.to_string())
+}
+
+fn config() -> Config {
+    config_with(|_| ()).unwrap()
+}
+
+#[derive(Debug, Default)]
+struct Judge {
+    final_answers: BTreeSet<(CallerNo, String)>,
+    out: BTreeMap<WireId, LinkNo>,
+    given_up: BTreeMap<WireId, Duration>,
+    drained: BTreeMap<SocketAddr, Duration>,
+}
+
+/// What the core did, as messages.
+#[derive(Debug, Default)]
+struct Wires {
+    now: Duration,
+    said: Vec<(CallerNo, String, Vec<u8>)>,
+    hung_up: Vec<CallerNo>,
+    dialled: Vec<(LinkNo, SocketAddr)>,
+    sent: Vec<(LinkNo, Kind, WireId, Option<u8>)>,
+    cut: Vec<LinkNo>,
+    at: BTreeMap<LinkNo, SocketAddr>,
+    bus: Vec<String>,
+    notes: Vec<String>,
+    judge: Judge,
+}
+
+impl Port for Wires {
+    fn say(&mut self, caller: CallerNo, octets: &[u8]) {
+        assert!(!self.hung_up.contains(&caller), "said to one that was hung up on");
+        let mut cutter = sip::Cutter::default();
+        cutter.push(octets);
+        while let Some(message) = cutter.next_message().unwrap() {
+            let id = message.header("Call-ID").unwrap_or("-").to_string();
+            let what = match message.start {
+                sip::Start::Response { status } => {
+                    format!("{status} {}", message.cseq().map_or("-", |of| of.1))
+                }
+                sip::Start::Request { method, .. } => {
+                    format!("{method} {}", message.header("Reason").unwrap_or("-"))
+                }
+            };
+            if what.ends_with(" INVITE") && !what.starts_with("400") {
+                let first = self.judge.final_answers.insert((caller, id.clone()));
+                assert!(first, "rule 1: a second answer for {id}: {what}");
+            }
+            self.said.push((caller, what, message.body.to_vec()));
+        }
+    }
+
+    fn hang_up(&mut self, caller: CallerNo) {
+        self.hung_up.push(caller);
+    }
+
+    fn dial(&mut self, link: LinkNo, to: SocketAddr) {
+        self.dialled.push((link, to));
+        self.at.insert(link, to);
+    }
+
+    fn send(&mut self, link: LinkNo, octets: &[u8]) {
+        let mut cutter = message::Cutter::default();
+        cutter.push(octets);
+        while let Some(message) = cutter.next_message().unwrap() {
+            let (id, now) = (message.call, self.now);
+            match message.kind {
+                Kind::SetUp => {
+                    assert_eq!(self.judge.out.insert(id, link), None, "rule 2: two seizures of {id} out");
+                    let given_up = self.judge.given_up.get(&id);
+                    assert!(
+                        given_up.is_none_or(|at| *at + RELEASE_WAIT <= now),
+                        "rule 5: {id} sent again too soon"
+                    );
+                    let drained = self.judge.drained.get(&self.at[&link]);
+                    assert!(
+                        drained.is_none_or(|at| *at + GRACE >= now),
+                        "rule 3: {id} sent to one that drains"
+                    );
+                }
+                Kind::Release if self.judge.out.get(&id) == Some(&link) => {
+                    self.judge.out.remove(&id);
+                    self.judge.given_up.insert(id, now);
+                }
+                _ => {}
+            }
+            self.sent.push((link, message.kind, id, message.cause));
+        }
+    }
+
+    fn backed_up(&self, _link: LinkNo) -> bool {
+        false
+    }
+
+    fn cut(&mut self, link: LinkNo) {
+        self.judge.out.retain(|_, on| *on != link);
+        self.cut.push(link);
+    }
+
+    fn dial_bus(&mut self, to: SocketAddr) {
+        self.bus.push(format!("dial {to}"));
+    }
+
+    fn ask_bus(&mut self, text: &str) {
+        self.bus.push(text.to_string());
+    }
+
+    fn cut_bus(&mut self) {
+        self.bus.push("cut".into());
+    }
+
+    fn note(&mut self, line: &str) {
+        self.notes.push(line.to_string());
+    }
+
+    fn detail(&mut self, _step: Arguments) {}
+}
+
+struct Platform {
+    core: Core,
+    wires: Wires,
+}
+
+impl Platform {
+    /// All exchanges reached, each with one link that told 10 free circuits.
+    fn start() -> Self {
+        let mut wires = Wires { now: START, ..Wires::default() };
+        let core = Core::new(&config(), START, &mut wires);
+        let mut platform = Self { core, wires };
+        platform.core.bus_up(START, &mut platform.wires);
+        platform.links_up();
+        platform
+    }
+
+    fn links_up(&mut self) {
+        while let Some((link, _)) = self.wires.dialled.pop() {
+            self.core.link_up(self.wires.now, &mut self.wires, link);
+            self.state(link, 10);
+        }
+    }
+
+    /// The links to an office that are up, oldest first.
+    fn links(&self, office: u16) -> Vec<LinkNo> {
+        let at: SocketAddr = format!("10.0.0.{office}:3868").parse().unwrap();
+        let all = self.wires.at.iter().filter(|(link, to)| **to == at && !self.wires.cut.contains(link));
+        all.map(|(link, _)| *link).collect()
+    }
+
+    fn pass(&mut self, span: Duration) {
+        let until = self.wires.now + span;
+        while let Some(due) = self.core.next_alarm().filter(|due| *due <= until) {
+            self.wires.now = due.max(self.wires.now);
+            self.core.ring(self.wires.now, &mut self.wires);
+        }
+        self.wires.now = until;
+    }
+
+    fn says(&mut self, caller: u64, text: &str) {
+        self.core.caller_said(self.wires.now, &mut self.wires, CallerNo(caller), text.as_bytes());
+    }
+
+    fn comes(&mut self, caller: u64) {
+        self.core.caller_came(self.wires.now, CallerNo(caller));
+    }
+
+    fn calls(&mut self, caller: u64, id: u64) {
+        self.says(caller, &invite(id, "dest:1;width:1;via:-1", "1500", "hello"));
+    }
+
+    fn link_says(&mut self, link: LinkNo, kind: Kind, id: u64, parameters: &[(u8, &[u8])]) {
+        let mut octets = Vec::new();
+        message::write(&mut octets, kind, WireId(id), parameters);
+        if matches!(kind, Kind::Release | Kind::Answer)
+            && self.wires.judge.out.get(&WireId(id)) == Some(&link)
+        {
+            self.wires.judge.out.remove(&WireId(id));
+        }
+        self.core.link_said(self.wires.now, &mut self.wires, link, &octets);
+    }
+
+    fn state(&mut self, link: LinkNo, free: u32) {
+        let text = format!("idle:{free};circuits:20");
+        self.link_says(link, Kind::State, 0, &[(code::REPORT, text.as_bytes())]);
+    }
+
+    fn answers(&mut self, link: LinkNo, id: u64) {
+        self.link_says(link, Kind::Answer, id, &[(code::DESCRIPTION, SDP)]);
+    }
+
+    fn releases(&mut self, link: LinkNo, id: u64, cause: u8) {
+        self.link_says(link, Kind::Release, id, &[(code::CAUSE, &[cause])]);
+    }
+
+    /// The set-ups sent since last asked.
+    fn set_ups(&mut self) -> Vec<(LinkNo, u64)> {
+        let sent = std::mem::take(&mut self.wires.sent);
+        sent.into_iter().filter(|sent| sent.1 == Kind::SetUp).map(|(link, _, id, _)| (link, id.0)).collect()
+    }
+
+    /// A call that is set up over one link, which is given.
+    fn stands(&mut self, caller: u64, id: u64) -> LinkNo {
+        self.calls(caller, id);
+        let set_ups = self.set_ups();
+        let [(link, sent)] = set_ups[..] else { panic!("one set-up, not {set_ups:?}") };
+        assert_eq!(sent, id);
+        self.answers(link, id);
+        assert_eq!(self.said(), [format!("{caller}: 200 INVITE")]);
+        link
+    }
+
+    /// What callers were told since last asked.
+    fn said(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.wires.said)
+            .into_iter()
+            .map(|(caller, what, _)| format!("{}: {what}", caller.0))
+            .collect()
+    }
+
+    fn bus(&mut self, offset: u64, all: bool, targets: &[serde_json::Value]) {
+        let event = json!({"offset": offset, "topology": {"rev": offset, "all": all, "targets": targets}});
+        self.bus_line(&format!("{event}\n"));
+    }
+
+    fn bus_line(&mut self, line: &str) {
+        self.core.bus_said(self.wires.now, &mut self.wires, line.as_bytes());
+    }
+}
+
+fn invite(id: u64, info: &str, expires: &str, body: &str) -> String {
+    format!(
+        "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {id:016x}\r\nCSeq: 1 INVITE\r\n\
+         Priority-Class: voice\r\nExpires-Ms: {expires}\r\nP-Customer: acme\r\nP-Trunk-Info: {info}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn request(method: &str, id: u64) -> String {
+    format!(
+        "{method} sip:peer@net SIP/2.0\r\nCall-ID: {id:016x}\r\nCSeq: 1 {method}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+#[test]
+fn a_call_is_set_up_answered_with_the_exchanges_description_and_released_by_it() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.calls(1, 7);
+    let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
+    platform.pass(ms(40));
+    platform.answers(link, 7);
+    assert_eq!(platform.wires.said[0].2, SDP, "unchanged");
+    assert_eq!(platform.said(), ["1: 200 INVITE"]);
+    platform.says(1, &request("ACK", 7));
+    platform.answers(link, 7);
+    platform.answers(link, 99);
+    assert!(platform.said().is_empty(), "second copies and unknown ids change nothing");
+    let other = platform.links(1).into_iter().find(|other| *other != link).unwrap();
+    platform.releases(other, 7, 16);
+    platform.releases(link, 7, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"], "once, whatever link it came on");
+}
+
+#[test]
+fn a_caller_releases_on_any_connection_and_one_that_has_gone_is_told_on_the_next() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 7);
+    platform.comes(2);
+    platform.says(2, &request("BYE", 7));
+    assert_eq!(platform.said(), ["2: 200 BYE"]);
+    assert!(
+        platform.wires.sent.iter().any(|sent| (sent.1, sent.2.0, sent.3) == (Kind::Release, 7, Some(16)))
+    );
+    let link = platform.stands(1, 8);
+    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(1));
+    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(2));
+    platform.releases(link, 8, 41);
+    assert!(platform.said().is_empty());
+    platform.comes(3);
+    platform.says(3, &request("OPTIONS", 0));
+    assert_eq!(platform.said(), ["3: BYE Q.850;cause=41", "3: 200 OPTIONS"]);
+    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(3));
+    platform.comes(4);
+    platform.says(4, &request("OPTIONS", 0));
+    assert_eq!(platform.said(), ["4: BYE Q.850;cause=41", "4: 200 OPTIONS"], "a close crossed the first");
+    platform
+        .says(4, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000008\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n");
+    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(4));
+    platform.comes(5);
+    platform.says(5, &request("OPTIONS", 0));
+    assert_eq!(platform.said(), ["5: 200 OPTIONS"], "heard");
+}
+
+#[test]
+fn a_rejected_call_is_answered_at_once_and_told_when_to_come_back() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.says(1, &invite(7, "dest:9;width:1;via:-1", "1500", "hello"));
+    let (_, what, _) = platform.wires.said[0].clone();
+    assert_eq!((what.as_str(), platform.wires.said.len()), ("503 INVITE", 1), "no exchange is there");
+}
+
+#[test]
+fn a_time_out_is_released_and_sent_again_on_another_link_after_the_release_time() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.calls(1, 7);
+    let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
+    platform.pass(ms(820));
+    assert!(
+        platform.wires.sent.iter().any(|sent| (sent.0, sent.1, sent.3) == (link, Kind::Release, Some(16)))
+    );
+    platform.pass(ms(320));
+    let set_ups = platform.set_ups();
+    let [(next, 7)] = set_ups[..] else { panic!("one further set-up, not {set_ups:?}") };
+    assert_ne!(next, link);
+    platform.answers(link, 7);
+    assert!(platform.said().is_empty(), "a late answer for the first is not for the second");
+    platform.answers(next, 7);
+    assert_eq!(platform.said(), ["1: 200 INVITE"]);
+}
+
+#[test]
+fn no_answer_at_all_is_a_final_answer_before_the_callers_time() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    (1..=20).for_each(|id| platform.calls(1, id));
+    platform.pass(ms(1500));
+    assert_eq!(platform.said().len(), 20, "one each, the judge saw to it");
+    platform.pass(ms(5000));
+    assert!(platform.said().is_empty());
+}
+
+#[test]
+fn a_cancelled_call_is_given_up_and_one_whose_caller_hangs_up_too() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.calls(1, 7);
+    let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
+    platform.comes(2);
+    platform.says(2, &request("CANCEL", 7));
+    assert_eq!(platform.said(), ["2: 481 CANCEL"], "not that connection's call");
+    platform.says(1, &request("CANCEL", 7));
+    assert_eq!(platform.said(), ["1: 200 CANCEL", "1: 487 INVITE"]);
+    platform.answers(link, 7);
+    assert!(platform.said().is_empty(), "an answer that crossed it");
+    assert!(platform.wires.sent.iter().any(|sent| (sent.1, sent.2.0) == (Kind::Release, 7)));
+    platform.calls(1, 8);
+    platform.set_ups();
+    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(1));
+    assert!(platform.wires.sent.iter().any(|sent| (sent.1, sent.2.0) == (Kind::Release, 8)));
+}
+
+#[test]
+fn what_cant_be_read_costs_the_link_and_its_set_ups_but_no_standing_call() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    (10..13).for_each(|id| platform.calls(1, id));
+    let set_ups = platform.set_ups();
+    let (link, id) = set_ups[0];
+    let mut answer = Vec::new();
+    message::write(&mut answer, Kind::Answer, WireId(id), &[(code::DESCRIPTION, SDP)]);
+    answer[0] = 0xff;
+    platform.core.link_said(platform.wires.now, &mut platform.wires, link, &answer);
+    assert!(platform.wires.cut.contains(&link));
+    assert!(platform.said().is_empty(), "nothing spoilt is passed on");
+    platform.links_up();
+    platform.pass(ms(320));
+    let again = platform.set_ups();
+    assert!(
+        again.iter().any(|(on, of)| *of == id && *on != link),
+        "sent again after the release time: {again:?}"
+    );
+    let (other, of) = set_ups[1];
+    platform.answers(other, of);
+    assert_eq!(platform.said(), ["1: 200 INVITE"], "other links' calls go on");
+    platform.releases(other, 6, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+}
+
+#[test]
+fn half_an_answer_is_waited_for_but_not_for_long() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.calls(1, 7);
+    let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
+    platform.core.link_said(platform.wires.now, &mut platform.wires, link, &[0, 200, 9]);
+    platform.pass(ms(500));
+    assert!(!platform.wires.cut.contains(&link));
+    platform.pass(ms(600));
+    assert!(platform.wires.cut.contains(&link));
+}
+
+#[test]
+fn a_copy_of_an_old_report_does_not_set_the_free_circuits_back_up() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    let links = platform.links(1);
+    links.iter().for_each(|link| platform.state(*link, 0));
+    let two = platform.links(2)[0];
+    platform.state(two, 0);
+    platform.state(links[0], 1);
+    platform.calls(1, 7);
+    assert_eq!(platform.set_ups().len(), 1);
+    platform.state(links[1], 1);
+    platform.calls(1, 8);
+    assert_eq!(platform.set_ups(), [], "the only free circuit is taken");
+    platform.state(links[0], 0);
+    platform.core.link_down(platform.wires.now, &mut platform.wires, links[0], Broke::Lost);
+    platform.state(links[1], 1);
+    assert_eq!(platform.set_ups().len(), 1, "the next link is believed once the first has gone");
+}
+
+#[test]
+fn an_exchange_that_drains_is_sent_nothing_not_even_what_waits_for_a_link() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    for link in platform.links(1) {
+        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Lost);
+    }
+    platform.calls(1, 7);
+    assert_eq!(platform.set_ups(), [], "no link is up");
+    platform.bus(2, false, &[target("one", 1, "terminating", 0)]);
+    platform.wires.judge.drained.insert("10.0.0.1:3868".parse().unwrap(), platform.wires.now - GRACE - ms(1));
+    platform.links_up();
+    assert_eq!(platform.set_ups(), []);
+    platform.pass(ms(1500));
+    assert_eq!(platform.said().len(), 1, "answered all the same");
+}
+
+#[test]
+fn a_refused_dial_is_told_as_unreachable_and_ends_the_calls_of_a_dead_exchange() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    for link in platform.links(1) {
+        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Lost);
+    }
+    assert!(platform.said().is_empty(), "links reset by themselves end no call");
+    platform.calls(1, 7);
+    for link in platform.links(1) {
+        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Refused);
+    }
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+    platform.pass(ms(1500));
+    assert_eq!(platform.said().len(), 1, "and call 7 has its answer");
+}
+
+#[test]
+fn a_replaced_exchange_ends_what_stood_before_and_its_address_is_taken_over() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    platform.pass(ms(1000));
+    platform.bus(2, false, &[target("one", 1, "terminated", 0), target("uno", 1, "in_service", 0)]);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+    platform.links_up();
+    platform.stands(1, 7);
+    let boot = (platform.wires.now + ms(500)).as_millis() as u64;
+    platform.pass(ms(2000));
+    platform.bus(3, false, &[target("uno", 1, "in_service", boot)]);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"], "a new start ends what stood before it");
+}
+
+#[test]
+fn a_silent_or_spoilt_bus_is_asked_again_from_the_last_number() {
+    let mut platform = Platform::start();
+    assert_eq!(platform.wires.bus.last().unwrap(), "from 1\n");
+    platform.bus(2, false, &[target("two", 2, "terminating", 0)]);
+    platform.bus_line("{\"offset\":3,\"topo\n");
+    platform.pass(ms(300));
+    platform.core.bus_up(platform.wires.now, &mut platform.wires);
+    assert_eq!(platform.wires.bus.last().unwrap(), "from 2\n");
+    for _ in 0..5 {
+        platform.pass(ms(1000));
+        platform.bus_line("2\n");
+    }
+    assert_eq!(platform.wires.bus.last().unwrap(), "from 2\n", "its pulse keeps it");
+    platform.pass(ms(3000));
+    assert!(platform.wires.bus.last().unwrap().starts_with("dial"), "{:?}", platform.wires.bus);
+}
+
+#[test]
+fn a_new_configuration_moves_the_bus_and_keeps_the_numbers() {
+    let mut platform = Platform::start();
+    platform.bus(2, false, &[target("two", 2, "terminating", 0)]);
+    let moved = config_with(|config| config["bus"] = json!("127.0.0.1:4999")).unwrap();
+    platform.core.configured(platform.wires.now, &mut platform.wires, &moved);
+    assert_eq!(platform.wires.bus.last().unwrap(), "dial 127.0.0.1:4999");
+    platform.core.bus_up(platform.wires.now, &mut platform.wires);
+    assert_eq!(platform.wires.bus.last().unwrap(), "from 2\n");
+}
+
+#[test]
+fn a_stop_answers_all_that_was_taken_and_cuts_no_standing_call() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    platform.calls(1, 7);
+    let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
+    platform.core.stop(platform.wires.now, &mut platform.wires);
+    platform.pass(ms(600));
+    platform.calls(1, 8);
+    assert!(!platform.core.stopped(platform.wires.now));
+    platform.answers(link, 7);
+    platform.pass(ms(3000));
+    let said = platform.said();
+    assert_eq!((said.len(), platform.core.stopped(platform.wires.now)), (2, true), "{said:?}");
+    assert!(said.iter().all(|said| !said.contains("BYE")));
+}
+
+#[test]
+fn calls_that_stood_before_a_restart_are_released_as_others_are() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.says(1, &invite(6, "at:one", "1500", "hello"));
+    platform.says(1, &invite(6, "at:one", "1500", "hello"));
+    platform.says(1, &invite(5, "at:nowhere", "1500", "hello"));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"], "one exchange has gone; no other answer");
+    let link = platform.links(1)[0];
+    platform.releases(link, 6, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+}
+
+#[test]
+fn bad_set_ups_are_refused_and_the_open_call_of_that_id_is_unharmed() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.comes(2);
+    platform.calls(1, 7);
+    platform.says(2, &invite(7, "dest:1;width:1", "1500", "another"));
+    assert_eq!(platform.said(), ["2: 400 INVITE"]);
+    let wrong = [
+        invite(8, "dest:-4;width:1", "1500", "a"),
+        invite(8, "dest:1;width:0", "1500", "a"),
+        invite(8, "dest:1;width:x", "1500", "a"),
+        invite(8, "dest:1;dest:2", "1500", "a"),
+        invite(8, "width:1", "1500", "a"),
+        invite(8, "dest:1", "-5", "a"),
+        invite(8, "dest:1", "0", "a"),
+        invite(8, "dest:1", "99999999999999999999999", "a"),
+        invite(8, "dest:1", "1500", ""),
+        invite(8, "dest:1", "1500", "a").replace("voice", "nothing"),
+        invite(8, "dest:1", "1500", "a").replace("acme", "nobody"),
+        invite(8, "dest:1", "1500", "a").replace("7f3a9c21e0b4d655", "me"),
+        invite(8, "dest:1", "1500", "a").replace("Call-ID: 0000000000000008", "Call-ID: 8"),
+        invite(8, "dest:1", "1500", "a").replace("Call-ID: 0000000000000008\r\n", ""),
+    ];
+    for wrong in &wrong {
+        platform.says(2, wrong);
+        let said = platform.said();
+        assert!(matches!(&said[..], [one] if one.starts_with("2: 400")), "{wrong}: {said:?}");
+    }
+    assert_eq!(platform.set_ups().len(), 1, "only the good one went on");
+    platform.says(2, "GET / HTTP/1.1\r\n\r\n");
+    assert_eq!(
+        (platform.said(), &platform.wires.hung_up[..]),
+        (vec!["2: 400 -".to_string()], &[CallerNo(2)][..])
+    );
+    let link = platform.wires.judge.out[&WireId(7)];
+    platform.answers(link, 7);
+    assert_eq!(platform.said(), ["1: 200 INVITE"]);
+}
+
+#[test]
+fn the_silent_and_the_half_said_are_closed_and_a_flood_is_bounded() {
+    let mut platform = Platform::start();
+    (1..=3).for_each(|caller| platform.comes(caller));
+    platform.says(2, "INVITE sip:half");
+    platform.says(3, &request("OPTIONS", 0));
+    platform.said();
+    platform.pass(ms(2800));
+    assert_eq!(platform.wires.hung_up, [CallerNo(1), CallerNo(2)]);
+    (0..500).for_each(|id| platform.calls(3, 1000 + id));
+    platform.pass(ms(1500));
+    assert_eq!(platform.said().len(), 500, "each has its one answer");
+    assert_eq!(platform.core.idlest(), Some(CallerNo(3)));
+}
+
+#[test]
+fn faults_of_the_configuration_name_place_and_cause() {
+    let told = |change: fn(&mut serde_json::Value)| config_with(change).unwrap_err();
+    assert!(
+        told(|config| config["bus"] = json!("nowhere")).starts_with("config.json: invalid socket address")
+    );
+    assert!(told(|config| config["seed"] = json!("xyz")).contains("seed"));
+    assert!(
+        told(|config| config["settings"]["lanes"][0]["aim_s"] = json!("soon")).contains("lanes.0.aim_s=soon")
+    );
+    assert!(told(|config| config["limits"]["sockets"] = json!(3)).contains("sockets"));
+    assert!(told(|config| config["known"]["batch"] = json!([])).contains("known"));
+}
