A silent link to an exchange is read on for a while rather than closed at once

Ruled out by logs of each step: calls of the exchange that stopped (cut by the bus's word within 1 s), callers' connections that closed over a release (told again on the next), releases from another exchange than the call's (none). Left: Desk::limit closed a link at a time-out on which nothing had come, and with it lost what the exchange was just writing there, a release among it. Change: such a link is retired: no set-up goes there, another is dialled, and it is read on for 4 s.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -370,7 +370,8 @@
             match cutter.next_message() {
                 Ok(Some(message)) => self.exchange_says(port, no, exchange, &message),
                 Ok(None) => break,
-                Err(_spoilt) => {
+                Err(spoilt) => {
+                    port.detail(format_args!("link {}: {spoilt}", no.0));
                     self.lose(port, no);
                     break;
                 }
@@ -422,7 +423,12 @@
             return;
         };
         let Some(description) = message.description else { return };
-        port.detail(format_args!("{} answered by exchange {}", message.call, exchange.0));
+        port.detail(format_args!(
+            "{} answered by exchange {} {:?}",
+            message.call,
+            exchange.0,
+            String::from_utf8_lossy(description)
+        ));
         let now = self.desk.now;
         let Some(call) = self.desk.calls.get_mut(&id) else { return };
         let Some(out) = call.out.take() else { return };
@@ -585,6 +591,7 @@
                 service: line.standing,
                 started: line.started,
                 links: Vec::new(),
+                retired: Default::default(),
                 failures: 0,
                 next_dial: Duration::ZERO,
                 waiting: Default::default(),
@@ -610,8 +617,9 @@
         let all: Vec<_> =
             self.desk.exchanges.iter().filter(|(_, far)| gone(far)).map(|(id, _)| *id).collect();
         for id in all {
-            let links = self.desk.exchanges.get(&id).map(|far| far.links.clone()).unwrap_or_default();
-            links.into_iter().for_each(|link| _ = self.desk.lose(port, link));
+            let far = self.desk.exchanges.get(&id);
+            let links = far.map(|far| far.links.iter().chain(&far.retired).copied().collect::<Vec<_>>());
+            links.unwrap_or_default().into_iter().for_each(|link| _ = self.desk.lose(port, link));
             if let Some(far) = self.desk.exchanges.remove(&id) {
                 self.uids.remove(&far.uid);
                 far.waiting.into_iter().for_each(|call| self.desk.end(call, Cause::Unreachable));
@@ -685,6 +693,7 @@
         for no in links.map(|(no, _)| *no).collect::<Vec<_>>() {
             self.lose(port, no);
         }
+        self.desk.worn_out().into_iter().for_each(|no| _ = self.lose(port, no));
         let patience = if self.bus_state == BusState::Dialled { BUS_DIAL } else { BUS_SILENT };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
             self.drop_bus(port);
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -30,6 +30,8 @@
 const MOST_LINKS: usize = 4;
 /// And beyond them, while a call was given up on each, or each waits to be written.
 const SPARE_LINKS: usize = 2;
+/// A retired link is read on for so long: longer than a set-up may be out.
+const RETIRED_FOR: Duration = Duration::from_secs(4);
 
 /// What falls due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,6 +115,10 @@
 pub enum LinkState {
     Dialled,
     Up,
+    /// Nothing came on it for long: no set-up goes there, but what still comes is read, a release perhaps.
+    Retired {
+        at: Duration,
+    },
 }
 
 /// One connection to an exchange.
@@ -136,7 +142,10 @@
     pub at: SocketAddr,
     pub service: Service,
     pub started: Duration,
+    /// Dialled or up, oldest first.
     pub links: Vec<LinkNo>,
+    /// Those that are only read on.
+    pub retired: VecDeque<LinkNo>,
     pub failures: u32,
     pub next_dial: Duration,
     /// Set-ups that wait for a link.
@@ -257,6 +266,7 @@
             if self.farewells.len() == MOST_FAREWELLS {
                 self.farewells.pop_front();
             }
+            port.detail(format_args!("{id} over: no caller's connection is open"));
             return self.farewells.push_back((since, id, cause));
         };
         let (wire, reason) = (id.to_string(), format!("Q.850;cause={cause}"));
@@ -271,6 +281,7 @@
             }
         }
         port.say(no, &octets);
+        port.detail(format_args!("{id} over: told on {}, cause {cause}", no.0));
     }
 
     pub fn heard_bye(&mut self, caller: CallerNo, id: WireId) {
@@ -396,14 +407,36 @@
         }
         let (link, since) = (out.link, out.since);
         self.give_up(port, id, Cause::TimedOut);
-        // A link on which nothing came since is of no use to others either.
+        // A link on which nothing came since is of no use to others either. It is read on for a while: closing it would
+        // lose a release that is on its way, and the set-ups that are out on it.
         if let Some(no) = link
-            && self.links.get(&no).is_some_and(|link| link.heard < since)
+            && let Some(link) = self.links.get_mut(&no)
+            && link.state == LinkState::Up
+            && link.heard < since
         {
-            self.lose(port, no);
+            let to = link.to;
+            link.state = LinkState::Retired { at: self.now };
+            if let Some(far) = self.exchanges.get_mut(&to) {
+                far.links.retain(|known| *known != no);
+                far.retired.push_back(no);
+                if far.retired.len() > MOST_LINKS
+                    && let Some(oldest) = far.retired.front().copied()
+                {
+                    self.lose(port, oldest);
+                }
+            }
+            port.detail(format_args!("link {} to exchange {} retired", no.0, to.0));
+            self.tend(port, to);
         }
     }
 
+    /// Retired links whose time is over.
+    pub fn worn_out(&self) -> Vec<LinkNo> {
+        let over =
+            |link: &Link| matches!(link.state, LinkState::Retired { at } if at + RETIRED_FOR < self.now);
+        self.links.iter().filter(|(_, link)| over(link)).map(|(no, _)| *no).collect()
+    }
+
     /// Releases a standing call towards its exchange.
     pub fn release_there(&mut self, port: &mut dyn Port, to: ExchangeId, id: WireId) {
         let Some(far) = self.exchanges.get_mut(&to) else { return };
@@ -470,6 +503,7 @@
         let Some(link) = self.links.get_mut(&no) else { return };
         (link.state, link.heard) = (LinkState::Up, self.now);
         let to = link.to;
+        port.detail(format_args!("link {} to exchange {} up", no.0, to.0));
         let Some(far) = self.exchanges.get_mut(&to) else { return };
         far.failures = 0;
         let (waiting, releases) = (std::mem::take(&mut far.waiting), std::mem::take(&mut far.releases));
@@ -490,12 +524,14 @@
     pub fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
         let link = self.links.remove(&no)?;
         port.cut(no);
+        port.detail(format_args!("link {} to exchange {} lost ({:?})", no.0, link.to.0, link.state));
         let to = link.to;
         for id in link.out.into_values() {
             self.end(id, Cause::Cut);
         }
         if let Some(far) = self.exchanges.get_mut(&to) {
             far.links.retain(|known| *known != no);
+            far.retired.retain(|known| *known != no);
             if link.state == LinkState::Dialled {
                 far.failures = far.failures.saturating_add(1);
                 let ceiling = REDIAL_LAST.min(REDIAL_FIRST * 2u32.pow(far.failures.min(8)));
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -371,6 +371,26 @@
     assert_eq!(platform.said(), ["1: 200 INVITE"]);
 }
 
+#[test]
+fn a_silent_link_gets_no_more_set_ups_but_is_read_on_for_a_release() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    let silent = platform.stands(1, 6);
+    platform.pass(ms(10));
+    platform.calls(1, 7);
+    assert_eq!(platform.set_ups(), [(silent, 7)], "the one with fewest out");
+    platform.pass(ms(810));
+    assert!(!platform.wires.cut.contains(&silent));
+    platform.links_up();
+    (10..18).for_each(|id| platform.calls(1, id));
+    assert!(platform.set_ups().iter().all(|(link, _)| *link != silent));
+    platform.said();
+    platform.releases(silent, 6, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+    platform.pass(ms(5000));
+    assert!(platform.wires.cut.contains(&silent), "and then closed");
+}
+
 #[test]
 fn no_answer_at_all_is_a_final_answer_before_the_callers_time() {
     let mut platform = Platform::start();
