Releases go where calls have stood; long calls, late stops and numbers at their end are bounded

Found by reading and by changing lines to see a test fail: a release could be told to a connection that only breaks things, if it offered last; a call offered after the time of a stop took a time before now (a panic); the number of an event at its end overflowed; open calls with long descriptions were bounded by number, not by octets.

--- a/crates/platform/src/bus.rs
+++ b/crates/platform/src/bus.rs
@@ -115,7 +115,7 @@
         if event.offset <= self.last {
             return Ok(());
         }
-        if event.offset > self.last + 1
+        if event.offset > self.last.saturating_add(1)
             && let Some(gap) = self.gap(event.offset)
         {
             return Err(gap);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -34,7 +34,9 @@
 /// What is taken after the signal to stop has its answer by then, or in the longest guard time where that is less.
 const STOP_ANSWERS: Duration = Duration::from_millis(3400);
 /// Set-ups open on one connection, beyond which a caller is refused: a flood must leave room to others.
-const MOST_OPEN: usize = 128;
+const MOST_OPEN: usize = 256;
+/// Octets of descriptions and headers in all open calls: a flood of long ones must not fill the memory.
+const MOST_HELD: usize = 4 << 20;
 /// Standing calls: far beyond what the circuits of all groups carry.
 const MOST_STANDING: usize = 20_000;
 
@@ -225,7 +227,8 @@
                 }
                 self.usual(port, no);
                 let full = self.desk.callers.get(&no).is_none_or(|caller| caller.open.len() >= MOST_OPEN)
-                    || self.desk.standing.len() >= MOST_STANDING;
+                    || self.desk.standing.len() >= MOST_STANDING
+                    || self.desk.held >= MOST_HELD;
                 match full {
                     true => reply(port, no, message, 503, "too many set-ups are open"),
                     false => self.offer(port, no, message, &set_up),
@@ -238,7 +241,7 @@
         let now = self.desk.now;
         let mut until = now + set_up.patience;
         if let Stop::Asked { by, .. } = self.stop {
-            until = until.min(by);
+            until = until.min(by.max(now));
         }
         let id = CallId(self.desk.number());
         port.detail(format_args!("{} offered by {}: {set_up:?}", set_up.id, no.0));
@@ -255,9 +258,8 @@
             out: None,
             left: Vec::new(),
         };
-        self.desk.calls.insert(id, call);
+        self.desk.take(id, call);
         self.desk.named.insert(set_up.id, id);
-        self.desk.latest = Some(no);
         if let Some(caller) = self.desk.callers.get_mut(&no) {
             caller.open.insert(id);
         }
@@ -441,6 +443,7 @@
         }
         let stands = Standing { call: id, seizure: out.no, exchange, caller, sent: out.since, since: now };
         self.desk.standing.insert(message.call, stands);
+        self.desk.callers.entry(caller).and_modify(|caller| caller.proven = true);
         self.desk.answer(port, id, 200, &[("Content-Type", "application/sdp")], description);
         let after = now.saturating_sub(out.since);
         let stood = Stood { call: id, seizure: out.no, exchange, after };
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -86,6 +86,12 @@
     pub left: Vec<LinkNo>,
 }
 
+impl Call {
+    fn octets(&self) -> usize {
+        self.via.len() + self.description.len()
+    }
+}
+
 /// A call that stands. Emptied by its release from either end, or the end of its exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
@@ -107,6 +113,8 @@
     pub half: Option<Duration>,
     /// Whether it has sent something that makes sense.
     pub usual: bool,
+    /// Whether a call of its has stood: no caller that only breaks things gets so far.
+    pub proven: bool,
     /// Releases written lately that it has not confirmed, oldest first.
     byes: VecDeque<(Duration, WireId, u8)>,
 }
@@ -168,8 +176,8 @@
     pub ends: VecDeque<Ended>,
     /// Releases for callers to whom no connection is open, oldest first.
     farewells: VecDeque<(Duration, WireId, u8)>,
-    /// The connection that last offered a call.
-    pub latest: Option<CallerNo>,
+    /// Octets of all descriptions and headers in `calls`.
+    pub held: usize,
     pub links_each: usize,
     pub links_budget: usize,
     pub dial_within: Duration,
@@ -190,7 +198,7 @@
             timers: BinaryHeap::new(),
             ends: VecDeque::new(),
             farewells: VecDeque::new(),
-            latest: None,
+            held: 0,
             links_each: 1,
             links_budget,
             dial_within,
@@ -218,11 +226,21 @@
             heard: self.now,
             half: Some(self.now),
             usual: false,
+            proven: false,
             byes: VecDeque::new(),
         };
         self.callers.insert(caller, fresh);
     }
 
+    pub fn take(&mut self, id: CallId, call: Call) {
+        self.held += call.octets();
+        self.calls.insert(id, call);
+    }
+
+    fn drop_call(&mut self, id: CallId) {
+        self.held -= self.calls.remove(&id).map_or(0, |call| call.octets());
+    }
+
     /// The final answer of a call: written once, and nothing after it.
     pub fn answer(
         &mut self,
@@ -244,7 +262,7 @@
             caller.open.remove(&id);
         }
         if call.out.is_none() {
-            self.calls.remove(&id);
+            self.drop_call(id);
         }
         port.say(caller, &octets);
         port.detail(format_args!("{wire} told {status} {more:?}"));
@@ -259,9 +277,13 @@
         cause: u8,
         since: Duration,
     ) {
+        // Connections on which a call has stood come first: others may be of those who only break things.
         let usual = |no: &CallerNo| self.callers.get(no).is_some_and(|caller| caller.usual);
-        let open = caller.filter(usual).or(self.latest.filter(usual));
-        let any = || self.callers.iter().find(|(_, caller)| caller.usual).map(|(no, _)| *no);
+        let open = caller.filter(usual);
+        let any = || {
+            let usual = self.callers.iter().filter(|(_, caller)| caller.usual);
+            usual.max_by_key(|(_, caller)| (caller.proven, caller.heard)).map(|(no, _)| *no)
+        };
         let Some(no) = open.or_else(any) else {
             if self.farewells.len() == MOST_FAREWELLS {
                 self.farewells.pop_front();
@@ -320,7 +342,7 @@
             }
         }
         if call.out.is_none() {
-            self.calls.remove(&id);
+            self.drop_call(id);
         }
     }
 
@@ -382,7 +404,7 @@
         let after = self.now.saturating_sub(out.since);
         self.ends.push_back(Ended { call: id, seizure: out.no, exchange: out.to, cause, after, closed });
         if closed {
-            self.calls.remove(&id);
+            self.drop_call(id);
         }
     }
 
@@ -496,7 +518,7 @@
 
     /// Whether a link to an exchange is being dialled.
     fn dialling(&self, far: &Far) -> bool {
-        far.links.iter().any(|no| self.links[no].state == LinkState::Dialled)
+        far.links.iter().any(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Dialled))
     }
 
     pub fn link_up(&mut self, port: &mut dyn Port, no: LinkNo) {
