Platform: lines of the bus by the project's cutter, one writer for responses and releases

Read over again; what callers, exchanges and bus get is as it was. - Bus::take cut lines by hand: callapi's LineCutter does it now.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -307,7 +307,6 @@
             self.told_of_failures();
             self.wires.flush_all();
             if self.core.stopped(self.now()) {
-                self.wires.flush_all();
                 return Ok(());
             }
             match self.wires.poll.poll(&mut events, Some(self.rest())) {
--- a/crates/platform/src/bus.rs
+++ b/crates/platform/src/bus.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use mintstall_callapi::LineCutter;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -63,14 +64,14 @@
 pub struct Bus {
     /// Number of the last event that was taken.
     last: u64,
-    held: Vec<u8>,
+    lines: LineCutter,
     /// A gap that the bus told again just after it was asked from the last number is none that can be filled.
     asked_from: Option<u64>,
 }
 
 impl Bus {
     pub fn new(last: u64) -> Self {
-        Self { last, held: Vec::new(), asked_from: None }
+        Self { last, lines: LineCutter::new(LONGEST_LINE), asked_from: None }
     }
 
     pub fn last(&self) -> u64 {
@@ -79,24 +80,18 @@
 
     /// The line that asks for all events behind the last; what had come in part is dropped.
     pub fn ask(&mut self) -> String {
-        self.held = Vec::new();
+        self.lines = LineCutter::new(LONGEST_LINE);
         format!("from {}\n", self.last)
     }
 
     /// Takes what came and hands on each new event.
     pub fn take(&mut self, octets: &[u8], mut each: impl FnMut(Event)) -> Result<(), Spoilt> {
-        self.held.extend_from_slice(octets);
-        let held = std::mem::take(&mut self.held);
-        let mut rest = &held[..];
-        while let Some(end) = rest.iter().position(|octet| *octet == b'\n') {
-            let (line, next) = (&rest[..end], &rest[end + 1..]);
-            rest = next;
+        let mut lines = std::mem::replace(&mut self.lines, LineCutter::new(LONGEST_LINE));
+        lines.push(octets);
+        while let Some(line) = lines.next().map_err(|_| Spoilt::TooLong)? {
             self.line(line.trim_ascii(), &mut each)?;
         }
-        if rest.len() > LONGEST_LINE {
-            return Err(Spoilt::TooLong);
-        }
-        self.held = rest.to_vec();
+        self.lines = lines;
         Ok(())
     }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -102,12 +102,13 @@
         core
     }
 
-    /// Runs the decisions, and then tells them which seizures ended through it.
+    /// Tells the decisions one thing; they act at once.
     fn decide(&mut self, port: &mut dyn Port, tell: impl FnOnce(&mut Controller, Duration, &mut Turn)) {
         let now = self.desk.now;
         tell(&mut self.controller, now, &mut Turn { desk: &mut self.desk, port });
     }
 
+    /// Tells the decisions which seizures ended through what was done since.
     fn settle(&mut self, port: &mut dyn Port) {
         while let Some(end) = self.desk.ends.pop_front() {
             self.decide(port, |controller, now, turn| controller.ended(now, turn, &end));
@@ -133,9 +134,8 @@
                 Ok(None) => break,
                 Err(spoilt) => {
                     let mut answer = Vec::new();
-                    let status = spoilt.status();
-                    let line = format!("SIP/2.0 {status} {}", sip::reason(status));
-                    sip::write(&mut answer, &line, &[("Warning", &spoilt.to_string())], b"");
+                    let why = [("Warning", &*spoilt.to_string())];
+                    sip::write_response(&mut answer, spoilt.status(), &why, b"");
                     port.say(no, &answer);
                     self.caller_gone(port, no);
                     port.hang_up(no);
@@ -338,10 +338,8 @@
         self.desk.now = now;
         let lost = self.lose(port, no);
         if let (Some((exchange, LinkState::Dialled)), Broke::Refused) = (lost, how) {
-            let far = self.desk.exchanges.get(&exchange);
-            let up = |no: &LinkNo| self.desk.links.get(no).is_some_and(|link| link.state == LinkState::Up);
             // Nobody listens and no link is left: its process has died, and its calls with it.
-            if far.is_some_and(|far| !far.links.iter().any(up)) {
+            if self.desk.first_up(exchange).is_none() {
                 self.cut_calls(port, exchange, Duration::MAX);
             }
         }
@@ -351,10 +349,10 @@
     /// A link goes. Where it told the group's state, what the next one was told last holds from now on.
     fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
         let exchange = self.desk.links.get(&no)?.to;
-        let told = self.desk.teller(exchange) == Some(no);
+        let told = self.desk.first_up(exchange) == Some(no);
         let lost = self.desk.lose(port, no);
         let next =
-            self.desk.teller(exchange).filter(|_| told).and_then(|next| self.desk.links.get_mut(&next));
+            self.desk.first_up(exchange).filter(|_| told).and_then(|next| self.desk.links.get_mut(&next));
         if let Some(report) = next.and_then(|link| link.state_told.take()) {
             self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
         }
@@ -397,7 +395,7 @@
         match message.kind {
             Kind::Answer => self.answered(port, no, exchange, message),
             Kind::Release => self.released(port, no, exchange, message),
-            Kind::State if self.desk.teller(exchange) != Some(no) => {
+            Kind::State if self.desk.first_up(exchange) != Some(no) => {
                 let told = message.report.and_then(|text| self.trade.reports.named_report(text));
                 self.desk.links.entry(no).and_modify(|link| link.state_told = told.or(link.state_told));
             }
@@ -425,12 +423,7 @@
             return;
         };
         let Some(description) = message.description else { return };
-        port.detail(format_args!(
-            "{} answered by exchange {} {:?}",
-            message.call,
-            exchange.0,
-            String::from_utf8_lossy(description)
-        ));
+        port.detail(format_args!("{} answered by exchange {}", message.call, exchange.0));
         let now = self.desk.now;
         let Some(call) = self.desk.calls.get_mut(&id) else { return };
         let Some(out) = call.out.take() else { return };
@@ -529,7 +522,6 @@
         if config.bus != self.bus_at {
             port.note(&format!("event bus: now at {}, was at {}", config.bus, self.bus_at));
             self.bus_at = config.bus;
-            port.cut_bus();
             self.dial_bus(port);
         }
     }
@@ -625,7 +617,6 @@
             links.unwrap_or_default().into_iter().for_each(|link| _ = self.desk.lose(port, link));
             if let Some(far) = self.desk.exchanges.remove(&id) {
                 self.uids.remove(&far.uid);
-                far.waiting.into_iter().for_each(|call| self.desk.end(call, Cause::Unreachable));
             }
             ended.push((id, Duration::MAX));
         }
@@ -753,6 +744,6 @@
         headers.push(("Warning", why));
     }
     let mut octets = Vec::new();
-    sip::write(&mut octets, &format!("SIP/2.0 {status} {}", sip::reason(status)), &headers, b"");
+    sip::write_response(&mut octets, status, &headers, b"");
     port.say(no, &octets);
 }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -256,7 +256,7 @@
         let mut headers = vec![("Via", &*call.via), ("Call-ID", &wire), ("CSeq", &cseq)];
         headers.extend_from_slice(more);
         let (mut octets, caller) = (Vec::new(), call.caller);
-        sip::write(&mut octets, &format!("SIP/2.0 {status} {}", sip::reason(status)), &headers, body);
+        sip::write_response(&mut octets, status, &headers, body);
         self.named.remove(&call.id);
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.open.remove(&id);
@@ -299,7 +299,7 @@
         if let Some(caller) = self.callers.get_mut(&no) {
             while caller.byes.pop_front_if(|(at, ..)| *at + HEARD_WITHIN < self.now).is_some() {}
             if caller.byes.len() < MOST_FAREWELLS {
-                caller.byes.push_back((since.max(self.now), id, cause));
+                caller.byes.push_back((self.now, id, cause));
             }
         }
         port.say(no, &octets);
@@ -415,9 +415,7 @@
         // What never went out is not reached, and has not run.
         let Some(link) = out.link else { return self.end(id, Cause::Unreachable) };
         call.left.push(link);
-        let mut octets = Vec::new();
-        message::write(&mut octets, Kind::Release, call.id, &[(code::CAUSE, &[NORMAL])]);
-        port.send(link, &octets);
+        release_on(port, link, call.id);
         self.end(id, cause);
     }
 
@@ -461,21 +459,14 @@
 
     /// Releases a standing call towards its exchange.
     pub fn release_there(&mut self, port: &mut dyn Port, to: ExchangeId, id: WireId) {
+        if let Some(link) = self.first_up(to) {
+            return release_on(port, link, id);
+        }
         let Some(far) = self.exchanges.get_mut(&to) else { return };
-        let up = |no: &&LinkNo| self.links.get(no).is_some_and(|link| link.state == LinkState::Up);
-        match far.links.iter().find(up) {
-            Some(link) => {
-                let mut octets = Vec::new();
-                message::write(&mut octets, Kind::Release, id, &[(code::CAUSE, &[NORMAL])]);
-                port.send(*link, &octets);
-            }
-            None => {
-                if far.releases.len() == MOST_FAREWELLS {
-                    far.releases.pop_front();
-                }
-                far.releases.push_back(id);
-            }
+        if far.releases.len() == MOST_FAREWELLS {
+            far.releases.pop_front();
         }
+        far.releases.push_back(id);
     }
 
     // Links.
@@ -576,9 +567,9 @@
         }
     }
 
-    /// The link whose word of its group's state is believed: the oldest that is up. Each link is told each change, and
+    /// The oldest link that is up. Its word of the group's state alone is believed: each link is told each change, and
     /// a copy that comes after a further seizure would set the free circuits back up.
-    pub fn teller(&self, of: ExchangeId) -> Option<LinkNo> {
+    pub fn first_up(&self, of: ExchangeId) -> Option<LinkNo> {
         let mut links = self.exchanges.get(&of)?.links.iter();
         links.find(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Up)).copied()
     }
@@ -589,6 +580,13 @@
     }
 }
 
+/// Releases a call on a link, for a reason of its caller's or our own.
+fn release_on(port: &mut dyn Port, link: LinkNo, id: WireId) {
+    let mut octets = Vec::new();
+    message::write(&mut octets, Kind::Release, id, &[(code::CAUSE, &[NORMAL])]);
+    port.send(link, &octets);
+}
+
 /// The decisions act through this.
 pub struct Turn<'a> {
     pub desk: &'a mut Desk,
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -198,7 +198,7 @@
 }
 
 /// The usual words for a status.
-pub fn reason(status: u16) -> &'static str {
+fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
@@ -215,6 +215,11 @@
     }
 }
 
+/// Writes a response.
+pub fn write_response(out: &mut Vec<u8>, status: u16, headers: &[(&str, &str)], body: &[u8]) {
+    write(out, &format!("SIP/2.0 {status} {}", reason(status)), headers, body);
+}
+
 /// Writes a message: its start line, its headers in order, its length and its body.
 pub fn write(out: &mut Vec<u8>, start: &str, headers: &[(&str, &str)], body: &[u8]) {
     let mut head = String::with_capacity(256);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -565,7 +565,8 @@
         };
         let tandem = self.exchanges.get_mut(&to).filter(|far| far.office != call.offer.dest);
         if let (TurnedBack { .. } | Fault, Some(tandem)) = (cause, tandem) {
-            // Guards against turn-backs and faults piling up on tandems without room beyond; this call skips it too.
+            // Guards against turn-backs and faults piling up on tandems without room beyond; this call skips
+            // it too.
             let way = tandem.beyond.entry(call.offer.dest).or_default();
             let (until, width) = &mut way.blocked;
             *width = if *until <= now { call.offer.width } else { call.offer.width.min(*width) };
