--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mintstall_daemon::wires::Outbox;
-use mintstall_platform::{Broke, CallerNo, Config, Core, LinkNo, Port};
+use mintstall_platform::{CallerNo, Config, Core, Disconnect, LinkNo, Port};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -77,7 +77,7 @@
     /// Connections with more to read than their share of a turn.
     more: Vec<Token>,
     /// What failed in the midst of a turn, to be told at its end.
-    failed: Vec<(Purpose, Broke)>,
+    failed: Vec<(Purpose, Disconnect)>,
     /// Connections that linger, by when they go.
     leaving: VecDeque<(Instant, Token)>,
     next: usize,
@@ -127,7 +127,7 @@
     }
 
     /// A connection broke: told at the end of the turn.
-    fn fail(&mut self, token: Token, how: Broke) {
+    fn fail(&mut self, token: Token, how: Disconnect) {
         if let Some(connection) = self.remove(token) {
             self.failed.push((connection.purpose, how));
         }
@@ -139,7 +139,7 @@
             return;
         }
         if connection.out.overrun() {
-            return self.fail(token, Broke::Lost);
+            return self.fail(token, Disconnect::Lost);
         }
         let had = connection.out.waiting() >= MOST_WAITING / 2;
         match connection.out.write_to(&mut connection.stream) {
@@ -170,8 +170,8 @@
     }
 }
 
-fn broke(error: &io::Error) -> Broke {
-    if error.kind() == io::ErrorKind::ConnectionRefused { Broke::Refused } else { Broke::Lost }
+fn broke(error: &io::Error) -> Disconnect {
+    if error.kind() == io::ErrorKind::ConnectionRefused { Disconnect::Refused } else { Disconnect::Lost }
 }
 
 impl Port for Wires {
@@ -330,7 +330,7 @@
                 self.accept();
             }
             let now = self.now();
-            self.core.ring(now, &mut self.wires);
+            self.core.on_timer(now, &mut self.wires);
             self.let_go();
         }
     }
@@ -341,7 +341,7 @@
         if !self.wires.more.is_empty() || !self.wires.failed.is_empty() {
             return Duration::ZERO;
         }
-        let alarm = self.core.next_alarm().map(|due| due.saturating_sub(self.now()));
+        let alarm = self.core.next_timer().map(|due| due.saturating_sub(self.now()));
         alarm.map_or(LONGEST, |rest| rest.min(LONGEST))
     }
 
@@ -349,9 +349,9 @@
         while let Some((purpose, how)) = self.wires.failed.pop() {
             let now = self.now();
             match purpose {
-                Purpose::Bus => self.core.bus_down(now, &mut self.wires),
-                Purpose::Link(no) => self.core.link_down(now, &mut self.wires, no, how),
-                Purpose::Caller(no) => self.core.caller_left(now, &mut self.wires, no),
+                Purpose::Bus => self.core.bus_disconnected(now, &mut self.wires),
+                Purpose::Link(no) => self.core.link_disconnected(now, &mut self.wires, no, how),
+                Purpose::Caller(no) => self.core.caller_disconnected(now, &mut self.wires, no),
                 Purpose::Leaving => {}
             }
         }
@@ -382,7 +382,7 @@
             match self.wires.add(stream, Purpose::Caller(caller), Phase::Open) {
                 Ok(_) => {
                     self.wires.callers += 1;
-                    self.core.caller_came(self.now(), caller);
+                    self.core.caller_connected(self.now(), caller);
                 }
                 Err(error) => warn!("a caller's connection can't be watched: {error}"),
             }
@@ -398,7 +398,7 @@
             }
         }
         let Some(idle) = self.core.idlest() else { return false };
-        self.core.caller_left(self.now(), &mut self.wires, idle);
+        self.core.caller_disconnected(self.now(), &mut self.wires, idle);
         self.wires.remove(Token(idle.0 as usize)).is_some()
     }
 
@@ -438,8 +438,8 @@
                 connection.phase = Phase::Open;
                 let (purpose, now) = (connection.purpose, self.now());
                 match purpose {
-                    Purpose::Link(no) => self.core.link_up(now, &mut self.wires, no),
-                    _ => self.core.bus_up(now, &mut self.wires),
+                    Purpose::Link(no) => self.core.link_connected(now, &mut self.wires, no),
+                    _ => self.core.bus_connected(now, &mut self.wires),
                 }
                 true
             }
@@ -460,13 +460,13 @@
             }
             let purpose = connection.purpose;
             match connection.stream.read(&mut self.buffer) {
-                Ok(0) => return self.wires.fail(token, Broke::Lost),
+                Ok(0) => return self.wires.fail(token, Disconnect::Lost),
                 Ok(count) => {
                     let (now, octets) = (self.epoch + self.started.elapsed(), &self.buffer[..count]);
                     match purpose {
-                        Purpose::Bus => self.core.bus_said(now, &mut self.wires, octets),
-                        Purpose::Link(no) => self.core.link_said(now, &mut self.wires, no, octets),
-                        Purpose::Caller(no) => self.core.caller_said(now, &mut self.wires, no, octets),
+                        Purpose::Bus => self.core.bus_data(now, &mut self.wires, octets),
+                        Purpose::Link(no) => self.core.link_data(now, &mut self.wires, no, octets),
+                        Purpose::Caller(no) => self.core.caller_data(now, &mut self.wires, no, octets),
                         Purpose::Leaving => {}
                     }
                 }
--- a/crates/platform/src/bus.rs
+++ b/crates/platform/src/bus.rs
@@ -50,7 +50,7 @@
 }
 
 #[derive(Debug, Error)]
-pub enum Spoilt {
+pub enum DecodeError {
     #[error("a line of more than {LONGEST_LINE} octets")]
     TooLong,
     #[error("a line that can't be read: {0}")]
@@ -85,18 +85,18 @@
     }
 
     /// Takes what came and hands on each new event.
-    pub fn take(&mut self, octets: &[u8], mut each: impl FnMut(Event)) -> Result<(), Spoilt> {
+    pub fn take(&mut self, octets: &[u8], mut each: impl FnMut(Event)) -> Result<(), DecodeError> {
         let mut lines = std::mem::replace(&mut self.lines, LineCutter::new(LONGEST_LINE));
         lines.push(octets);
-        while let Some(line) = lines.next().map_err(|_| Spoilt::TooLong)? {
+        while let Some(line) = lines.next().map_err(|_| DecodeError::TooLong)? {
             self.line(line.trim_ascii(), &mut each)?;
         }
         self.lines = lines;
         Ok(())
     }
 
-    fn line(&mut self, line: &[u8], each: &mut impl FnMut(Event)) -> Result<(), Spoilt> {
-        let unreadable = |error: &dyn std::fmt::Display| Spoilt::Line(error.to_string());
+    fn line(&mut self, line: &[u8], each: &mut impl FnMut(Event)) -> Result<(), DecodeError> {
+        let unreadable = |error: &dyn std::fmt::Display| DecodeError::Line(error.to_string());
         if line.is_empty() {
             return Ok(());
         }
@@ -120,9 +120,9 @@
         Ok(())
     }
 
-    fn gap(&mut self, came: u64) -> Option<Spoilt> {
+    fn gap(&mut self, came: u64) -> Option<DecodeError> {
         let known = self.asked_from.replace(self.last) == Some(self.last);
-        (!known).then_some(Spoilt::Gap { had: self.last, came })
+        (!known).then_some(DecodeError::Gap { had: self.last, came })
     }
 }
 
@@ -156,7 +156,7 @@
     fn a_gap_is_asked_for_once_and_what_stays_missing_is_taken_as_it_is() {
         let mut bus = Bus::new(3);
         let six = line(6, "in_service");
-        assert!(matches!(bus.take(six.as_bytes(), |_| ()), Err(Spoilt::Gap { had: 3, came: 6 })));
+        assert!(matches!(bus.take(six.as_bytes(), |_| ()), Err(DecodeError::Gap { had: 3, came: 6 })));
         assert_eq!(bus.ask(), "from 3\n");
         assert_eq!(taken(&mut bus, &six), [6]);
         assert!(bus.take(b"9\n", |_| ()).is_err(), "the pulse shows a gap too");
@@ -167,9 +167,9 @@
         let mut bus = Bus::new(3);
         for wrong in ["{\"offset\":4,\n", "nonsense\n", &line(4, "in_doubt"), "99999999999999999999999\n"] {
             let taken = bus.take(wrong.as_bytes(), |_| panic!("nothing was told"));
-            assert!(matches!(taken, Err(Spoilt::Line(_))), "{wrong}");
+            assert!(matches!(taken, Err(DecodeError::Line(_))), "{wrong}");
             assert_eq!(bus.ask(), "from 3\n");
         }
-        assert!(matches!(bus.take(&vec![b'x'; LONGEST_LINE + 1], |_| ()), Err(Spoilt::TooLong)));
+        assert!(matches!(bus.take(&vec![b'x'; LONGEST_LINE + 1], |_| ()), Err(DecodeError::TooLong)));
     }
 }
--- /dev/null
+++ b/crates/platform/src/core/callers.rs
@@ -0,0 +1,235 @@
+//! What callers send: set-ups, cancels, releases and tests, and connections that open and close.
+
+use std::time::Duration;
+
+use mintstall::host::{CallId, Cause, Ended, Offer, SeizureNo};
+use mintstall_sip::{self as sip, Message, Start};
+
+use super::{Core, MOST_HELD, MOST_OPEN, MOST_STANDING, Stop};
+use crate::desk::{Call, Owed, Standing, TEMPORARY_FAILURE, Timer};
+use crate::message::WireId;
+use crate::offer::{self, SetUp, SetupRequest};
+use crate::{CallerNo, Port};
+
+impl Core {
+    pub fn caller_connected(&mut self, now: Duration, caller: CallerNo) {
+        self.desk.now = now;
+        self.desk.caller_connected(caller);
+    }
+
+    pub fn caller_data(&mut self, now: Duration, port: &mut dyn Port, no: CallerNo, octets: &[u8]) {
+        self.desk.now = now;
+        let Some(caller) = self.desk.callers.get_mut(&no) else { return };
+        caller.heard = now;
+        let mut cutter = std::mem::take(&mut caller.cutter);
+        cutter.push(octets);
+        loop {
+            match cutter.next_message() {
+                Ok(Some(message)) => self.message(port, no, &message),
+                Ok(None) => break,
+                Err(spoilt) => {
+                    let mut answer = Vec::new();
+                    let why = [("Warning", &*spoilt.to_string())];
+                    sip::write_response(&mut answer, spoilt.status(), &why, b"");
+                    port.say(no, &answer);
+                    self.caller_gone(port, no);
+                    port.hang_up(no);
+                    break;
+                }
+            }
+            self.settle(port);
+            if !self.desk.callers.contains_key(&no) {
+                break;
+            }
+        }
+        if let Some(caller) = self.desk.callers.get_mut(&no) {
+            caller.half = if cutter.half() { caller.half.or(Some(now)) } else { None };
+            caller.cutter = cutter;
+        }
+        self.settle(port);
+    }
+
+    /// A caller's connection has ended.
+    pub fn caller_disconnected(&mut self, now: Duration, port: &mut dyn Port, no: CallerNo) {
+        self.desk.now = now;
+        self.caller_gone(port, no);
+        self.settle(port);
+    }
+
+    pub(super) fn caller_gone(&mut self, port: &mut dyn Port, no: CallerNo) {
+        for id in self.desk.caller_disconnected(port, no) {
+            self.withdraw(port, id);
+        }
+    }
+
+    /// Nothing is owed for a call any more.
+    pub(super) fn withdraw(&mut self, port: &mut dyn Port, id: CallId) {
+        self.desk.forget(id);
+        self.decide(port, |controller, now, turn| controller.withdrawn(now, turn, id));
+    }
+
+    pub(super) fn message(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message) {
+        match message.start {
+            Start::Request { method, .. } => {
+                if method != "INVITE" {
+                    self.usual(port, no);
+                }
+                match method {
+                    "INVITE" => self.invite(port, no, message),
+                    "CANCEL" => self.cancel(port, no, message),
+                    "BYE" => self.caller_releases(port, no, message),
+                    "OPTIONS" => {
+                        let status = if matches!(self.stop, Stop::Not) { 200 } else { 503 };
+                        reply(port, no, message, status, "");
+                    }
+                    "ACK" | "NOTIFY" => {}
+                    _ => reply(port, no, message, 405, ""),
+                }
+            }
+            Start::Response { .. } => {
+                if let (Some((_, "BYE")), Some(id)) =
+                    (message.cseq(), message.header("Call-ID").and_then(WireId::read))
+                {
+                    self.desk.release_confirmed(no, id);
+                }
+            }
+        }
+    }
+
+    /// A connection that says something that makes sense can be told of calls that ended.
+    pub(super) fn usual(&mut self, port: &mut dyn Port, no: CallerNo) {
+        if let Some(caller) = self.desk.callers.get_mut(&no)
+            && !std::mem::replace(&mut caller.usual, true)
+        {
+            self.desk.send_pending_releases(port);
+        }
+    }
+
+    pub(super) fn invite(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message) {
+        let wish = match offer::read(message, &self.trade) {
+            Ok(wish) if message.cseq().is_some() => wish,
+            Ok(_) => return reply(port, no, message, 400, "CSeq is missing"),
+            Err(refusal) => return reply(port, no, message, 400, &refusal.to_string()),
+        };
+        match wish {
+            SetupRequest::Stands { id, at } => {
+                self.usual(port, no);
+                self.stood_before(port, no, id, at);
+            }
+            SetupRequest::Call(set_up) => {
+                if self.desk.named.contains_key(&set_up.id) || self.desk.standing.contains_key(&set_up.id) {
+                    return reply(port, no, message, 400, "a call has this id");
+                }
+                self.usual(port, no);
+                let full = self.desk.callers.get(&no).is_none_or(|caller| caller.open.len() >= MOST_OPEN)
+                    || self.desk.standing.len() >= MOST_STANDING
+                    || self.desk.held >= MOST_HELD;
+                match full {
+                    true => reply(port, no, message, 503, "too many set-ups are open"),
+                    false => self.offer(port, no, message, &set_up),
+                }
+            }
+        }
+    }
+
+    pub(super) fn offer(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message, set_up: &SetUp) {
+        let now = self.desk.now;
+        let mut until = now + set_up.patience;
+        if let Stop::Asked { by, .. } = self.stop {
+            until = until.min(by.max(now));
+        }
+        let id = CallId(self.desk.number());
+        port.detail(format_args!("{} offered by {}: {set_up:?}", set_up.id, no.0));
+        let call = Call {
+            id: set_up.id,
+            caller: no,
+            via: message.header("Via").unwrap_or("SIP/2.0/TCP peer").into(),
+            cseq: message.cseq().map_or(1, |(number, _)| number),
+            call_type: set_up.call_type_name.into(),
+            number: set_up.number.into(),
+            description: set_up.description.into(),
+            owed: Owed::Answer,
+            seizures: 0,
+            out: None,
+            left: Vec::new(),
+        };
+        self.desk.take(id, call);
+        self.desk.named.insert(set_up.id, id);
+        if let Some(caller) = self.desk.callers.get_mut(&no) {
+            caller.open.insert(id);
+        }
+        self.desk.set(until - now, Timer::Guard(id));
+        let offer = Offer {
+            call: id,
+            call_type: set_up.call_type,
+            customer: set_up.customer,
+            dialled: set_up.dialled,
+            until,
+            dest: set_up.dest,
+            width: set_up.width,
+            advised: set_up.via,
+            transit: set_up.transit,
+            cut: set_up.again,
+            redial: false,
+        };
+        self.decide(port, |controller, now, turn| controller.offered(now, turn, offer));
+    }
+
+    /// A call that stood before this process: remembered for its release.
+    pub(super) fn stood_before(&mut self, port: &mut dyn Port, no: CallerNo, id: WireId, at: &str) {
+        if self.desk.standing.contains_key(&id) || self.desk.standing.len() >= MOST_STANDING {
+            return;
+        }
+        let now = self.desk.now;
+        match self.uids.get(at) {
+            Some(exchange) => {
+                let call = CallId(self.desk.number());
+                let (seizure, exchange) = (SeizureNo(0), *exchange);
+                let stands = Standing { call, seizure, exchange, caller: no, sent: now, since: now };
+                self.desk.standing.insert(id, stands);
+            }
+            // Its exchange has gone, and the call with it.
+            None => self.desk.notify_release(port, Some(no), id, TEMPORARY_FAILURE, now),
+        }
+    }
+
+    pub(super) fn cancel(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message) {
+        let id = message.header("Call-ID").and_then(WireId::read);
+        let call = id.and_then(|id| self.desk.named.get(&id).copied());
+        let own = call.filter(|id| self.desk.calls.get(id).is_some_and(|call| call.caller == no));
+        let Some(id) = own else { return reply(port, no, message, 481, "") };
+        reply(port, no, message, 200, "");
+        self.desk.answer(port, id, 487, &[], b"");
+        self.decide(port, |controller, now, turn| controller.withdrawn(now, turn, id));
+    }
+
+    pub(super) fn caller_releases(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message) {
+        let id = message.header("Call-ID").and_then(WireId::read);
+        let Some((id, call)) = id.and_then(|id| Some((id, self.desk.standing.remove(&id)?))) else {
+            return reply(port, no, message, 481, "");
+        };
+        reply(port, no, message, 200, "");
+        self.desk.release_there(port, call.exchange, id);
+        self.over(port, &call, Cause::Cancelled);
+    }
+
+    /// A standing call has ended, for the decisions to be told.
+    pub(super) fn over(&mut self, port: &mut dyn Port, call: &Standing, cause: Cause) {
+        let Standing { call, seizure, exchange, sent, .. } = *call;
+        let after = self.desk.now.saturating_sub(sent);
+        let end = Ended { call, seizure, exchange, cause, after, closed: true };
+        self.decide(port, |controller, now, turn| controller.ended(now, turn, &end));
+    }
+}
+
+/// Answers a request that is no call taken.
+fn reply(port: &mut dyn Port, no: CallerNo, message: &Message, status: u16, why: &str) {
+    let names = ["Via", "Call-ID", "CSeq"];
+    let mut headers: Vec<_> = names.iter().filter_map(|name| Some((*name, message.header(name)?))).collect();
+    if !why.is_empty() {
+        headers.push(("Warning", why));
+    }
+    let mut octets = Vec::new();
+    sip::write_response(&mut octets, status, &headers, b"");
+    port.say(no, &octets);
+}
--- /dev/null
+++ b/crates/platform/src/core/discovery.rs
@@ -0,0 +1,154 @@
+//! The client of the event bus: keeps its connection, and applies changes of the list of exchanges.
+
+use std::time::Duration;
+
+use mintstall::host::{ExchangeId, OfficeNo, RosterLine, Standing as Service, Zone};
+
+use super::{BUS_AGAIN, BusState, Core};
+use crate::bus::{self, Event, Topology};
+use crate::desk::{RemoteExchange, Timer};
+use crate::{Config, Port};
+
+impl Core {
+    pub(super) fn dial_bus(&mut self, port: &mut dyn Port) {
+        (self.bus_state, self.bus_since) = (BusState::Dialled, self.desk.now);
+        port.dial_bus(self.bus_at);
+    }
+
+    pub fn bus_connected(&mut self, now: Duration, port: &mut dyn Port) {
+        self.desk.now = now;
+        (self.bus_state, self.bus_since) = (BusState::Up, now);
+        port.ask_bus(&self.bus.ask());
+    }
+
+    pub fn bus_disconnected(&mut self, now: Duration, port: &mut dyn Port) {
+        self.desk.now = now;
+        self.drop_bus(port);
+    }
+
+    pub(super) fn drop_bus(&mut self, port: &mut dyn Port) {
+        port.cut_bus();
+        (self.bus_state, self.bus_since) = (BusState::Down, self.desk.now);
+        self.desk.set(BUS_AGAIN, Timer::Bus);
+    }
+
+    pub fn bus_data(&mut self, now: Duration, port: &mut dyn Port, octets: &[u8]) {
+        self.desk.now = now;
+        self.bus_since = now;
+        let mut events = Vec::new();
+        let taken = self.bus.take(octets, |event| events.push(event));
+        events.iter().for_each(|event| self.apply(port, event));
+        if let Err(spoilt) = taken {
+            port.note(&format!("event bus: {spoilt}; asked again from {}", self.bus.last()));
+            self.drop_bus(port);
+        }
+        self.settle(port);
+    }
+
+    /// A new configuration: only where the bus is may change while calls are in hand.
+    pub fn configured(&mut self, now: Duration, port: &mut dyn Port, config: &Config) {
+        self.desk.now = now;
+        if config.bus != self.bus_at {
+            port.note(&format!("event bus: now at {}, was at {}", config.bus, self.bus_at));
+            self.bus_at = config.bus;
+            self.dial_bus(port);
+        }
+    }
+
+    pub(super) fn apply(&mut self, port: &mut dyn Port, event: &Event) {
+        let Some(topology) = &event.topology else { return };
+        let lines = self.lines(topology);
+        let gone: Vec<_> = self.changes(port, topology, &lines);
+        match topology.all {
+            true => self.decide(port, |controller, now, turn| controller.roster(now, turn, &lines)),
+            false => self.decide(port, |controller, now, turn| controller.roster_changes(now, turn, &lines)),
+        }
+        for (exchange, before) in gone {
+            self.cut_calls(port, exchange, before);
+        }
+        self.desk.share_links();
+        let all: Vec<_> = self.desk.exchanges.keys().copied().collect();
+        all.into_iter().for_each(|exchange| self.desk.maintain_pool(port, exchange));
+    }
+
+    /// A topology as the decisions read it; exchanges that are new get their number.
+    pub(super) fn lines(&mut self, topology: &Topology) -> Vec<RosterLine> {
+        let zones = &self.trade.zones;
+        let mut lines = Vec::new();
+        for target in &topology.targets {
+            let zone = zones.iter().position(|zone| **zone == *target.az);
+            let exchange = *self.uids.entry(target.uid.clone()).or_insert_with(|| {
+                self.next_exchange += 1;
+                ExchangeId(self.next_exchange)
+            });
+            lines.push(RosterLine {
+                exchange,
+                office: OfficeNo(target.pod_group),
+                zone: Zone(zone.map_or(u8::MAX, |at| at as u8)),
+                standing: match target.state {
+                    bus::Service::InService => Service::Ready,
+                    bus::Service::Terminating => Service::Draining,
+                    bus::Service::Terminated => Service::Gone,
+                },
+                started: Duration::from_millis(target.boot_ms),
+            });
+        }
+        lines
+    }
+
+    /// Takes changes into the books; gives the exchanges whose calls, from before some time, ended through them.
+    pub(super) fn changes(
+        &mut self,
+        port: &mut dyn Port,
+        topology: &Topology,
+        lines: &[RosterLine],
+    ) -> Vec<(ExchangeId, Duration)> {
+        let mut ended = Vec::new();
+        for (line, target) in lines.iter().zip(&topology.targets) {
+            // Calls to the own exchange are not set up over the platform.
+            if Some(line.office) == self.trade.office.own {
+                continue;
+            }
+            let fresh = RemoteExchange {
+                uid: target.uid.clone(),
+                at: target.endpoint,
+                service: line.standing,
+                started: line.started,
+                links: Vec::new(),
+                draining: Default::default(),
+                failures: 0,
+                next_dial: Duration::ZERO,
+                waiting: Default::default(),
+                releases: Default::default(),
+            };
+            let far = self.desk.exchanges.entry(line.exchange).or_insert(fresh);
+            far.service = line.standing;
+            if std::mem::replace(&mut far.started, line.started) != line.started {
+                ended.push((line.exchange, line.started));
+            }
+            if std::mem::replace(&mut far.at, target.endpoint) != target.endpoint {
+                let links = far.links.clone();
+                links.into_iter().for_each(|link| _ = self.desk.lose(port, link));
+            }
+        }
+        let missing = |id: &ExchangeId| topology.all && lines.iter().all(|line| line.exchange != *id);
+        for (id, far) in &mut self.desk.exchanges {
+            if missing(id) {
+                far.service = Service::Gone;
+            }
+        }
+        let gone = |far: &RemoteExchange| far.service == Service::Gone;
+        let all: Vec<_> =
+            self.desk.exchanges.iter().filter(|(_, far)| gone(far)).map(|(id, _)| *id).collect();
+        for id in all {
+            let far = self.desk.exchanges.get(&id);
+            let links = far.map(|far| far.links.iter().chain(&far.draining).copied().collect::<Vec<_>>());
+            links.unwrap_or_default().into_iter().for_each(|link| _ = self.desk.lose(port, link));
+            if let Some(far) = self.desk.exchanges.remove(&id) {
+                self.uids.remove(&far.uid);
+            }
+            ended.push((id, Duration::MAX));
+        }
+        ended
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/exchanges.rs
@@ -0,0 +1,182 @@
+//! What exchanges send, and connections to them that open and close.
+
+use std::time::Duration;
+
+use mintstall::host::{Cause, ExchangeId, Stood};
+
+use super::{Core, Disconnect};
+use crate::desk::{LinkState, NORMAL_CLEARING, Owed, Standing, TEMPORARY_FAILURE};
+use crate::message::{self, Kind};
+use crate::{LinkNo, Port};
+
+impl Core {
+    pub fn link_connected(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo) {
+        self.desk.now = now;
+        self.desk.link_connected(port, no);
+        self.settle(port);
+    }
+
+    pub fn link_disconnected(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo, how: Disconnect) {
+        self.desk.now = now;
+        let lost = self.lose(port, no);
+        if let (Some((exchange, LinkState::Dialled)), Disconnect::Refused) = (lost, how) {
+            // Nobody listens and no link is left: its process has died, and its calls with it.
+            if self.desk.first_up(exchange).is_none() {
+                self.cut_calls(port, exchange, Duration::MAX);
+            }
+        }
+        self.settle(port);
+    }
+
+    /// A link goes. Where it told the group's state, what the next one was told last holds from now on.
+    pub(super) fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
+        let exchange = self.desk.links.get(&no)?.to;
+        let told = self.desk.first_up(exchange) == Some(no);
+        let lost = self.desk.lose(port, no);
+        let next =
+            self.desk.first_up(exchange).filter(|_| told).and_then(|next| self.desk.links.get_mut(&next));
+        if let Some(report) = next.and_then(|link| link.state_told.take()) {
+            self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
+        }
+        lost
+    }
+
+    pub fn link_data(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo, octets: &[u8]) {
+        self.desk.now = now;
+        let Some(link) = self.desk.links.get_mut(&no) else { return };
+        link.heard = now;
+        let exchange = link.to;
+        let mut cutter = std::mem::take(&mut link.cutter);
+        cutter.push(octets);
+        loop {
+            match cutter.next_message() {
+                Ok(Some(message)) => self.exchange_says(port, no, exchange, &message),
+                Ok(None) => break,
+                Err(spoilt) => {
+                    port.detail(format_args!("link {}: {spoilt}", no.0));
+                    self.lose(port, no);
+                    break;
+                }
+            }
+            self.settle(port);
+        }
+        if let Some(link) = self.desk.links.get_mut(&no) {
+            link.half = if cutter.half() { link.half.or(Some(now)) } else { None };
+            link.cutter = cutter;
+        }
+        self.settle(port);
+    }
+
+    pub(super) fn exchange_says(
+        &mut self,
+        port: &mut dyn Port,
+        no: LinkNo,
+        exchange: ExchangeId,
+        message: &message::Message,
+    ) {
+        match message.kind {
+            Kind::Answer => self.answered(port, no, exchange, message),
+            Kind::Release => self.released(port, no, exchange, message),
+            Kind::State if self.desk.first_up(exchange) != Some(no) => {
+                let told = message.report.and_then(|text| self.trade.reports.named_report(text));
+                self.desk.links.entry(no).and_modify(|link| link.state_told = told.or(link.state_told));
+            }
+            Kind::State | Kind::TestResult => self.report(port, exchange, message.report),
+            Kind::SetUp | Kind::Progress | Kind::ReleaseHeard | Kind::Test => {}
+        }
+    }
+
+    pub(super) fn report(&mut self, port: &mut dyn Port, exchange: ExchangeId, text: Option<&str>) {
+        let report = text.and_then(|text| self.trade.reports.named_report(text));
+        port.detail(format_args!("exchange {} reports {text:?}", exchange.0));
+        if let Some(report) = report {
+            self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        port: &mut dyn Port,
+        no: LinkNo,
+        exchange: ExchangeId,
+        message: &message::Message,
+    ) {
+        let Some(id) = self.desk.links.get_mut(&no).and_then(|link| link.out.remove(&message.call)) else {
+            return;
+        };
+        let Some(description) = message.description else { return };
+        port.detail(format_args!("{} answered by exchange {}", message.call, exchange.0));
+        let now = self.desk.now;
+        let Some(call) = self.desk.calls.get_mut(&id) else { return };
+        let Some(out) = call.out.take() else { return };
+        let (caller, owed) = (call.caller, call.owed);
+        if owed == Owed::Nothing {
+            // Its caller has gone and it could not be cancelled: released at once.
+            call.out = Some(out);
+            self.desk.release_there(port, exchange, message.call);
+            return self.desk.end(id, Cause::Cancelled);
+        }
+        let stands = Standing { call: id, seizure: out.no, exchange, caller, sent: out.since, since: now };
+        self.desk.standing.insert(message.call, stands);
+        self.desk.callers.entry(caller).and_modify(|caller| caller.proven = true);
+        self.desk.answer(port, id, 200, &[("Content-Type", "application/sdp")], description);
+        let after = now.saturating_sub(out.since);
+        let stood = Stood { call: id, seizure: out.no, exchange, after };
+        self.decide(port, |controller, now, turn| controller.stands(now, turn, &stood));
+    }
+
+    pub(super) fn released(
+        &mut self,
+        port: &mut dyn Port,
+        no: LinkNo,
+        exchange: ExchangeId,
+        message: &message::Message,
+    ) {
+        let cause = message.cause.unwrap_or(TEMPORARY_FAILURE);
+        let waits = self.desk.links.get(&no).and_then(|link| link.out.get(&message.call).copied());
+        let (id, note) = (message.call, message.note.unwrap_or("-"));
+        port.detail(format_args!("{id} released by exchange {}: cause {cause} {note}", exchange.0));
+        if let Some(id) = waits {
+            self.report(port, exchange, message.report);
+            self.desk.end(id, before_answer(cause, message));
+            return;
+        }
+        let stood = self.desk.standing.get(&message.call).filter(|call| call.exchange == exchange).copied();
+        let Some(call) = stood else { return };
+        self.desk.standing.remove(&message.call);
+        let (cause, of) = if cause == NORMAL_CLEARING {
+            (NORMAL_CLEARING, Cause::Done)
+        } else {
+            (TEMPORARY_FAILURE, Cause::Cut)
+        };
+        self.desk.notify_release(port, Some(call.caller), message.call, cause, self.desk.now);
+        let mut heard = Vec::new();
+        message::write(&mut heard, Kind::ReleaseHeard, message.call, &[]);
+        port.send(no, &heard);
+        self.report(port, exchange, message.report);
+        self.over(port, &call, of);
+    }
+
+    /// Calls that stand at an exchange since before some time ended with it.
+    pub(super) fn cut_calls(&mut self, port: &mut dyn Port, exchange: ExchangeId, before: Duration) {
+        for (id, call) in self.desk.take_standing(exchange, before) {
+            self.desk.notify_release(port, Some(call.caller), id, TEMPORARY_FAILURE, self.desk.now);
+            self.over(port, &call, Cause::Cut);
+        }
+    }
+}
+
+/// How a seizure ended that had no answer yet.
+fn before_answer(cause: u8, message: &message::Message) -> Cause {
+    let wait = Duration::from_millis(message.wait_ms.unwrap_or_default().into());
+    match (cause, message.note) {
+        (34, Some("congestion")) => Cause::NoCircuit,
+        (34, Some("crankback")) => Cause::TurnedBack { beyond: false },
+        (34, Some("remote_throttled")) => Cause::TurnedBack { beyond: true },
+        (34, _) => Cause::ProcessorFull { wait },
+        (17 | 47, Some("engaged")) => Cause::Busy,
+        (17 | 47, _) => Cause::Fault,
+        (102, note) => Cause::NotSent { own_down: note == Some("throttled") },
+        _ => Cause::Cut,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/desk/links.rs
@@ -0,0 +1,124 @@
+//! The pool of connections to each exchange.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use mintstall::host::{Cause, ExchangeId, Standing as Service};
+
+use super::{
+    DRAINING_FOR, Desk, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST, RemoteExchange, Timer,
+};
+use crate::message;
+use crate::{LinkNo, Port};
+
+impl Desk {
+    /// Draining links whose time is over.
+    pub fn expired_links(&self) -> Vec<LinkNo> {
+        let over =
+            |link: &Link| matches!(link.state, LinkState::Draining { at } if at + DRAINING_FOR < self.now);
+        self.links.iter().filter(|(_, link)| over(link)).map(|(no, _)| *no).collect()
+    }
+
+    /// How many links an exchange gets, so that all fit the descriptors.
+    pub fn share_links(&mut self) {
+        let ready = self.exchanges.values().filter(|far| far.service == Service::Ready).count();
+        self.links_each = (self.links_budget / ready.max(1)).clamp(1, MOST_LINKS);
+    }
+
+    /// Dials what an exchange is short of links.
+    pub fn maintain_pool(&mut self, port: &mut dyn Port, to: ExchangeId) {
+        let Some(far) = self.exchanges.get(&to) else { return };
+        let wanted = match far.service {
+            Service::Ready => self.links_each,
+            Service::Draining => 1,
+            Service::Gone => 0,
+        };
+        let short = wanted.saturating_sub(far.links.len());
+        let (first, next_dial, at) = (far.failures == 0, far.next_dial, far.at);
+        if short == 0 || !first && self.dialling(far) {
+            return;
+        }
+        if self.now < next_dial {
+            return self.set(next_dial - self.now, Timer::MaintainPool(to));
+        }
+        (0..if first { short } else { 1 }).for_each(|_| self.dial(port, to, at));
+    }
+
+    pub(super) fn dial(&mut self, port: &mut dyn Port, to: ExchangeId, at: SocketAddr) {
+        let no = LinkNo(self.number());
+        let (state, cutter) = (LinkState::Dialled, message::Cutter::default());
+        let link =
+            Link { to, state, cutter, heard: self.now, half: None, out: BTreeMap::new(), state_told: None };
+        self.links.insert(no, link);
+        self.exchanges.entry(to).and_modify(|far| far.links.push(no));
+        self.set(self.dial_within, Timer::Dial(no));
+        port.dial(no, at);
+    }
+
+    /// Whether a link to an exchange is being dialled.
+    pub(super) fn dialling(&self, far: &RemoteExchange) -> bool {
+        far.links.iter().any(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Dialled))
+    }
+
+    pub fn link_connected(&mut self, port: &mut dyn Port, no: LinkNo) {
+        let Some(link) = self.links.get_mut(&no) else { return };
+        (link.state, link.heard) = (LinkState::Up, self.now);
+        let to = link.to;
+        port.detail(format_args!("link {} to exchange {} up", no.0, to.0));
+        let Some(far) = self.exchanges.get_mut(&to) else { return };
+        far.failures = 0;
+        let (waiting, releases) = (std::mem::take(&mut far.waiting), std::mem::take(&mut far.releases));
+        let ready = far.service == Service::Ready;
+        releases.into_iter().for_each(|id| self.release_there(port, to, id));
+        for id in waiting {
+            // One that began to drain meanwhile is sent nothing new.
+            if !ready {
+                self.end(id, Cause::Unreachable);
+            } else if !self.send_set_up(port, id) {
+                self.exchanges.entry(to).and_modify(|far| far.waiting.push_back(id));
+            }
+        }
+        self.maintain_pool(port, to);
+    }
+
+    /// A link has gone, or is closed here: every set-up on it was cut. Whether it had ever been up.
+    pub fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
+        let link = self.links.remove(&no)?;
+        port.cut(no);
+        port.detail(format_args!("link {} to exchange {} lost ({:?})", no.0, link.to.0, link.state));
+        let to = link.to;
+        for id in link.out.into_values() {
+            self.end(id, Cause::Cut);
+        }
+        if let Some(far) = self.exchanges.get_mut(&to) {
+            far.links.retain(|known| *known != no);
+            far.draining.retain(|known| *known != no);
+            if link.state == LinkState::Dialled {
+                far.failures = far.failures.saturating_add(1);
+                let ceiling = REDIAL_LAST.min(REDIAL_FIRST * 2u32.pow(far.failures.min(8)));
+                far.next_dial = self.now + ceiling.mul_f64(0.5 + 0.5 * self.chance.below_one());
+            }
+        }
+        self.maintain_pool(port, to);
+        self.unreached(to);
+        Some((to, link.state))
+    }
+
+    /// Set-ups that wait for an exchange to which nothing is dialled are not reached.
+    pub(super) fn unreached(&mut self, to: ExchangeId) {
+        if self.exchanges.get(&to).is_some_and(|far| !self.dialling(far))
+            && let Some(far) = self.exchanges.get_mut(&to)
+        {
+            for id in std::mem::take(&mut far.waiting) {
+                self.end(id, Cause::Unreachable);
+            }
+        }
+    }
+
+    /// The oldest link that is up. Its word of the group's state alone is believed: each link is told each change, and
+    /// a copy that comes after a further seizure would set the free circuits back up.
+    pub fn first_up(&self, of: ExchangeId) -> Option<LinkNo> {
+        let mut links = self.exchanges.get(&of)?.links.iter();
+        links.find(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Up)).copied()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/desk/releases.rs
@@ -0,0 +1,100 @@
+//! Releases of calls that stand, towards callers and towards exchanges.
+
+use std::time::Duration;
+
+use mintstall::host::{CallId, ExchangeId};
+use mintstall_sip as sip;
+
+use super::{CONFIRM_WITHIN, Desk, MOST_PENDING_RELEASES, NORMAL_CLEARING, PENDING_RELEASE_KEPT, Standing};
+use crate::message::{self, Kind, WireId, code};
+use crate::{CallerNo, LinkNo, Port};
+
+impl Desk {
+    /// Tells a caller that its call is over: on its own connection, else on any, else on the next that opens.
+    pub fn notify_release(
+        &mut self,
+        port: &mut dyn Port,
+        caller: Option<CallerNo>,
+        id: WireId,
+        cause: u8,
+        since: Duration,
+    ) {
+        // Connections on which a call has stood come first: others may be of those who only break things.
+        let usual = |no: &CallerNo| self.callers.get(no).is_some_and(|caller| caller.usual);
+        let open = caller.filter(usual);
+        let any = || {
+            let usual = self.callers.iter().filter(|(_, caller)| caller.usual);
+            usual.max_by_key(|(_, caller)| (caller.proven, caller.heard)).map(|(no, _)| *no)
+        };
+        let Some(no) = open.or_else(any) else {
+            if self.pending_releases.len() == MOST_PENDING_RELEASES {
+                self.pending_releases.pop_front();
+            }
+            port.detail(format_args!("{id} over: no caller's connection is open"));
+            return self.pending_releases.push_back((since, id, cause));
+        };
+        let (wire, reason) = (id.to_string(), format!("Q.850;cause={cause}"));
+        let headers =
+            [("Via", "SIP/2.0/TCP controller"), ("Call-ID", &*wire), ("CSeq", "1 BYE"), ("Reason", &*reason)];
+        let mut octets = Vec::new();
+        sip::write(&mut octets, "BYE sip:peer@net SIP/2.0", &headers, b"");
+        if let Some(caller) = self.callers.get_mut(&no) {
+            while caller.unconfirmed.pop_front_if(|(at, ..)| *at + CONFIRM_WITHIN < self.now).is_some() {}
+            if caller.unconfirmed.len() < MOST_PENDING_RELEASES {
+                caller.unconfirmed.push_back((self.now, id, cause));
+            }
+        }
+        port.say(no, &octets);
+        port.detail(format_args!("{id} over: told on {}, cause {cause}", no.0));
+    }
+
+    pub fn release_confirmed(&mut self, caller: CallerNo, id: WireId) {
+        if let Some(caller) = self.callers.get_mut(&caller) {
+            caller.unconfirmed.retain(|(_, known, _)| *known != id);
+        }
+    }
+
+    /// Releases that waited for a connection go out now.
+    pub fn send_pending_releases(&mut self, port: &mut dyn Port) {
+        for (since, id, cause) in std::mem::take(&mut self.pending_releases) {
+            if since + PENDING_RELEASE_KEPT > self.now {
+                self.notify_release(port, None, id, cause, since);
+            }
+        }
+    }
+
+    /// A caller's connection has gone: the calls that waited on it, for the decisions to be told.
+    pub fn caller_disconnected(&mut self, port: &mut dyn Port, no: CallerNo) -> Vec<CallId> {
+        let Some(caller) = self.callers.remove(&no) else { return Vec::new() };
+        for (at, id, cause) in caller.unconfirmed {
+            if at + CONFIRM_WITHIN > self.now {
+                self.notify_release(port, None, id, cause, at);
+            }
+        }
+        caller.open.into_iter().collect()
+    }
+
+    /// Releases a standing call towards its exchange.
+    pub fn release_there(&mut self, port: &mut dyn Port, to: ExchangeId, id: WireId) {
+        if let Some(link) = self.first_up(to) {
+            return release_on(port, link, id);
+        }
+        let Some(far) = self.exchanges.get_mut(&to) else { return };
+        if far.releases.len() == MOST_PENDING_RELEASES {
+            far.releases.pop_front();
+        }
+        far.releases.push_back(id);
+    }
+
+    /// Calls that stand at an exchange since before some time, taken off the books.
+    pub fn take_standing(&mut self, at: ExchangeId, before: Duration) -> Vec<(WireId, Standing)> {
+        self.standing.extract_if(.., |_, call| call.exchange == at && call.since < before).collect()
+    }
+}
+
+/// Releases a call on a link, for a reason of its caller's or our own.
+pub(super) fn release_on(port: &mut dyn Port, link: LinkNo, id: WireId) {
+    let mut octets = Vec::new();
+    message::write(&mut octets, Kind::Release, id, &[(code::CAUSE, &[NORMAL_CLEARING])]);
+    port.send(link, &octets);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 pub use crate::config::{Config, ConfigError};
-pub use crate::core::{Broke, Core};
+pub use crate::core::{Core, Disconnect};
 
 /// One connection from a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -30,7 +30,7 @@
 
 /// Why a link can't be read any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Spoilt {
+pub enum DecodeError {
     #[error("a message of {0} octets")]
     Length(usize),
     #[error("a message of unknown type {0}")]
@@ -55,7 +55,7 @@
 }
 
 impl Kind {
-    fn read(octet: u8) -> Result<Self, Spoilt> {
+    fn read(octet: u8) -> Result<Self, DecodeError> {
         const ALL: [Kind; 8] = [
             Kind::SetUp,
             Kind::Progress,
@@ -66,7 +66,7 @@
             Kind::Test,
             Kind::TestResult,
         ];
-        ALL.into_iter().find(|kind| *kind as u8 == octet).ok_or(Spoilt::Type(octet))
+        ALL.into_iter().find(|kind| *kind as u8 == octet).ok_or(DecodeError::Type(octet))
     }
 }
 
@@ -96,16 +96,16 @@
 
 impl<'a> Message<'a> {
     /// Reads what follows the length.
-    pub fn read(octets: &'a [u8]) -> Result<Self, Spoilt> {
-        let (head, mut rest) = octets.split_at_checked(LEAST).ok_or(Spoilt::Length(octets.len()))?;
+    pub fn read(octets: &'a [u8]) -> Result<Self, DecodeError> {
+        let (head, mut rest) = octets.split_at_checked(LEAST).ok_or(DecodeError::Length(octets.len()))?;
         let call = WireId(head[1..].iter().fold(0, |id, octet| id << 8 | u64::from(*octet)));
         let (kind, mut seen) = (Kind::read(head[0])?, [false; 256]);
         let mut message =
             Self { kind, call, cause: None, note: None, wait_ms: None, report: None, description: None };
         while let [code, high, low, more @ ..] = rest {
             let length = usize::from(u16::from_be_bytes([*high, *low]));
-            let (value, next) = more.split_at_checked(length).ok_or(Spoilt::Parameter)?;
-            let wrong = Spoilt::Value(*code);
+            let (value, next) = more.split_at_checked(length).ok_or(DecodeError::Parameter)?;
+            let wrong = DecodeError::Value(*code);
             if std::mem::replace(&mut seen[usize::from(*code)], true) {
                 return Err(wrong);
             }
@@ -124,7 +124,7 @@
             rest = next;
         }
         if !rest.is_empty() {
-            return Err(Spoilt::Parameter);
+            return Err(DecodeError::Parameter);
         }
         let lacks = match kind {
             Kind::Answer => message.description.is_none_or(<[u8]>::is_empty).then_some(code::DESCRIPTION),
@@ -132,7 +132,7 @@
             Kind::State => message.report.is_none().then_some(code::REPORT),
             _ => None,
         };
-        lacks.map_or(Ok(message), |code| Err(Spoilt::Value(code)))
+        lacks.map_or(Ok(message), |code| Err(DecodeError::Value(code)))
     }
 }
 
@@ -164,7 +164,7 @@
     }
 
     /// The next whole message, if there is one.
-    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
+    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, DecodeError> {
         let rest = &self.held[self.done..];
         let [high, low, after @ ..] = rest else {
             if rest.is_empty() {
@@ -174,7 +174,7 @@
         };
         let length = usize::from(u16::from_be_bytes([*high, *low]));
         if !(LEAST..=LONGEST - 2).contains(&length) {
-            return Err(Spoilt::Length(length));
+            return Err(DecodeError::Length(length));
         }
         // A type that is none is told before a long message has come.
         after.first().map_or(Ok(()), |octet| Kind::read(*octet).map(drop))?;
@@ -242,17 +242,17 @@
             cutter.push(octets);
             cutter.next_message().unwrap_err()
         };
-        assert_eq!(spoilt(&written(Kind::Answer, &[])), Spoilt::Value(48));
-        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1, 2])])), Spoilt::Value(47));
-        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1]), (47, &[1])])), Spoilt::Value(47));
-        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1]), (41, b"-1")])), Spoilt::Value(41));
-        assert_eq!(spoilt(&[0xff, 0xff, 9]), Spoilt::Length(0xffff));
-        assert_eq!(spoilt(&[0, 8]), Spoilt::Length(8));
-        assert_eq!(spoilt(&[0, 9, 77]), Spoilt::Type(77));
+        assert_eq!(spoilt(&written(Kind::Answer, &[])), DecodeError::Value(48));
+        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1, 2])])), DecodeError::Value(47));
+        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1]), (47, &[1])])), DecodeError::Value(47));
+        assert_eq!(spoilt(&written(Kind::Release, &[(47, &[1]), (41, b"-1")])), DecodeError::Value(41));
+        assert_eq!(spoilt(&[0xff, 0xff, 9]), DecodeError::Length(0xffff));
+        assert_eq!(spoilt(&[0, 8]), DecodeError::Length(8));
+        assert_eq!(spoilt(&[0, 9, 77]), DecodeError::Type(77));
         let mut over = written(Kind::Release, &[(47, &[1])]);
         *over.last_mut().unwrap() = 9;
         over[13] = 200;
-        assert_eq!(spoilt(&over), Spoilt::Parameter);
+        assert_eq!(spoilt(&over), DecodeError::Parameter);
     }
 
     #[test]
--- a/crates/platform/src/offer.rs
+++ b/crates/platform/src/offer.rs
@@ -45,7 +45,7 @@
 
 /// What any set-up of a caller is about.
 #[derive(Debug)]
-pub enum Wish<'a> {
+pub enum SetupRequest<'a> {
     Call(SetUp<'a>),
     /// It names a call that stands already, at which exchange, and wants no answer.
     Stands {
@@ -117,11 +117,11 @@
 }
 
 /// Reads an INVITE.
-pub fn read<'a>(message: &Message<'a>, trade: &Trade) -> Result<Wish<'a>, Refusal> {
+pub fn read<'a>(message: &Message<'a>, trade: &Trade) -> Result<SetupRequest<'a>, Refusal> {
     let id = WireId::read(must(message, "Call-ID")?).ok_or(Refusal::Nonsense("Call-ID"))?;
     let info = Info::read(one(message, INFO)?.unwrap_or_default())?;
     if let Some(at) = info.at {
-        return Ok(Wish::Stands { id, at });
+        return Ok(SetupRequest::Stands { id, at });
     }
     let user = message.user().ok_or(Refusal::Nonsense("the address"))?;
     let dialled = WireId::read(user).ok_or(Refusal::Nonsense("the address"))?.0;
@@ -149,7 +149,7 @@
     if set_up_length(call_type_name, user, message.body) > LONGEST {
         return Err(Refusal::TooLong);
     }
-    Ok(Wish::Call(SetUp {
+    Ok(SetupRequest::Call(SetUp {
         id,
         number: user,
         description: message.body,
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use mintstall_platform::message::{self, Kind, WireId, code};
-use mintstall_platform::{Broke, CallerNo, Config, Core, LinkNo, Port};
+use mintstall_platform::{CallerNo, Config, Core, Disconnect, LinkNo, Port};
 use mintstall_sip as sip;
 use serde_json::json;
 
@@ -177,14 +177,14 @@
         let mut wires = Wires { now: START, ..Wires::default() };
         let core = Core::new(&config(), START, &mut wires);
         let mut platform = Self { core, wires };
-        platform.core.bus_up(START, &mut platform.wires);
+        platform.core.bus_connected(START, &mut platform.wires);
         platform.links_up();
         platform
     }
 
     fn links_up(&mut self) {
         while let Some((link, _)) = self.wires.dialled.pop() {
-            self.core.link_up(self.wires.now, &mut self.wires, link);
+            self.core.link_connected(self.wires.now, &mut self.wires, link);
             self.state(link, 10);
         }
     }
@@ -198,19 +198,19 @@
 
     fn pass(&mut self, span: Duration) {
         let until = self.wires.now + span;
-        while let Some(due) = self.core.next_alarm().filter(|due| *due <= until) {
+        while let Some(due) = self.core.next_timer().filter(|due| *due <= until) {
             self.wires.now = due.max(self.wires.now);
-            self.core.ring(self.wires.now, &mut self.wires);
+            self.core.on_timer(self.wires.now, &mut self.wires);
         }
         self.wires.now = until;
     }
 
     fn says(&mut self, caller: u64, text: &str) {
-        self.core.caller_said(self.wires.now, &mut self.wires, CallerNo(caller), text.as_bytes());
+        self.core.caller_data(self.wires.now, &mut self.wires, CallerNo(caller), text.as_bytes());
     }
 
     fn comes(&mut self, caller: u64) {
-        self.core.caller_came(self.wires.now, CallerNo(caller));
+        self.core.caller_connected(self.wires.now, CallerNo(caller));
     }
 
     fn calls(&mut self, caller: u64, id: u64) {
@@ -225,7 +225,7 @@
         {
             self.wires.judge.out.remove(&WireId(id));
         }
-        self.core.link_said(self.wires.now, &mut self.wires, link, &octets);
+        self.core.link_data(self.wires.now, &mut self.wires, link, &octets);
     }
 
     fn state(&mut self, link: LinkNo, free: u32) {
@@ -272,7 +272,7 @@
     }
 
     fn bus_line(&mut self, line: &str) {
-        self.core.bus_said(self.wires.now, &mut self.wires, line.as_bytes());
+        self.core.bus_data(self.wires.now, &mut self.wires, line.as_bytes());
     }
 }
 
@@ -323,20 +323,20 @@
         platform.wires.sent.iter().any(|sent| (sent.1, sent.2.0, sent.3) == (Kind::Release, 7, Some(16)))
     );
     let link = platform.stands(1, 8);
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(1));
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(2));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(1));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(2));
     platform.releases(link, 8, 41);
     assert!(platform.said().is_empty());
     platform.comes(3);
     platform.says(3, &request("OPTIONS", 0));
     assert_eq!(platform.said(), ["3: BYE Q.850;cause=41", "3: 200 OPTIONS"]);
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(3));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(3));
     platform.comes(4);
     platform.says(4, &request("OPTIONS", 0));
     assert_eq!(platform.said(), ["4: BYE Q.850;cause=41", "4: 200 OPTIONS"], "a close crossed the first");
     platform
         .says(4, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000008\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n");
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(4));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(4));
     platform.comes(5);
     platform.says(5, &request("OPTIONS", 0));
     assert_eq!(platform.said(), ["5: 200 OPTIONS"], "heard");
@@ -420,7 +420,7 @@
     assert!(platform.said().is_empty(), "nothing after its answer");
     platform.calls(1, 8);
     platform.set_ups();
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(1));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(1));
     assert!(platform.wires.sent.iter().any(|sent| (sent.1, sent.2.0) == (Kind::Release, 8)));
 }
 
@@ -435,7 +435,7 @@
     let mut answer = Vec::new();
     message::write(&mut answer, Kind::Answer, WireId(id), &[(code::DESCRIPTION, SDP)]);
     answer[0] = 0xff;
-    platform.core.link_said(platform.wires.now, &mut platform.wires, link, &answer);
+    platform.core.link_data(platform.wires.now, &mut platform.wires, link, &answer);
     assert!(platform.wires.cut.contains(&link));
     assert!(platform.said().is_empty(), "nothing spoilt is passed on");
     platform.links_up();
@@ -458,7 +458,7 @@
     platform.comes(1);
     platform.calls(1, 7);
     let [(link, 7)] = platform.set_ups()[..] else { panic!("one set-up") };
-    platform.core.link_said(platform.wires.now, &mut platform.wires, link, &[0, 200, 9]);
+    platform.core.link_data(platform.wires.now, &mut platform.wires, link, &[0, 200, 9]);
     platform.pass(ms(500));
     assert!(!platform.wires.cut.contains(&link));
     platform.pass(ms(600));
@@ -480,7 +480,7 @@
     platform.calls(1, 8);
     assert_eq!(platform.set_ups(), [], "the only free circuit is taken");
     platform.state(links[0], 0);
-    platform.core.link_down(platform.wires.now, &mut platform.wires, links[0], Broke::Lost);
+    platform.core.link_disconnected(platform.wires.now, &mut platform.wires, links[0], Disconnect::Lost);
     platform.state(links[1], 1);
     assert_eq!(platform.set_ups().len(), 1, "the next link is believed once the first has gone");
 }
@@ -490,7 +490,7 @@
     let mut platform = Platform::start();
     platform.comes(1);
     for link in platform.links(1) {
-        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Lost);
+        platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Lost);
     }
     platform.calls(1, 7);
     assert_eq!(platform.set_ups(), [], "no link is up");
@@ -508,12 +508,12 @@
     platform.comes(1);
     platform.stands(1, 6);
     for link in platform.links(1) {
-        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Lost);
+        platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Lost);
     }
     assert!(platform.said().is_empty(), "links reset by themselves end no call");
     platform.calls(1, 7);
     for link in platform.links(1) {
-        platform.core.link_down(platform.wires.now, &mut platform.wires, link, Broke::Refused);
+        platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Refused);
     }
     assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
     platform.pass(ms(1500));
@@ -543,7 +543,7 @@
     platform.bus(2, false, &[target("two", 2, "terminating", 0)]);
     platform.bus_line("{\"offset\":3,\"topo\n");
     platform.pass(ms(300));
-    platform.core.bus_up(platform.wires.now, &mut platform.wires);
+    platform.core.bus_connected(platform.wires.now, &mut platform.wires);
     assert_eq!(platform.wires.bus.last().unwrap(), "from 2\n");
     for _ in 0..5 {
         platform.pass(ms(1000));
@@ -561,7 +561,7 @@
     let moved = config_with(|config| config["bus"] = json!("127.0.0.1:4999")).unwrap();
     platform.core.configured(platform.wires.now, &mut platform.wires, &moved);
     assert_eq!(platform.wires.bus.last().unwrap(), "dial 127.0.0.1:4999");
-    platform.core.bus_up(platform.wires.now, &mut platform.wires);
+    platform.core.bus_connected(platform.wires.now, &mut platform.wires);
     assert_eq!(platform.wires.bus.last().unwrap(), "from 2\n");
 }
 
@@ -606,7 +606,7 @@
     let link = platform.stands(1, 6);
     platform.stands(2, 7);
     platform.calls(3, 8);
-    platform.core.caller_left(platform.wires.now, &mut platform.wires, CallerNo(1));
+    platform.core.caller_disconnected(platform.wires.now, &mut platform.wires, CallerNo(1));
     platform.releases(link, 6, 16);
     assert_eq!(platform.said(), ["2: BYE Q.850;cause=16"]);
 }
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -13,7 +13,7 @@
 
 /// Why the stream can't be cut into messages any more: the connection is of no use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Spoilt {
+pub enum DecodeError {
     #[error("a message of more than {LONGEST} octets")]
     TooLong,
     #[error("no start line of SIP/2.0")]
@@ -24,7 +24,7 @@
     Length,
 }
 
-impl Spoilt {
+impl DecodeError {
     /// The status of the response that says so (RFC 3261, 21.4).
     pub fn status(self) -> u16 {
         match self {
@@ -100,7 +100,7 @@
     }
 
     /// The next whole message, if there is one.
-    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, Spoilt> {
+    pub fn next_message(&mut self) -> Result<Option<Message<'_>>, DecodeError> {
         // Empty lines between messages keep connections alive (RFC 5626).
         while self.held.get(self.done).is_some_and(|octet| matches!(octet, b'\r' | b'\n')) {
             self.done += 1;
@@ -120,7 +120,7 @@
     }
 
     /// Octets of the next message's head and body, once all have come.
-    fn measure(&mut self) -> Result<Option<(usize, usize)>, Spoilt> {
+    fn measure(&mut self) -> Result<Option<(usize, usize)>, DecodeError> {
         let rest = &self.held[self.done..];
         let from = self.searched.min(rest.len());
         let Some(end) = rest[from..].windows(4).position(|four| four == b"\r\n\r\n") else {
@@ -129,31 +129,31 @@
             // Noise is told as soon as its first line shows it.
             match line {
                 Some(line) => drop(start_line(&rest[..line])?),
-                None if rest.len() > 512 => return Err(Spoilt::StartLine),
+                None if rest.len() > 512 => return Err(DecodeError::StartLine),
                 None => {}
             }
-            return if rest.len() > LONGEST { Err(Spoilt::TooLong) } else { Ok(None) };
+            return if rest.len() > LONGEST { Err(DecodeError::TooLong) } else { Ok(None) };
         };
         let head = from + end + 4;
         self.searched = from + end;
         if head > LONGEST {
-            return Err(Spoilt::TooLong);
+            return Err(DecodeError::TooLong);
         }
         let length = length(&headers(&rest[..head])?)?;
         if head + length > LONGEST {
-            return Err(Spoilt::TooLong);
+            return Err(DecodeError::TooLong);
         }
         Ok((rest.len() >= head + length).then_some((head, length)))
     }
 }
 
-fn start_line(line: &[u8]) -> Result<Start<'_>, Spoilt> {
-    let line = std::str::from_utf8(line).map_err(|_| Spoilt::StartLine)?.trim_end();
+fn start_line(line: &[u8]) -> Result<Start<'_>, DecodeError> {
+    let line = std::str::from_utf8(line).map_err(|_| DecodeError::StartLine)?.trim_end();
     if let Some(rest) = line.strip_prefix("SIP/2.0 ") {
         let status = rest.get(..3).and_then(|status| status.parse().ok());
         return match status {
             Some(status @ 100..=699) => Ok(Start::Response { status }),
-            _ => Err(Spoilt::StartLine),
+            _ => Err(DecodeError::StartLine),
         };
     }
     let mut words = line.split(' ');
@@ -163,37 +163,39 @@
         {
             Ok(Start::Request { method, uri })
         }
-        _ => Err(Spoilt::StartLine),
+        _ => Err(DecodeError::StartLine),
     }
 }
 
 /// The headers of a head, its start line passed over.
-fn headers(head: &[u8]) -> Result<Vec<(&str, &str)>, Spoilt> {
-    let line = head.iter().position(|octet| *octet == b'\n').ok_or(Spoilt::StartLine)?;
+fn headers(head: &[u8]) -> Result<Vec<(&str, &str)>, DecodeError> {
+    let line = head.iter().position(|octet| *octet == b'\n').ok_or(DecodeError::StartLine)?;
     start_line(&head[..line])?;
     let mut room = [httparse::EMPTY_HEADER; MOST_HEADERS];
     match httparse::parse_headers(&head[line + 1..], &mut room) {
         Ok(httparse::Status::Complete((_, headers))) => headers
             .iter()
-            .map(|header| Ok((header.name, std::str::from_utf8(header.value).map_err(|_| Spoilt::Headers)?)))
+            .map(|header| {
+                Ok((header.name, std::str::from_utf8(header.value).map_err(|_| DecodeError::Headers)?))
+            })
             .collect(),
-        _ => Err(Spoilt::Headers),
+        _ => Err(DecodeError::Headers),
     }
 }
 
-fn length(headers: &[(&str, &str)]) -> Result<usize, Spoilt> {
+fn length(headers: &[(&str, &str)]) -> Result<usize, DecodeError> {
     let mut all = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("Content-Length"));
     match (all.next(), all.next()) {
         (Some((_, text)), None) if !text.is_empty() && text.bytes().all(|octet| octet.is_ascii_digit()) => {
             // A length that does not fit a word is too long all the more.
             Ok(text.parse().unwrap_or(usize::MAX / 2))
         }
-        _ => Err(Spoilt::Length),
+        _ => Err(DecodeError::Length),
     }
 }
 
-fn read<'a>(head: &'a [u8], body: &'a [u8]) -> Result<Message<'a>, Spoilt> {
-    let line = head.iter().position(|octet| *octet == b'\n').ok_or(Spoilt::StartLine)?;
+fn read<'a>(head: &'a [u8], body: &'a [u8]) -> Result<Message<'a>, DecodeError> {
+    let line = head.iter().position(|octet| *octet == b'\n').ok_or(DecodeError::StartLine)?;
     Ok(Message { start: start_line(&head[..line])?, headers: headers(head)?, body })
 }
 
@@ -241,7 +243,7 @@
     const INVITE: &[u8] = b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\n\
         Call-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\nPriority-Class: voice\r\nContent-Length: 5\r\n\r\nhello";
 
-    fn cut(octets: &[u8]) -> Result<usize, Spoilt> {
+    fn cut(octets: &[u8]) -> Result<usize, DecodeError> {
         let mut cutter = Cutter::default();
         cutter.push(octets);
         let mut count = 0;
@@ -282,15 +284,15 @@
             "Content-Length: 0\r\nContent-Length: 0\r\n",
             "Content-Length: x\r\n",
         ] {
-            assert_eq!(with(wrong), Err(Spoilt::Length), "{wrong}");
+            assert_eq!(with(wrong), Err(DecodeError::Length), "{wrong}");
         }
         for huge in ["16384", "60000000", "99999999999999999999999999"] {
-            assert_eq!(with(&format!("Content-Length: {huge}\r\n")), Err(Spoilt::TooLong), "{huge}");
+            assert_eq!(with(&format!("Content-Length: {huge}\r\n")), Err(DecodeError::TooLong), "{huge}");
         }
-        assert_eq!(cut(b"GET / HTTP/1.1\r\n"), Err(Spoilt::StartLine));
-        assert_eq!(cut(&[b'x'; 600]), Err(Spoilt::StartLine));
+        assert_eq!(cut(b"GET / HTTP/1.1\r\n"), Err(DecodeError::StartLine));
+        assert_eq!(cut(&[b'x'; 600]), Err(DecodeError::StartLine));
         let endless = [&b"OPTIONS sip:ping@net SIP/2.0\r\n"[..], &b"A: b\r\n".repeat(3000)].concat();
-        assert_eq!(cut(&endless), Err(Spoilt::TooLong));
+        assert_eq!(cut(&endless), Err(DecodeError::TooLong));
     }
 
     #[test]
