Platform: typed reasons in the log and counters for lost links, attempts, ended calls

Missed while the report was read: no line told why a standing call ended, why a link was lost, or that the bus was dropped and why. Added: LinkLoss and CallEnd, in each step's line and as labels; counters through the metrics facade, logged every 10 s when changed. Bounded: labels come from enums; steps stay at debug.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,8 @@
 //! written at the end of each turn. Every queue has a bound: reads are cut to a share of a turn, a caller that does not
 //! read is not read either, and accepted connections leave the descriptors that links and the bus need.
 
+mod metrics;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Arguments;
 use std::io::{self, Read};
@@ -250,11 +252,14 @@
     /// Connections wait that could not be accepted.
     accept_later: bool,
     buffer: Vec<u8>,
+    counter_log: metrics::CounterLog,
+    next_counter_log: Instant,
 }
 
 impl Node {
     /// Listens and dials; `path` is read again at a SIGHUP.
     pub fn open(config: &Config, listen: SocketAddr, path: PathBuf) -> Result<Self, NodeError> {
+        metrics::install();
         let poll = Poll::new().map_err(NodeError::Poll)?;
         let mut listener =
             TcpListener::bind(listen).map_err(|error| NodeError::Listen { addr: listen, error })?;
@@ -288,6 +293,8 @@
             most_callers: config.sockets * 5 / 8,
             accept_later: false,
             buffer: vec![0; READ],
+            counter_log: metrics::CounterLog::default(),
+            next_counter_log: started + metrics::LOG_INTERVAL,
         })
     }
 
@@ -332,6 +339,15 @@
             let now = self.now();
             self.core.on_timer(now, &mut self.wires);
             self.let_go();
+            self.log_counters();
+        }
+    }
+
+    fn log_counters(&mut self) {
+        let now = Instant::now();
+        if now >= self.next_counter_log {
+            self.next_counter_log = now + metrics::LOG_INTERVAL;
+            self.counter_log.log_changes();
         }
     }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -15,6 +15,7 @@
 
 use crate::bus::Bus;
 use crate::desk::{Desk, LinkState, Owed, Timer, Turn};
+use crate::reasons::LinkLoss;
 use crate::{Config, Port};
 
 /// How often half messages and silent connections are looked for.
@@ -142,7 +143,7 @@
             Timer::Guard(call) => self.time_is_up(port, call, 408),
             Timer::Dial(link) => {
                 if self.desk.links.get(&link).is_some_and(|link| link.state == LinkState::Dialled) {
-                    self.lose(port, link);
+                    self.lose(port, link, LinkLoss::DialTimeout);
                 }
             }
             Timer::MaintainPool(exchange) => self.desk.maintain_pool(port, exchange),
@@ -171,17 +172,22 @@
         let late = |since: Option<Duration>, span| since.is_some_and(|since| since + span < now);
         let callers = self.desk.callers.iter().filter(|(_, caller)| late(caller.half, HALF_FOR));
         for no in callers.map(|(no, _)| *no).collect::<Vec<_>>() {
+            port.detail(format_args!("caller {} closed: silent, or half a message, for too long", no.0));
+            metrics::counter!("callers_closed", "reason" => "incomplete_message").increment(1);
             self.caller_gone(port, no);
             port.hang_up(no);
         }
         let links = self.desk.links.iter().filter(|(_, link)| late(link.half, HALF_ANSWER_FOR));
         for no in links.map(|(no, _)| *no).collect::<Vec<_>>() {
-            self.lose(port, no);
+            self.lose(port, no, LinkLoss::IncompleteMessage);
+        }
+        for no in self.desk.expired_links() {
+            self.lose(port, no, LinkLoss::DrainExpired);
         }
-        self.desk.expired_links().into_iter().for_each(|no| _ = self.lose(port, no));
         let patience = if self.bus_state == BusState::Dialled { BUS_DIAL } else { BUS_SILENT };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
-            self.drop_bus(port);
+            let reason = if self.bus_state == BusState::Dialled { "dial timeout" } else { "silent" };
+            self.drop_bus(port, reason);
         }
     }
 }
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -9,6 +9,7 @@
 use crate::desk::{Call, Owed, Standing, TEMPORARY_FAILURE, Timer};
 use crate::message::WireId;
 use crate::offer::{self, SetUp, SetupRequest};
+use crate::reasons::CallEnd;
 use crate::{CallerNo, Port};
 
 impl Core {
@@ -28,6 +29,8 @@
                 Ok(Some(message)) => self.message(port, no, &message),
                 Ok(None) => break,
                 Err(spoilt) => {
+                    port.detail(format_args!("caller {} closed: {spoilt}", no.0));
+                    metrics::counter!("callers_closed", "reason" => "malformed").increment(1);
                     let mut answer = Vec::new();
                     let why = [("Warning", &*spoilt.to_string())];
                     sip::write_response(&mut answer, spoilt.status(), &why, b"");
@@ -189,7 +192,12 @@
                 self.desk.standing.insert(id, stands);
             }
             // Its exchange has gone, and the call with it.
-            None => self.desk.notify_release(port, Some(no), id, TEMPORARY_FAILURE, now),
+            None => {
+                let reason = CallEnd::ExchangeUnknown;
+                port.detail(format_args!("{id} ended: {reason} ({at})"));
+                metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
+                self.desk.notify_release(port, Some(no), id, TEMPORARY_FAILURE, now);
+            }
         }
     }
 
@@ -209,6 +217,9 @@
             return reply(port, no, message, 481, "");
         };
         reply(port, no, message, 200, "");
+        let reason = CallEnd::ReleasedByCaller;
+        port.detail(format_args!("{id} ended: {reason}"));
+        metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
         self.desk.release_there(port, call.exchange, id);
         self.over(port, &call, Cause::Cancelled);
     }
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -7,6 +7,7 @@
 use super::{BUS_AGAIN, BusState, Core};
 use crate::bus::{self, Event, Topology};
 use crate::desk::{RemoteExchange, Timer};
+use crate::reasons::{CallEnd, LinkLoss};
 use crate::{Config, Port};
 
 impl Core {
@@ -23,10 +24,15 @@
 
     pub fn bus_disconnected(&mut self, now: Duration, port: &mut dyn Port) {
         self.desk.now = now;
-        self.drop_bus(port);
+        self.drop_bus(port, "connection lost or refused");
     }
 
-    pub(super) fn drop_bus(&mut self, port: &mut dyn Port) {
+    pub(super) fn drop_bus(&mut self, port: &mut dyn Port, reason: &str) {
+        let after = self.desk.now.saturating_sub(self.bus_since);
+        port.detail(format_args!(
+            "event bus dropped: {reason}, {after:?} after it was last heard or dialled"
+        ));
+        metrics::counter!("bus_dropped").increment(1);
         port.cut_bus();
         (self.bus_state, self.bus_since) = (BusState::Down, self.desk.now);
         self.desk.set(BUS_AGAIN, Timer::Bus);
@@ -40,7 +46,7 @@
         events.iter().for_each(|event| self.apply(port, event));
         if let Err(spoilt) = taken {
             port.note(&format!("event bus: {spoilt}; asked again from {}", self.bus.last()));
-            self.drop_bus(port);
+            self.drop_bus(port, "unreadable line or gap");
         }
         self.settle(port);
     }
@@ -63,8 +69,8 @@
             true => self.decide(port, |controller, now, turn| controller.roster(now, turn, &lines)),
             false => self.decide(port, |controller, now, turn| controller.roster_changes(now, turn, &lines)),
         }
-        for (exchange, before) in gone {
-            self.cut_calls(port, exchange, before);
+        for (exchange, before, reason) in gone {
+            self.cut_calls(port, exchange, before, reason);
         }
         self.desk.share_links();
         let all: Vec<_> = self.desk.exchanges.keys().copied().collect();
@@ -102,7 +108,7 @@
         port: &mut dyn Port,
         topology: &Topology,
         lines: &[RosterLine],
-    ) -> Vec<(ExchangeId, Duration)> {
+    ) -> Vec<(ExchangeId, Duration, CallEnd)> {
         let mut ended = Vec::new();
         for (line, target) in lines.iter().zip(&topology.targets) {
             // Calls to the own exchange are not set up over the platform.
@@ -124,11 +130,13 @@
             let far = self.desk.exchanges.entry(line.exchange).or_insert(fresh);
             far.service = line.standing;
             if std::mem::replace(&mut far.started, line.started) != line.started {
-                ended.push((line.exchange, line.started));
+                ended.push((line.exchange, line.started, CallEnd::ExchangeRestarted));
             }
             if std::mem::replace(&mut far.at, target.endpoint) != target.endpoint {
                 let links = far.links.clone();
-                links.into_iter().for_each(|link| _ = self.desk.lose(port, link));
+                for link in links {
+                    self.desk.lose(port, link, LinkLoss::AddressChanged);
+                }
             }
         }
         let missing = |id: &ExchangeId| topology.all && lines.iter().all(|line| line.exchange != *id);
@@ -143,11 +151,13 @@
         for id in all {
             let far = self.desk.exchanges.get(&id);
             let links = far.map(|far| far.links.iter().chain(&far.draining).copied().collect::<Vec<_>>());
-            links.unwrap_or_default().into_iter().for_each(|link| _ = self.desk.lose(port, link));
+            for link in links.unwrap_or_default() {
+                self.desk.lose(port, link, LinkLoss::ExchangeGone);
+            }
             if let Some(far) = self.desk.exchanges.remove(&id) {
                 self.uids.remove(&far.uid);
             }
-            ended.push((id, Duration::MAX));
+            ended.push((id, Duration::MAX, CallEnd::ExchangeGone));
         }
         ended
     }
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -7,6 +7,7 @@
 use super::{Core, Disconnect};
 use crate::desk::{LinkState, NORMAL_CLEARING, Owed, Standing, TEMPORARY_FAILURE};
 use crate::message::{self, Kind};
+use crate::reasons::{CallEnd, LinkLoss};
 use crate::{LinkNo, Port};
 
 impl Core {
@@ -18,21 +19,30 @@
 
     pub fn link_disconnected(&mut self, now: Duration, port: &mut dyn Port, no: LinkNo, how: Disconnect) {
         self.desk.now = now;
-        let lost = self.lose(port, no);
+        let reason = match how {
+            Disconnect::Refused => LinkLoss::Refused,
+            Disconnect::Lost => LinkLoss::Disconnected,
+        };
+        let lost = self.lose(port, no, reason);
         if let (Some((exchange, LinkState::Dialled)), Disconnect::Refused) = (lost, how) {
             // Nobody listens and no link is left: its process has died, and its calls with it.
             if self.desk.first_up(exchange).is_none() {
-                self.cut_calls(port, exchange, Duration::MAX);
+                self.cut_calls(port, exchange, Duration::MAX, CallEnd::ExchangeRefused);
             }
         }
         self.settle(port);
     }
 
     /// A link goes. Where it told the group's state, what the next one was told last holds from now on.
-    pub(super) fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
+    pub(super) fn lose(
+        &mut self,
+        port: &mut dyn Port,
+        no: LinkNo,
+        reason: LinkLoss,
+    ) -> Option<(ExchangeId, LinkState)> {
         let exchange = self.desk.links.get(&no)?.to;
         let told = self.desk.first_up(exchange) == Some(no);
-        let lost = self.desk.lose(port, no);
+        let lost = self.desk.lose(port, no, reason);
         let next =
             self.desk.first_up(exchange).filter(|_| told).and_then(|next| self.desk.links.get_mut(&next));
         if let Some(report) = next.and_then(|link| link.state_told.take()) {
@@ -54,7 +64,7 @@
                 Ok(None) => break,
                 Err(spoilt) => {
                     port.detail(format_args!("link {}: {spoilt}", no.0));
-                    self.lose(port, no);
+                    self.lose(port, no, LinkLoss::Malformed);
                     break;
                 }
             }
@@ -144,6 +154,8 @@
         let stood = self.desk.standing.get(&message.call).filter(|call| call.exchange == exchange).copied();
         let Some(call) = stood else { return };
         self.desk.standing.remove(&message.call);
+        let reason = if cause == NORMAL_CLEARING { CallEnd::Released } else { CallEnd::Cut };
+        metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
         let (cause, of) = if cause == NORMAL_CLEARING {
             (NORMAL_CLEARING, Cause::Done)
         } else {
@@ -158,8 +170,21 @@
     }
 
     /// Calls that stand at an exchange since before some time ended with it.
-    pub(super) fn cut_calls(&mut self, port: &mut dyn Port, exchange: ExchangeId, before: Duration) {
-        for (id, call) in self.desk.take_standing(exchange, before) {
+    pub(super) fn cut_calls(
+        &mut self,
+        port: &mut dyn Port,
+        exchange: ExchangeId,
+        before: Duration,
+        reason: CallEnd,
+    ) {
+        let ended = self.desk.take_standing(exchange, before);
+        if ended.is_empty() {
+            return;
+        }
+        let count = ended.len();
+        port.note(&format!("exchange {}: {count} standing calls ended: {reason}", exchange.0));
+        metrics::counter!("calls_ended", "reason" => reason.label()).increment(count as u64);
+        for (id, call) in ended {
             self.desk.notify_release(port, Some(call.caller), id, TEMPORARY_FAILURE, self.desk.now);
             self.over(port, &call, Cause::Cut);
         }
--- a/crates/platform/src/desk/calls.rs
+++ b/crates/platform/src/desk/calls.rs
@@ -6,6 +6,7 @@
 use super::releases::release_on;
 use super::{Call, Desk, LinkState, MOST_LINKS, Owed, RemoteExchange};
 use crate::message::{self, Kind, code};
+use crate::reasons::LinkLoss;
 use crate::{LinkNo, Port};
 
 impl Desk {
@@ -42,6 +43,7 @@
             self.drop_call(id);
         }
         port.say(caller, &octets);
+        metrics::counter!("final_answers", "status" => status.to_string()).increment(1);
         port.detail(format_args!("{wire} told {status} {more:?}"));
     }
 
@@ -113,6 +115,7 @@
             far.waiting.retain(|waits| *waits != id);
         }
         let after = self.now.saturating_sub(out.since);
+        metrics::counter!("attempts_ended", "cause" => cause_label(cause)).increment(1);
         self.ends.push_back(Ended { call: id, seizure: out.no, exchange: out.to, cause, after, closed });
         if closed {
             self.drop_call(id);
@@ -153,7 +156,7 @@
                 if far.draining.len() > MOST_LINKS
                     && let Some(oldest) = far.draining.front().copied()
                 {
-                    self.lose(port, oldest);
+                    self.lose(port, oldest, LinkLoss::DrainExpired);
                 }
             }
             port.detail(format_args!("link {} to exchange {} draining", no.0, to.0));
@@ -161,3 +164,20 @@
         }
     }
 }
+
+/// The label of an attempt's end in the metrics.
+const fn cause_label(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Done => "done",
+        Cause::Busy => "busy",
+        Cause::Fault => "fault",
+        Cause::NoCircuit => "no_circuit",
+        Cause::TurnedBack { .. } => "crankback",
+        Cause::ProcessorFull { .. } => "processor_full",
+        Cause::TimedOut => "timed_out",
+        Cause::Unreachable => "unreachable",
+        Cause::Cut => "cut",
+        Cause::Cancelled => "cancelled",
+        Cause::NotSent { .. } => "not_sent",
+    }
+}
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -9,6 +9,7 @@
     DRAINING_FOR, Desk, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST, RemoteExchange, Timer,
 };
 use crate::message;
+use crate::reasons::LinkLoss;
 use crate::{LinkNo, Port};
 
 impl Desk {
@@ -52,6 +53,8 @@
         self.links.insert(no, link);
         self.exchanges.entry(to).and_modify(|far| far.links.push(no));
         self.set(self.dial_within, Timer::Dial(no));
+        metrics::counter!("links_dialled").increment(1);
+        port.detail(format_args!("link {} to exchange {} dialled at {at}", no.0, to.0));
         port.dial(no, at);
     }
 
@@ -82,11 +85,23 @@
     }
 
     /// A link has gone, or is closed here: every set-up on it was cut. Whether it had ever been up.
-    pub fn lose(&mut self, port: &mut dyn Port, no: LinkNo) -> Option<(ExchangeId, LinkState)> {
+    pub fn lose(
+        &mut self,
+        port: &mut dyn Port,
+        no: LinkNo,
+        reason: LinkLoss,
+    ) -> Option<(ExchangeId, LinkState)> {
         let link = self.links.remove(&no)?;
         port.cut(no);
-        port.detail(format_args!("link {} to exchange {} lost ({:?})", no.0, link.to.0, link.state));
-        let to = link.to;
+        let (to, silent) = (link.to, self.now.saturating_sub(link.heard));
+        metrics::counter!("links_lost", "reason" => reason.label()).increment(1);
+        port.detail(format_args!(
+            "link {} to exchange {} lost: {reason}, was {:?}, {} set-ups out, silent for {silent:?}",
+            no.0,
+            to.0,
+            link.state,
+            link.out.len(),
+        ));
         for id in link.out.into_values() {
             self.end(id, Cause::Cut);
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! | `message` | the binary messages that exchanges speak |
 //! | `bus` | the event bus's lines |
 //! | `config` | what the platform hands a controller at its start |
+//! | `reasons` | why connections are given up and standing calls end, for log and metrics |
 //! | `offer` | what a caller's set-up says, every field checked |
 //! | `desk` | calls, seizures, standing calls, links to exchanges; acts for the decisions |
 //! | `core` | what is told from outside, and the decisions it is told on to |
@@ -18,6 +19,7 @@
 mod desk;
 pub mod message;
 pub mod offer;
+pub mod reasons;
 
 use std::fmt::Arguments;
 use std::net::SocketAddr;
