--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -712,3 +712,13 @@
     assert!(told(|config| config["limits"]["sockets"] = json!(3)).contains("sockets"));
     assert!(told(|config| config["known"]["batch"] = json!([])).contains("known"));
 }
+
+#[test]
+fn the_calls_of_a_silent_exchange_end_before_their_limit_without_the_bus() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    // The machine is gone: nothing comes, dials are never answered, and the bus tells nothing.
+    platform.pass(ms(8000));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+}
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,565 @@
+//! Judges the records of a run by the rules of the platform's protocol. No I/O.
+//!
+//! Every time limit has the protocol's slack. Rule 4 (a cold exchange pushed over) is not judged here: it needs the
+//! capacity of processors, which the emulated exchanges do not have.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use crate::controller::{DRAIN_GRACE, LONGEST_DEADLINE, RELEASE_TIME};
+use crate::record::{AttemptEnd, BusFault, CallId, ConnectionNo, ControllerNo, Event, Micros, Record};
+
+const SECOND: Micros = 1_000_000;
+const MILLISECOND: Micros = 1_000;
+/// Each time limit is this much longer.
+const SLACK: Micros = 50 * MILLISECOND;
+/// An answer after its time earns nothing; after this more, it is lost.
+const LATE: Micros = SECOND / 2;
+/// A release that reached the controller goes on to the caller within this time.
+const RELEASE_PASSED_WITHIN: Micros = SECOND;
+/// A call's end that no release could tell is told within this time.
+const END_TOLD_WITHIN: Micros = 8 * SECOND;
+/// A set-up that crosses the close of its connection within this time is not lost.
+const CROSSING: Micros = 50 * MILLISECOND;
+/// What a bus tells counts as told so long after the fault of that kind began, or, for `Down`, ended.
+const TOLD_AFTER_BREAK: Micros = 2 * SECOND;
+const TOLD_AFTER_SILENCE: Micros = 4 * SECOND;
+const TOLD_AFTER_RETURN: Micros = 6 * SECOND;
+/// And after a new configuration.
+const TOLD_AFTER_RECONFIGURATION: Micros = 4 * SECOND;
+/// Time that a thread of the run itself may take to write its record.
+const RECORDING: Micros = 30 * MILLISECOND;
+
+/// The rules, and what else voids a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Exactly one final answer in time; the end of each call told in time.
+    Lost,
+    /// Never two attempts of a call out at once.
+    Duplicate,
+    /// Nothing new to an exchange that drains or is gone.
+    Drain,
+    /// No repetition before the release time.
+    Release,
+    /// No crash, no limit broken.
+    Crash,
+    /// Bad callers are settled in time.
+    BadCaller,
+}
+
+/// One breach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: Micros,
+    pub what: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{:?} at {}.{:06}: {}", self.rule, self.at / SECOND, self.at % SECOND, self.what)
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    pub breaches: Vec<Breach>,
+    pub set_ups: usize,
+    pub served: usize,
+    pub ended_calls: usize,
+}
+
+#[derive(Debug)]
+struct Sent {
+    at: Micros,
+    connection: ConnectionNo,
+    controller: ControllerNo,
+    patience: Micros,
+}
+
+#[derive(Debug, Default)]
+struct Call {
+    sent: Vec<Sent>,
+    /// When, on which connection, with which status and description.
+    answers: Vec<(Micros, ConnectionNo, u16, String)>,
+    cancelled: Option<Micros>,
+    /// Answered by an exchange: which, when.
+    stood: Option<(String, Micros)>,
+    /// Over at the exchange: when, and whether by the controller.
+    over: Option<(Micros, bool)>,
+    delivered: Option<Micros>,
+    told: Option<Micros>,
+    released_by_caller: Option<Micros>,
+    announced: Option<Micros>,
+}
+
+/// A stretch of time in which a process did not serve.
+#[derive(Debug)]
+struct Outage {
+    from: Micros,
+    until: Micros,
+}
+
+/// Everything that the rules ask about, from one pass over the records.
+#[derive(Debug, Default)]
+struct Facts {
+    calls: BTreeMap<CallId, Call>,
+    closed_by_controller: BTreeMap<ConnectionNo, Micros>,
+    closed_by_caller: BTreeMap<ConnectionNo, Micros>,
+    heard: BTreeSet<ConnectionNo>,
+    exchange_ended: BTreeMap<String, Micros>,
+    /// By controller: from SIGTERM or SIGKILL to ready again.
+    terminating: BTreeMap<ControllerNo, Vec<Micros>>,
+    down: BTreeMap<ControllerNo, Vec<Outage>>,
+    killed: BTreeMap<ControllerNo, Vec<Micros>>,
+    reconfigured: BTreeMap<ControllerNo, Vec<Micros>>,
+    /// When each exchange was listed as leaving.
+    drained: BTreeMap<String, Micros>,
+    bus_faults: Vec<(BusFault, Micros, Micros)>,
+    end: Micros,
+}
+
+/// Judges a whole run. `end` is when its faults were over and callers stopped.
+pub fn judge(records: &[Record], end: Micros) -> Verdict {
+    let facts = Facts::gather(records, end);
+    let mut verdict = Verdict::default();
+    facts.judge_answers(&mut verdict);
+    facts.judge_ends(&mut verdict);
+    judge_attempts(records, &facts, &mut verdict.breaches);
+    judge_processes(records, &mut verdict.breaches);
+    verdict.breaches.sort_by_key(|breach| (breach.at, breach.rule));
+    verdict
+}
+
+impl Facts {
+    fn gather(records: &[Record], end: Micros) -> Self {
+        let mut facts = Self { end, ..Self::default() };
+        for Record { at, event } in records {
+            facts.take(*at, event);
+        }
+        facts
+    }
+
+    fn call(&mut self, call: CallId) -> &mut Call {
+        self.calls.entry(call).or_default()
+    }
+
+    fn take(&mut self, at: Micros, event: &Event) {
+        match event {
+            Event::SetUpSent { call, connection, controller, patience_ms } => {
+                let patience = patience_ms * MILLISECOND;
+                let sent = Sent { at, connection: *connection, controller: *controller, patience };
+                self.call(*call).sent.push(sent);
+            }
+            Event::FinalAnswer { call, connection, status, description } => {
+                self.heard.insert(*connection);
+                self.call(*call).answers.push((at, *connection, *status, description.clone()));
+            }
+            Event::CancelSent { call } => self.call(*call).cancelled = Some(at),
+            Event::ClosedByController { connection } => {
+                self.closed_by_controller.insert(*connection, at);
+            }
+            Event::ClosedByCaller { connection } => {
+                self.closed_by_caller.insert(*connection, at);
+            }
+            Event::ReleaseHeard { call, .. } => {
+                self.call(*call).told.get_or_insert(at);
+            }
+            Event::ReleaseSentByCaller { call } => self.call(*call).released_by_caller = Some(at),
+            Event::Announced { call, .. } => self.call(*call).announced = Some(at),
+            Event::AttemptEnded { uid, call, end: AttemptEnd::Answered } => {
+                self.call(*call).stood = Some((uid.clone(), at));
+            }
+            Event::CallOver { call, by_controller, .. } => {
+                self.call(*call).over.get_or_insert((at, *by_controller));
+            }
+            Event::ReleaseDelivered { call, .. } => {
+                self.call(*call).delivered.get_or_insert(at);
+            }
+            Event::ExchangeEnded { uid } => {
+                self.exchange_ended.entry(uid.clone()).or_insert(at);
+            }
+            Event::ListChanged { uid, state, .. } if state != "in_service" => {
+                self.drained.entry(uid.clone()).or_insert(at);
+            }
+            Event::BusFaultBegan { fault } => self.bus_faults.push((*fault, at, Micros::MAX)),
+            Event::BusFaultEnded { fault } => {
+                if let Some(open) = self.bus_faults.iter_mut().rev().find(|(known, ..)| known == fault) {
+                    open.2 = at;
+                }
+            }
+            Event::Terminating { controller } => self.terminating.entry(*controller).or_default().push(at),
+            Event::Reconfigured { controller } => self.reconfigured.entry(*controller).or_default().push(at),
+            Event::Killed { controller } => {
+                self.killed.entry(*controller).or_default().push(at);
+                self.went_down(*controller, at);
+            }
+            Event::Exited { controller, .. } => self.went_down(*controller, at),
+            Event::ControllerReady { controller } => {
+                if let Some(outage) = self.down.get_mut(controller).and_then(|all| all.last_mut()) {
+                    outage.until = at;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn went_down(&mut self, controller: ControllerNo, at: Micros) {
+        self.down.entry(controller).or_default().push(Outage { from: at, until: Micros::MAX });
+    }
+
+    /// The first time at or after `from` at which the controller was killed or ended.
+    fn next_down(&self, controller: ControllerNo, from: Micros) -> Option<Micros> {
+        self.down.get(&controller)?.iter().map(|outage| outage.from).find(|at| *at >= from)
+    }
+
+    /// Whether the controller was down, or its callers had yet to announce their calls, at some time of a stretch.
+    fn was_down(&self, controller: ControllerNo, from: Micros, until: Micros) -> bool {
+        let overlaps = |outage: &Outage| outage.from <= until && outage.until >= from;
+        self.down.get(&controller).is_some_and(|all| all.iter().any(overlaps))
+    }
+
+    fn judge_answers(&self, verdict: &mut Verdict) {
+        for (id, call) in &self.calls {
+            let Some(first) = call.sent.first() else { continue };
+            verdict.set_ups += 1;
+            if call.answers.len() > 1 {
+                let at = call.answers[1].0;
+                verdict.breaches.push(breach(
+                    Rule::Lost,
+                    at,
+                    format!("call {id:016x} has a second final answer"),
+                ));
+            }
+            if let Some((at, _, 200, description)) = call.answers.first() {
+                verdict.served += 1;
+                let given =
+                    call.stood.as_ref().map(|(uid, _)| format!("{uid}/{id:016x}\r\nc=IN IP4 10.4.7.9\r\n"));
+                if given.as_ref() != Some(description) {
+                    let what = format!(
+                        "call {id:016x} is answered with {description:?}, the exchange gave {given:?}"
+                    );
+                    verdict.breaches.push(breach(Rule::Lost, *at, what));
+                }
+            }
+            let last = call.sent.last().unwrap_or(first);
+            let due = last.at + last.patience + LATE + SLACK;
+            let answered = call.answers.first().map(|(at, ..)| *at);
+            if answered.is_some_and(|at| at <= due) || self.excused(call, last, due) {
+                continue;
+            }
+            let when =
+                answered.map_or("never".to_string(), |at| format!("{} ms late", (at - due) / MILLISECOND));
+            let what = format!(
+                "call {id:016x}, sent to n{} on connection {} with {} ms, is answered {when}",
+                last.controller,
+                last.connection,
+                last.patience / MILLISECOND
+            );
+            verdict.breaches.push(breach(Rule::Lost, last.at, what));
+        }
+    }
+
+    /// Whether no answer was owed.
+    fn excused(&self, call: &Call, sent: &Sent, due: Micros) -> bool {
+        let given_up = call.cancelled.is_some_and(|at| at <= due);
+        let left = self.closed_by_caller.get(&sent.connection).is_some_and(|at| *at <= due);
+        if given_up || left || due > self.end {
+            return true;
+        }
+        // One that crosses the end of a connection on which something had come goes again.
+        let closed = self.closed_by_controller.get(&sent.connection);
+        let crossed = closed.is_some_and(|closed| sent.at + CROSSING >= *closed);
+        if crossed && self.heard.contains(&sent.connection) {
+            return true;
+        }
+        // A kill finds what arrived just before it; one without SIGTERM excuses all that was open.
+        let Some(kill) = self.next_down(sent.controller, sent.at).filter(|at| *at <= due) else {
+            return false;
+        };
+        let warned = self.terminating.get(&sent.controller).is_some_and(|all| {
+            all.iter().any(|at| *at <= kill && kill <= *at + duration(LONGEST_DEADLINE) + 2 * SECOND)
+        });
+        !warned || sent.at + CROSSING >= kill
+    }
+
+    fn judge_ends(&self, verdict: &mut Verdict) {
+        for (id, call) in &self.calls {
+            let served = call.answers.first().is_some_and(|answer| answer.2 == 200);
+            let (Some((uid, stood)), Some(sent), true) = (&call.stood, call.sent.last(), served) else {
+                continue;
+            };
+            let vanished = self.exchange_ended.get(uid).copied().filter(|at| at >= stood);
+            let (over, by_controller) = match (call.over, vanished) {
+                (Some(over), Some(vanished)) if over.0 > vanished => (vanished, false),
+                (Some(over), _) => over,
+                (None, Some(vanished)) => (vanished, false),
+                (None, None) => continue,
+            };
+            verdict.ended_calls += 1;
+            if call.released_by_caller.is_some_and(|at| at <= over + END_TOLD_WITHIN) {
+                continue;
+            }
+            let due = self.end_due(call, sent.controller, over, by_controller);
+            if due > self.end || call.told.is_some_and(|at| at <= due) {
+                continue;
+            }
+            let when = call.told.map_or("never told".to_string(), |at| {
+                format!("told {} ms after its end", at.saturating_sub(over) / MILLISECOND)
+            });
+            let what = format!("call {id:016x} of n{} at {uid} is over, {when}", sent.controller);
+            verdict.breaches.push(breach(Rule::Lost, over, what));
+        }
+    }
+
+    /// By when a call's end is to be told to its caller.
+    fn end_due(&self, call: &Call, controller: ControllerNo, over: Micros, by_controller: bool) -> Micros {
+        let slow = over + END_TOLD_WITHIN + SLACK + RECORDING;
+        let quick = |from: Micros| from + RELEASE_PASSED_WITHIN + SLACK + RECORDING;
+        let due = match call.delivered {
+            _ if by_controller => quick(over),
+            Some(delivered) if delivered >= over => quick(delivered).min(slow),
+            _ => slow,
+        };
+        if !self.was_down(controller, over, due) {
+            return due;
+        }
+        // The next start learns of the call from its caller.
+        let announced = call.announced.filter(|at| *at > over).unwrap_or(over);
+        slow.max(quick(announced))
+    }
+
+    /// From when on a change of the list that was made at some time counts as told to a controller.
+    fn told(&self, controller: ControllerNo, at: Micros) -> Micros {
+        let faults = self.bus_faults.iter().filter_map(|(fault, from, until)| match fault {
+            BusFault::Break if (*from..*from + TOLD_AFTER_BREAK).contains(&at) => {
+                Some(from + TOLD_AFTER_BREAK)
+            }
+            BusFault::Silent if (*from..*from + TOLD_AFTER_SILENCE).contains(&at) => {
+                Some(from + TOLD_AFTER_SILENCE)
+            }
+            BusFault::Down if *from <= at && at < until.saturating_add(TOLD_AFTER_RETURN) => {
+                Some(until.saturating_add(TOLD_AFTER_RETURN))
+            }
+            _ => None,
+        });
+        let moves = self.reconfigured.get(&controller).into_iter().flatten();
+        let moved = moves
+            .filter(|moved| (**moved..**moved + TOLD_AFTER_RECONFIGURATION).contains(&at))
+            .map(|moved| moved + TOLD_AFTER_RECONFIGURATION);
+        faults.chain(moved).max().unwrap_or(at)
+    }
+}
+
+fn duration(of: std::time::Duration) -> Micros {
+    of.as_micros() as Micros
+}
+
+fn breach(rule: Rule, at: Micros, what: String) -> Breach {
+    Breach { rule, at, what }
+}
+
+/// An attempt as the network saw it.
+#[derive(Debug)]
+struct Attempt {
+    uid: String,
+    link: ConnectionNo,
+    /// Come whole to its exchange.
+    received: Option<Micros>,
+    /// Its end written, or given up, or its connection closed.
+    ended: Option<Micros>,
+    /// Whether the exchange said so: then no release time is to be kept.
+    by_exchange: bool,
+}
+
+/// Rules 2, 3 and 5, from what passed between controllers and exchanges.
+fn judge_attempts(records: &[Record], facts: &Facts, breaches: &mut Vec<Breach>) {
+    let mut calls: BTreeMap<CallId, Vec<Attempt>> = BTreeMap::new();
+    for Record { at, event } in records {
+        match event {
+            Event::SetUpPassed { uid, call, controller, link } => {
+                judge_drain(facts, breaches, *at, *controller, uid, *call);
+                let attempts = calls.entry(*call).or_default();
+                judge_repetition(breaches, *at, *call, attempts);
+                let attempt = Attempt {
+                    uid: uid.clone(),
+                    link: *link,
+                    received: None,
+                    ended: None,
+                    by_exchange: false,
+                };
+                attempts.push(attempt);
+            }
+            Event::SetUpReceived { uid, call } => {
+                if let Some(attempt) = last_at(&mut calls, *call, uid) {
+                    attempt.received = Some(*at);
+                }
+            }
+            Event::AttemptEnded { uid, call, end } => {
+                if let Some(attempt) =
+                    last_at(&mut calls, *call, uid).filter(|attempt| attempt.ended.is_none())
+                {
+                    attempt.ended = Some(*at);
+                    attempt.by_exchange = matches!(end, AttemptEnd::Answered | AttemptEnd::Refused);
+                }
+            }
+            Event::ReleasePassed { call, link, .. } => {
+                let attempts = calls.get_mut(call).into_iter().flatten();
+                for attempt in attempts.filter(|attempt| attempt.link == *link && attempt.ended.is_none()) {
+                    attempt.ended = Some(*at);
+                }
+            }
+            Event::LinkClosed { link, .. } | Event::LinkReset { link, .. } => {
+                for attempt in calls.values_mut().flatten() {
+                    if attempt.link == *link && attempt.ended.is_none() {
+                        attempt.ended = Some(*at);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn last_at<'a>(
+    calls: &'a mut BTreeMap<CallId, Vec<Attempt>>,
+    call: CallId,
+    uid: &str,
+) -> Option<&'a mut Attempt> {
+    calls.get_mut(&call)?.iter_mut().rev().find(|attempt| attempt.uid == uid)
+}
+
+fn judge_drain(
+    facts: &Facts,
+    breaches: &mut Vec<Breach>,
+    at: Micros,
+    controller: ControllerNo,
+    uid: &str,
+    call: CallId,
+) {
+    let Some(drained) = facts.drained.get(uid) else { return };
+    let told = facts.told(controller, *drained);
+    if at > told.saturating_add(duration(DRAIN_GRACE) + SLACK + RECORDING) {
+        let what = format!(
+            "call {call:016x} is sent by n{controller} to {uid}, {} ms after its drain counts as told",
+            (at - told) / MILLISECOND
+        );
+        breaches.push(breach(Rule::Drain, at, what));
+    }
+}
+
+/// A further attempt: the one before must have ended, and its release time passed.
+fn judge_repetition(breaches: &mut Vec<Breach>, at: Micros, call: CallId, attempts: &[Attempt]) {
+    let Some(before) = attempts.last() else { return };
+    match before.ended {
+        None => {
+            let what = format!("call {call:016x} is sent again while its attempt at {} is out", before.uid);
+            breaches.push(breach(Rule::Duplicate, at, what));
+        }
+        Some(ended) if !before.by_exchange && before.received.is_some() => {
+            let span = at.saturating_sub(ended) + RECORDING;
+            if span < duration(RELEASE_TIME) {
+                let what = format!("call {call:016x} is sent again after {} ms", span / MILLISECOND);
+                breaches.push(breach(Rule::Release, at, what));
+            }
+        }
+        Some(_) => {}
+    }
+}
+
+fn judge_processes(records: &[Record], breaches: &mut Vec<Breach>) {
+    for Record { at, event } in records {
+        let found = match event {
+            Event::Exited { controller, expected: false, status } => {
+                Some((Rule::Crash, format!("n{controller} has ended by itself: {status}")))
+            }
+            Event::OverLimit { controller, what } => Some((Rule::Crash, format!("n{controller}: {what}"))),
+            Event::Unreadable { connection, why } => {
+                Some((Rule::Lost, format!("connection {connection} brings what can't be read: {why}")))
+            }
+            Event::BadCaller { what, controller, settled: false, .. } => {
+                Some((Rule::BadCaller, format!("n{controller} leaves a bad caller ({what}) without an end")))
+            }
+            _ => None,
+        };
+        breaches.extend(found.map(|(rule, what)| breach(rule, *at, what)));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CALL: CallId = 7;
+
+    fn at(ms: Micros, event: Event) -> Record {
+        Record { at: ms * MILLISECOND, event }
+    }
+
+    fn sent() -> Event {
+        Event::SetUpSent { call: CALL, connection: 1, controller: 0, patience_ms: 1500 }
+    }
+
+    fn served(uid: &str) -> [Record; 3] {
+        let description = format!("{uid}/{CALL:016x}\r\nc=IN IP4 10.4.7.9\r\n");
+        [
+            at(0, sent()),
+            at(20, Event::AttemptEnded { uid: uid.into(), call: CALL, end: AttemptEnd::Answered }),
+            at(21, Event::FinalAnswer { call: CALL, connection: 1, status: 200, description }),
+        ]
+    }
+
+    fn rules(records: &[Record]) -> Vec<Rule> {
+        judge(records, 60 * SECOND).breaches.into_iter().map(|breach| breach.rule).collect()
+    }
+
+    #[test]
+    fn a_set_up_without_an_answer_is_lost_unless_it_was_given_up() {
+        assert_eq!(rules(&[at(0, sent())]), [Rule::Lost]);
+        assert_eq!(rules(&[at(0, sent()), at(100, Event::CancelSent { call: CALL })]), []);
+        assert_eq!(
+            rules(&[at(0, sent()), at(100, Event::ClosedByController { connection: 1 })]),
+            [Rule::Lost]
+        );
+        assert_eq!(rules(&[at(0, sent()), at(100, Event::Killed { controller: 0 })]), []);
+        let restart = [
+            at(0, sent()),
+            at(0, Event::Terminating { controller: 0 }),
+            at(1000, Event::Killed { controller: 0 }),
+        ];
+        assert_eq!(rules(&restart), [Rule::Lost], "a kill after SIGTERM excuses only what has just come");
+    }
+
+    #[test]
+    fn a_vanished_exchange_leaves_8_s_and_a_delivered_release_1_s() {
+        let told = |ms| at(ms, Event::ReleaseHeard { call: CALL, controller: 0 });
+        let vanished = at(1000, Event::ExchangeEnded { uid: "s-1".into() });
+        let story = |last: Vec<Record>| [served("s-1").to_vec(), last].concat();
+        assert_eq!(rules(&story(vec![vanished.clone(), told(8900)])), []);
+        assert_eq!(rules(&story(vec![vanished, told(9200)])), [Rule::Lost]);
+        let over = at(1000, Event::CallOver { uid: "s-1".into(), call: CALL, by_controller: false });
+        let delivered = at(1005, Event::ReleaseDelivered { uid: "s-1".into(), call: CALL, controller: 0 });
+        assert_eq!(rules(&story(vec![over.clone(), delivered.clone(), told(1900)])), []);
+        assert_eq!(rules(&story(vec![over, delivered, told(2200)])), [Rule::Lost]);
+    }
+
+    #[test]
+    fn attempts_that_overlap_come_too_soon_or_go_to_a_drain_are_told_apart() {
+        let passed = |ms, uid: &str, link| {
+            at(ms, Event::SetUpPassed { uid: uid.into(), call: CALL, controller: 0, link })
+        };
+        let received = |ms| at(ms, Event::SetUpReceived { uid: "s-1".into(), call: CALL });
+        let given_up =
+            at(100, Event::ReleasePassed { uid: "s-1".into(), call: CALL, controller: 0, link: 1 });
+        assert_eq!(rules(&[passed(0, "s-1", 1), received(1), passed(400, "s-2", 2)]), [Rule::Duplicate]);
+        let again = |ms| rules(&[passed(0, "s-1", 1), received(1), given_up.clone(), passed(ms, "s-2", 2)]);
+        assert_eq!((again(200), again(320)), (vec![Rule::Release], vec![]));
+        let drain = at(0, Event::ListChanged { offset: 1, uid: "s-1".into(), state: "terminating".into() });
+        assert_eq!(rules(&[drain.clone(), passed(1900, "s-1", 1)]), []);
+        assert_eq!(rules(&[drain.clone(), passed(2200, "s-1", 1)]), [Rule::Drain]);
+        let silent = at(0, Event::BusFaultBegan { fault: BusFault::Silent });
+        assert_eq!(rules(&[silent.clone(), drain.clone(), passed(5900, "s-1", 1)]), []);
+        assert_eq!(rules(&[silent, drain, passed(6200, "s-1", 1)]), [Rule::Drain]);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,291 @@
+//! What a run does: drawn from a seed, so that a run that breaks a rule can be played again.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::callers::Habit;
+use crate::exchange::AnswerFaults;
+use crate::proxy::ConnectionFaults;
+use crate::record::{BusFault, ControllerNo};
+
+pub const CONTROLLERS: usize = 3;
+/// Offices that are called, each served by one exchange at a time.
+pub const OFFICES: usize = 3;
+/// Faults begin once calls stand.
+const FIRST_FAULT_MS: u64 = 3000;
+const LAST_FAULT_MS: u64 = 11_000;
+/// After the last fault, ends that nobody tells still have their time.
+const SETTLE: Duration = Duration::from_millis(11_500);
+
+/// The exchange that serves an office at that time.
+pub type Office = usize;
+
+/// One fault.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// SIGTERM, SIGKILL at the earliest, and a new start at once.
+    Restart {
+        controller: ControllerNo,
+    },
+    /// SIGKILL without warning, and a new start.
+    Kill {
+        controller: ControllerNo,
+    },
+    /// A new configuration with another address of the bus.
+    Reconfigure {
+        controller: ControllerNo,
+    },
+    /// The machine is gone and says nothing; the list follows after `listed`.
+    Vanish {
+        office: Office,
+        listed: Duration,
+    },
+    /// The process dies: its connections are reset; the list follows after `listed`.
+    Die {
+        office: Office,
+        listed: Duration,
+    },
+    /// The process stops for a while, its connections open.
+    Hang {
+        office: Office,
+        lasts: Duration,
+    },
+    /// Listed as leaving, ended after the grace, and replaced by a new one, on the same address or another.
+    Replace {
+        office: Office,
+        same_address: bool,
+    },
+    /// The network between all controllers, or one, and an exchange is cut.
+    Cut {
+        office: Office,
+        only: Option<ControllerNo>,
+        lasts: Duration,
+    },
+    ResetLinks {
+        office: Office,
+        controller: ControllerNo,
+    },
+    ResetOneLink {
+        office: Office,
+        controller: ControllerNo,
+    },
+    Bus {
+        fault: BusFault,
+        lasts: Duration,
+    },
+}
+
+/// A run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub actions: Vec<(Duration, Action)>,
+    pub lasts: Duration,
+    pub habits: Vec<Habit>,
+    /// Between two set-ups of one caller.
+    pub gap: Duration,
+    pub bad_callers: bool,
+    pub answers: AnswerFaults,
+    pub connections: ConnectionFaults,
+}
+
+/// The kinds of trouble; a seed takes one, and something of the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Theme {
+    Shutdowns,
+    EventBus,
+    BadPeers,
+    Network,
+    Fragments,
+    Crowd,
+}
+
+const THEMES: [Theme; 6] =
+    [Theme::Shutdowns, Theme::EventBus, Theme::BadPeers, Theme::Network, Theme::Fragments, Theme::Crowd];
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+struct Draw {
+    rng: Pcg64Mcg,
+    actions: Vec<(Duration, Action)>,
+}
+
+impl Draw {
+    fn at(&mut self) -> Duration {
+        millis(self.rng.random_range(FIRST_FAULT_MS..LAST_FAULT_MS))
+    }
+
+    fn span(&mut self, from: u64, to: u64) -> Duration {
+        millis(self.rng.random_range(from..=to))
+    }
+
+    fn office(&mut self) -> Office {
+        self.rng.random_range(0..OFFICES)
+    }
+
+    fn controller(&mut self) -> ControllerNo {
+        self.rng.random_range(0..CONTROLLERS)
+    }
+
+    fn add(&mut self, at: Duration, action: Action) {
+        self.actions.push((at, action));
+    }
+
+    /// Controllers restarted one after another.
+    fn restarts(&mut self) {
+        let mut at = self.span(FIRST_FAULT_MS, 5000);
+        for controller in 0..CONTROLLERS {
+            self.add(at, Action::Restart { controller });
+            at += self.span(300, 2500);
+        }
+    }
+
+    /// An exchange hangs, vanishes, dies or is replaced.
+    fn exchange_trouble(&mut self, at: Duration) {
+        let office = self.office();
+        let action = match self.rng.random_range(0..4) {
+            0 => Action::Vanish { office, listed: self.span(5900, 12_000) },
+            1 => Action::Die { office, listed: self.span(1500, 5000) },
+            2 => Action::Hang { office, lasts: self.span(800, 6000) },
+            _ => Action::Replace { office, same_address: self.rng.random_bool(0.5) },
+        };
+        self.add(at, action);
+    }
+
+    /// The bus fails for a while, and something happens at its return.
+    fn bus_trouble(&mut self) {
+        let at = self.at();
+        let fault = *[BusFault::Break, BusFault::Silent, BusFault::Down]
+            .choose(&mut self.rng)
+            .unwrap_or(&BusFault::Down);
+        let lasts = self.span(1000, 8000);
+        self.add(at, Action::Bus { fault, lasts });
+        let office = self.office();
+        let near = at + lasts - millis(self.rng.random_range(0..800).min(lasts.as_millis() as u64));
+        let same_address = self.rng.random_bool(0.5);
+        self.add(near, Action::Replace { office, same_address });
+        if self.rng.random_bool(0.5) {
+            let office = self.office();
+            self.add(at, Action::Vanish { office, listed: lasts + millis(300) });
+        }
+    }
+
+    /// New configurations in quick succession.
+    fn reconfigurations(&mut self) {
+        let controller = self.controller();
+        let mut at = self.at();
+        for _ in 0..self.rng.random_range(2..5) {
+            self.add(at, Action::Reconfigure { controller });
+            at += self.span(5, 900);
+        }
+    }
+
+    fn network_trouble(&mut self) {
+        let (at, office, controller) = (self.at(), self.office(), self.controller());
+        let action = match self.rng.random_range(0..4) {
+            0 => Action::Cut { office, only: None, lasts: self.span(500, 6000) },
+            1 => Action::Cut { office, only: Some(controller), lasts: self.span(500, 9000) },
+            2 => Action::ResetLinks { office, controller },
+            _ => Action::ResetOneLink { office, controller },
+        };
+        self.add(at, action);
+    }
+}
+
+impl Plan {
+    /// The run of a seed.
+    pub fn draw(seed: u64) -> Self {
+        let theme = THEMES[(seed % THEMES.len() as u64) as usize];
+        let mut draw = Draw { rng: Pcg64Mcg::seed_from_u64(seed), actions: Vec::new() };
+        let all = theme == Theme::Crowd;
+        if theme == Theme::Shutdowns || theme == Theme::Fragments || all {
+            draw.restarts();
+        }
+        if theme == Theme::Shutdowns || theme == Theme::Network {
+            for _ in 0..2 {
+                let at = draw.at();
+                draw.exchange_trouble(at);
+            }
+        }
+        if theme == Theme::EventBus || all || draw.rng.random_bool(0.2) {
+            draw.bus_trouble();
+        }
+        if theme == Theme::EventBus || draw.rng.random_bool(0.2) {
+            draw.reconfigurations();
+        }
+        if theme == Theme::Network || all {
+            (0..4).for_each(|_| draw.network_trouble());
+        }
+        if draw.rng.random_bool(0.3) {
+            let (at, controller) = (draw.at(), draw.controller());
+            draw.add(at, Action::Kill { controller });
+        }
+        let spoilt = if theme == Theme::BadPeers || theme == Theme::Fragments || all { 0.01 } else { 0.0 };
+        let answers = AnswerFaults {
+            noise: spoilt,
+            broken_off: spoilt,
+            missing: 2.0 * spoilt,
+            doubled: 3.0 * spoilt,
+            stray: 3.0 * spoilt,
+            reset: if theme == Theme::Network || all { 0.01 } else { spoilt },
+            error: spoilt,
+        };
+        let connections = ConnectionFaults {
+            closed_early: if theme == Theme::Network || all { 0.1 } else { 0.0 },
+            in_pieces: if theme == Theme::Fragments || all { 0.5 } else { 0.1 },
+        };
+        let habits = match theme {
+            Theme::Fragments => {
+                vec![Habit::WritesSlowly, Habit::WritesSlowly, Habit::Plain, Habit::GivesUpEarly]
+            }
+            _ => vec![Habit::Plain, Habit::WritesSlowly, Habit::GivesUpEarly, Habit::RepeatsAtOnce],
+        };
+        let gap = if all { millis(15) } else { millis(110) };
+        draw.actions.sort_by_key(|(at, _)| *at);
+        Self {
+            seed,
+            lasts: lasts(&draw.actions),
+            actions: draw.actions,
+            habits,
+            gap,
+            bad_callers: theme == Theme::BadPeers || all,
+            answers,
+            connections,
+        }
+    }
+
+    /// Issue 25: exchanges vanish with calls standing while the event bus is down.
+    pub fn vanish_while_the_bus_is_down() -> Self {
+        let listed = millis(12_200);
+        let actions = vec![
+            (millis(3000), Action::Bus { fault: BusFault::Down, lasts: millis(12_500) }),
+            (millis(4000), Action::Vanish { office: 0, listed }),
+            (millis(4000), Action::Vanish { office: 1, listed }),
+        ];
+        Self {
+            seed: 25,
+            lasts: millis(14_000),
+            actions,
+            habits: vec![Habit::Plain; 4],
+            gap: millis(110),
+            bad_callers: false,
+            answers: AnswerFaults::default(),
+            connections: ConnectionFaults::default(),
+        }
+    }
+}
+
+fn lasts(actions: &[(Duration, Action)]) -> Duration {
+    let last = actions.iter().map(|(at, action)| {
+        *at + match action {
+            Action::Restart { .. } => millis(3500),
+            _ => Duration::ZERO,
+        }
+    });
+    last.max().unwrap_or(millis(FIRST_FAULT_MS)) + SETTLE
+}
