Leases: calls at an exchange that says nothing end in time without the event bus

Cause: a standing call ended by the exchange's own release, a refused dial, or the bus's word. A vanished machine gives none of the first two, and the bus may be down: core/exchanges.rs cut_calls was reached from link_disconnected (Refused) and apply only. Class: failure detection left to one outside party; the controller had no deadline of its own for what it believes of others. Change: src/liveness.rs (policy): each message renews the exchange's lease on its calls; heartbeat after 2.5 s of quiet, another connection 1.2 s later, expiry 7.2 s after the last message (4 s where nothing ever came); core/leases.rs carries it out, and releases the calls at the exchange.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod discovery;
 mod exchanges;
+mod leases;
 mod shutdown;
 
 use std::collections::BTreeMap;
@@ -165,7 +166,7 @@
         }
     }
 
-    /// Looks for half messages, silent connections and a silent bus.
+    /// Looks for half messages, silent connections, quiet exchanges and a silent bus.
     fn sweep(&mut self, port: &mut dyn Port) {
         let now = self.desk.now;
         self.desk.set(SWEEP, Timer::Sweep);
@@ -184,6 +185,7 @@
         for no in self.desk.expired_links() {
             self.lose(port, no, LinkLoss::DrainExpired);
         }
+        self.check_leases(port);
         let patience = if self.bus_state == BusState::Dialled { BUS_DIAL } else { BUS_SILENT };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
             let reason = if self.bus_state == BusState::Dialled { "dial timeout" } else { "silent" };
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -4,6 +4,8 @@
 
 use mintstall::host::{ExchangeId, OfficeNo, RosterLine, Standing as Service, Zone};
 
+use mintstall::liveness::Lease;
+
 use super::{BUS_AGAIN, BusState, Core};
 use crate::bus::{self, Event, Topology};
 use crate::desk::{RemoteExchange, Timer};
@@ -126,6 +128,7 @@
                 next_dial: Duration::ZERO,
                 waiting: Default::default(),
                 releases: Default::default(),
+                lease: Lease::new(self.desk.now),
             };
             let far = self.desk.exchanges.entry(line.exchange).or_insert(fresh);
             far.service = line.standing;
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -6,7 +6,7 @@
 
 use super::{Core, Disconnect};
 use crate::desk::{LinkState, NORMAL_CLEARING, Owed, Standing, TEMPORARY_FAILURE};
-use crate::message::{self, Kind};
+use crate::message::{self, Kind, WireId};
 use crate::reasons::{CallEnd, LinkLoss};
 use crate::{LinkNo, Port};
 
@@ -60,7 +60,10 @@
         cutter.push(octets);
         loop {
             match cutter.next_message() {
-                Ok(Some(message)) => self.exchange_says(port, no, exchange, &message),
+                Ok(Some(message)) => {
+                    self.desk.exchanges.entry(exchange).and_modify(|remote| remote.lease.renew(now));
+                    self.exchange_says(port, no, exchange, &message);
+                }
                 Ok(None) => break,
                 Err(spoilt) => {
                     port.detail(format_args!("link {}: {spoilt}", no.0));
@@ -169,25 +172,26 @@
         self.over(port, &call, of);
     }
 
-    /// Calls that stand at an exchange since before some time ended with it.
+    /// Calls that stand at an exchange since before some time ended with it; gives them.
     pub(super) fn cut_calls(
         &mut self,
         port: &mut dyn Port,
         exchange: ExchangeId,
         before: Duration,
         reason: CallEnd,
-    ) {
+    ) -> Vec<WireId> {
         let ended = self.desk.take_standing(exchange, before);
         if ended.is_empty() {
-            return;
+            return Vec::new();
         }
         let count = ended.len();
         port.note(&format!("exchange {}: {count} standing calls ended: {reason}", exchange.0));
         metrics::counter!("calls_ended", "reason" => reason.label()).increment(count as u64);
-        for (id, call) in ended {
-            self.desk.notify_release(port, Some(call.caller), id, TEMPORARY_FAILURE, self.desk.now);
-            self.over(port, &call, Cause::Cut);
+        for (id, call) in &ended {
+            self.desk.notify_release(port, Some(call.caller), *id, TEMPORARY_FAILURE, self.desk.now);
+            self.over(port, call, Cause::Cut);
         }
+        ended.into_iter().map(|(id, _)| id).collect()
     }
 }
 
--- /dev/null
+++ b/crates/platform/src/core/leases.rs
@@ -0,0 +1,53 @@
+//! Carries out what the failure detection decides about exchanges at which calls stand.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use mintstall::host::ExchangeId;
+use mintstall::liveness::Check;
+
+use super::Core;
+use crate::Port;
+use crate::reasons::CallEnd;
+
+impl Core {
+    /// Looks at the lease of each exchange at which a call stands.
+    pub(super) fn check_leases(&mut self, port: &mut dyn Port) {
+        let holders: BTreeSet<ExchangeId> = self.desk.standing.values().map(|call| call.exchange).collect();
+        for exchange in holders {
+            let Some(remote) = self.desk.exchanges.get_mut(&exchange) else { continue };
+            let quiet = self.desk.now.saturating_sub(remote.lease.last_heard());
+            match remote.lease.check(self.desk.now) {
+                Check::Valid => {}
+                Check::SendHeartbeat => {
+                    port.detail(format_args!("exchange {} quiet for {quiet:?}: heartbeat", exchange.0));
+                    self.desk.send_heartbeat(port, exchange);
+                }
+                Check::ReplaceConnection => {
+                    port.detail(format_args!("exchange {} quiet for {quiet:?}: no answer", exchange.0));
+                    self.replace_connection(port, exchange);
+                }
+                Check::Expired => {
+                    port.note(&format!("exchange {} quiet for {quiet:?}: its lease has expired", exchange.0));
+                    self.expire(port, exchange);
+                }
+            }
+        }
+    }
+
+    /// A heartbeat was not answered: a new connection shows whether the exchange or the connection is at fault.
+    fn replace_connection(&mut self, port: &mut dyn Port, exchange: ExchangeId) {
+        if let Some(link) = self.desk.first_up(exchange) {
+            self.desk.drain_link(port, link);
+        }
+        self.desk.maintain_pool(port, exchange);
+        self.desk.send_heartbeat(port, exchange);
+    }
+
+    /// The calls are over for their callers; an exchange that still holds them learns so when it can be reached.
+    fn expire(&mut self, port: &mut dyn Port, exchange: ExchangeId) {
+        for id in self.cut_calls(port, exchange, Duration::MAX, CallEnd::LeaseExpired) {
+            self.desk.release_there(port, exchange, id);
+        }
+    }
+}
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -12,6 +12,7 @@
 
 use mintstall::chance::Chance;
 use mintstall::host::{AlarmId, CallId, Ended, ExchangeId, Report, SeizureNo, Standing as Service};
+use mintstall::liveness::Lease;
 use mintstall_sip as sip;
 
 use crate::message::{self, WireId};
@@ -165,6 +166,8 @@
     pub waiting: VecDeque<CallId>,
     /// Calls to be released there once a link is up.
     pub releases: VecDeque<WireId>,
+    /// For how long it is believed to hold the calls that stand there.
+    pub lease: Lease,
 }
 
 pub struct Desk {
--- a/crates/platform/src/desk/calls.rs
+++ b/crates/platform/src/desk/calls.rs
@@ -4,9 +4,8 @@
 use mintstall_sip as sip;
 
 use super::releases::release_on;
-use super::{Call, Desk, LinkState, MOST_LINKS, Owed, RemoteExchange};
+use super::{Call, Desk, LinkState, Owed, RemoteExchange};
 use crate::message::{self, Kind, code};
-use crate::reasons::LinkLoss;
 use crate::{LinkNo, Port};
 
 impl Desk {
@@ -144,23 +143,9 @@
         // A link on which nothing came since is of no use to others either. It is read on for a while: closing it would
         // lose a release that is on its way, and the set-ups that are out on it.
         if let Some(no) = link
-            && let Some(link) = self.links.get_mut(&no)
-            && link.state == LinkState::Up
-            && link.heard < since
+            && self.links.get(&no).is_some_and(|link| link.state == LinkState::Up && link.heard < since)
         {
-            let to = link.to;
-            link.state = LinkState::Draining { at: self.now };
-            if let Some(far) = self.exchanges.get_mut(&to) {
-                far.links.retain(|known| *known != no);
-                far.draining.push_back(no);
-                if far.draining.len() > MOST_LINKS
-                    && let Some(oldest) = far.draining.front().copied()
-                {
-                    self.lose(port, oldest, LinkLoss::DrainExpired);
-                }
-            }
-            port.detail(format_args!("link {} to exchange {} draining", no.0, to.0));
-            self.maintain_pool(port, to);
+            self.drain_link(port, no);
         }
     }
 }
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -2,16 +2,23 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use mintstall::host::{Cause, ExchangeId, Standing as Service};
 
 use super::{
     DRAINING_FOR, Desk, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST, RemoteExchange, Timer,
 };
-use crate::message;
+use crate::message::{self, Kind, WireId, code};
 use crate::reasons::LinkLoss;
 use crate::{LinkNo, Port};
 
+/// The cause that a test carries.
+const TEST: u8 = 0;
+/// The longest pause before a further dial to an exchange whose calls may be over: it has to be reached, or given up,
+/// before its lease expires.
+const REDIAL_IN_DOUBT: Duration = Duration::from_millis(250);
+
 impl Desk {
     /// Draining links whose time is over.
     pub fn expired_links(&self) -> Vec<LinkNo> {
@@ -20,6 +27,33 @@
         self.links.iter().filter(|(_, link)| over(link)).map(|(no, _)| *no).collect()
     }
 
+    /// Sends nothing new on a link, reads it on for a while, and has another dialled in its place.
+    pub fn drain_link(&mut self, port: &mut dyn Port, no: LinkNo) {
+        let Some(link) = self.links.get_mut(&no) else { return };
+        let to = link.to;
+        link.state = LinkState::Draining { at: self.now };
+        port.detail(format_args!("link {} to exchange {} drained", no.0, to.0));
+        if let Some(far) = self.exchanges.get_mut(&to) {
+            far.links.retain(|known| *known != no);
+            far.draining.push_back(no);
+            if far.draining.len() > MOST_LINKS
+                && let Some(oldest) = far.draining.front().copied()
+            {
+                self.lose(port, oldest, LinkLoss::DrainExpired);
+            }
+        }
+        self.maintain_pool(port, to);
+    }
+
+    /// Asks an exchange for a sign of life, if a link is up; a new one brings its own.
+    pub fn send_heartbeat(&mut self, port: &mut dyn Port, to: ExchangeId) {
+        let Some(link) = self.first_up(to) else { return };
+        let mut octets = Vec::new();
+        message::write(&mut octets, Kind::Test, WireId(self.number()), &[(code::CAUSE, &[TEST])]);
+        port.send(link, &octets);
+        metrics::counter!("heartbeats_sent").increment(1);
+    }
+
     /// How many links an exchange gets, so that all fit the descriptors.
     pub fn share_links(&mut self) {
         let ready = self.exchanges.values().filter(|far| far.service == Service::Ready).count();
@@ -110,7 +144,8 @@
             far.draining.retain(|known| *known != no);
             if link.state == LinkState::Dialled {
                 far.failures = far.failures.saturating_add(1);
-                let ceiling = REDIAL_LAST.min(REDIAL_FIRST * 2u32.pow(far.failures.min(8)));
+                let last = if far.lease.in_doubt() { REDIAL_IN_DOUBT } else { REDIAL_LAST };
+                let ceiling = last.min(REDIAL_FIRST * 2u32.pow(far.failures.min(8)));
                 far.next_dial = self.now + ceiling.mul_f64(0.5 + 0.5 * self.chance.below_one());
             }
         }
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -53,6 +53,8 @@
     ExchangeRestarted,
     /// The exchange's address refuses connections, and none is open.
     ExchangeRefused,
+    /// Nothing has come from the exchange for longer than its calls may go without.
+    LeaseExpired,
     /// A caller named a call at an exchange that is not on the list.
     ExchangeUnknown,
 }
@@ -66,6 +68,7 @@
             Self::ExchangeGone => "exchange_gone",
             Self::ExchangeRestarted => "exchange_restarted",
             Self::ExchangeRefused => "exchange_refused",
+            Self::LeaseExpired => "lease_expired",
             Self::ExchangeUnknown => "exchange_unknown",
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod chance;
 pub mod choice;
 pub mod host;
+pub mod liveness;
 
 pub use choice::Controller;
--- /dev/null
+++ b/src/liveness.rs
@@ -0,0 +1,145 @@
+//! Failure detection: how long an exchange that says nothing is believed to hold the calls that stand there.
+//!
+//! Each message from an exchange renews its lease on those calls. An exchange that is quiet while calls stand there is
+//! sent a heartbeat; one that leaves it unanswered is asked on a new connection; once the lease expires its calls are
+//! over for their callers. No other party is needed for that: membership may be late, or its source down.
+//!
+//! No I/O; the caller passes the time and does what a check asks for.
+
+use std::time::Duration;
+
+/// A call's end that its exchange can't tell has to reach the caller within this time (the platform's protocol).
+const END_TOLD_WITHIN: Duration = Duration::from_secs(8);
+/// Kept of that for timers, for a process that is scheduled late, and for the way to the caller.
+const MARGIN: Duration = Duration::from_millis(800);
+/// How long a lease lasts after the last message: a call may have ended just after it.
+pub const LEASE: Duration = END_TOLD_WITHIN.saturating_sub(MARGIN);
+/// Calls that stood before this process started may be over since then. An exchange that has never been heard is given
+/// this time, some attempts to connect.
+pub const FIRST_CONTACT: Duration = Duration::from_secs(4);
+/// A quiet exchange is sent a heartbeat after this. It answers at once if it is well, so one that was quiet for other
+/// reasons keeps most of its lease.
+pub const HEARTBEAT_AFTER: Duration = Duration::from_millis(2500);
+/// A heartbeat without an answer for so long says that the connection, or the exchange, is of no use.
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// What is to be done about an exchange at which calls stand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    Valid,
+    /// Send a heartbeat on an open connection.
+    SendHeartbeat,
+    /// The heartbeat was not answered: replace the connection that it went out on.
+    ReplaceConnection,
+    /// The lease is over, and with it all calls that stand there.
+    Expired,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Contact {
+    /// Nothing has come since the exchange was listed.
+    Awaited,
+    Made,
+}
+
+/// The lease of one exchange.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    contact: Contact,
+    last_heard: Duration,
+    heartbeat_sent: Option<Duration>,
+}
+
+impl Lease {
+    pub fn new(now: Duration) -> Self {
+        Self { contact: Contact::Awaited, last_heard: now, heartbeat_sent: None }
+    }
+
+    /// A message has come from the exchange.
+    pub fn renew(&mut self, now: Duration) {
+        *self = Self { contact: Contact::Made, last_heard: now, heartbeat_sent: None };
+    }
+
+    pub fn last_heard(&self) -> Duration {
+        self.last_heard
+    }
+
+    /// Whether a heartbeat has gone out since the last message: reaching the exchange is urgent.
+    pub fn in_doubt(&self) -> bool {
+        self.heartbeat_sent.is_some()
+    }
+
+    /// What is due now; a heartbeat that is asked for counts as sent.
+    pub fn check(&mut self, now: Duration) -> Check {
+        let quiet = now.saturating_sub(self.last_heard);
+        let lasts = match self.contact {
+            Contact::Awaited => FIRST_CONTACT,
+            Contact::Made => LEASE,
+        };
+        if quiet >= lasts {
+            return Check::Expired;
+        }
+        match self.heartbeat_sent {
+            None if quiet >= HEARTBEAT_AFTER => {
+                self.heartbeat_sent = Some(now);
+                Check::SendHeartbeat
+            }
+            Some(sent) if now >= sent + HEARTBEAT_TIMEOUT => {
+                // Asked again on the next connection that comes up.
+                self.heartbeat_sent = Some(now);
+                Check::ReplaceConnection
+            }
+            _ => Check::Valid,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: Duration = Duration::from_secs(1000);
+
+    fn after(ms: u64) -> Duration {
+        START + Duration::from_millis(ms)
+    }
+
+    fn lease() -> Lease {
+        let mut lease = Lease::new(START);
+        lease.renew(START);
+        lease
+    }
+
+    #[test]
+    fn a_quiet_exchange_is_asked_then_asked_elsewhere_and_expires_before_the_limit() {
+        let mut lease = lease();
+        assert_eq!(lease.check(after(2400)), Check::Valid);
+        assert_eq!(lease.check(after(2500)), Check::SendHeartbeat);
+        assert!(lease.in_doubt());
+        assert_eq!(lease.check(after(3600)), Check::Valid, "it has time to answer");
+        assert_eq!(lease.check(after(3700)), Check::ReplaceConnection);
+        assert_eq!(lease.check(after(4900)), Check::ReplaceConnection);
+        assert_eq!(lease.check(after(7100)), Check::ReplaceConnection);
+        assert_eq!(lease.check(after(7200)), Check::Expired);
+        assert!(LEASE < END_TOLD_WITHIN);
+    }
+
+    #[test]
+    fn any_message_renews_it() {
+        let mut lease = lease();
+        lease.check(after(2500));
+        lease.renew(after(2600));
+        assert!(!lease.in_doubt());
+        assert_eq!(lease.check(after(5000)), Check::Valid);
+        assert_eq!(lease.check(after(5100)), Check::SendHeartbeat);
+    }
+
+    #[test]
+    fn one_that_was_never_heard_has_less_time() {
+        let mut lease = Lease::new(START);
+        assert_eq!(lease.check(after(2500)), Check::SendHeartbeat);
+        assert_eq!(lease.check(after(4000)), Check::Expired);
+        lease.renew(after(4100));
+        assert_eq!(lease.check(after(4200)), Check::Valid);
+    }
+}
