Shutdown drains connections; releases survive restarts; bus dialled with backoff

The same mistake (one message on one connection taken for done): releases to exchanges are repeated on the next link until confirmed; what is open on a connection that is closed for nonsense or half a message is answered first; a failed write no longer drops what had come before it. Shutdown: served 0.75 s, then set-ups are refused and connections closed as nothing is left on them, all before the earliest kill; the process used to end at 0.75 s with connections open. A silent new connection is kept until then, so the test of late calls names one that has spoken. Bus: dial and pause grow with failures, jittered, bounded well below 6 s. A configuration that can't be read is read again 8 times.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,11 @@
 /// A connection told why it is closed is read on for so long, or the reset for what it still sends would take the
 /// words away.
 const LINGER: Duration = Duration::from_millis(1500);
+/// And at the end of the process for so long: the other side needs that to see the close.
+const LAST_LINGER: Duration = Duration::from_millis(200);
+/// A configuration that can't be read is read again after this, so many times in all.
+const RELOAD_AFTER: Duration = Duration::from_millis(250);
+const RELOAD_TRIES: u32 = 8;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Purpose {
@@ -59,6 +64,8 @@
     Open,
     /// Open, and waits until more can be written.
     Full,
+    /// A write has failed: what had come before is read, then it is over.
+    Broken(Disconnect),
 }
 
 struct Connection {
@@ -137,7 +144,7 @@
 
     fn flush(&mut self, token: Token) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        if connection.phase == Phase::Dialled {
+        if matches!(connection.phase, Phase::Dialled | Phase::Broken(_)) {
             return;
         }
         if connection.out.overrun() {
@@ -156,7 +163,10 @@
                 }
             }
             Ok(false) => connection.phase = Phase::Full,
-            Err(error) => self.fail(token, broke(&error)),
+            Err(error) => {
+                connection.phase = Phase::Broken(broke(&error));
+                self.more.push(token);
+            }
         }
     }
 
@@ -203,7 +213,7 @@
 
     fn backed_up(&self, link: LinkNo) -> bool {
         let connection = self.links.get(&link).and_then(|token| self.connections.get(token));
-        connection.is_none_or(|connection| connection.phase == Phase::Full)
+        connection.is_none_or(|connection| matches!(connection.phase, Phase::Full | Phase::Broken(_)))
     }
 
     fn cut(&mut self, link: LinkNo) {
@@ -254,6 +264,10 @@
     buffer: Vec<u8>,
     counter_log: metrics::CounterLog,
     next_counter_log: Instant,
+    /// Since when nothing has been left to do in a shutdown.
+    stopped_since: Option<Instant>,
+    /// When the configuration is read again, and how many tries are left.
+    reload: Option<(Instant, u32)>,
 }
 
 impl Node {
@@ -295,6 +309,8 @@
             buffer: vec![0; READ],
             counter_log: metrics::CounterLog::default(),
             next_counter_log: started + metrics::LOG_INTERVAL,
+            stopped_since: None,
+            reload: None,
         })
     }
 
@@ -313,7 +329,7 @@
         loop {
             self.told_of_failures();
             self.wires.flush_all();
-            if self.core.stopped(self.now()) {
+            if self.may_end() {
                 return Ok(());
             }
             match self.wires.poll.poll(&mut events, Some(self.rest())) {
@@ -339,10 +355,25 @@
             let now = self.now();
             self.core.on_timer(now, &mut self.wires);
             self.let_go();
+            self.reload_if_due();
             self.log_counters();
         }
     }
 
+    /// Whether nothing is owed any more, and callers have seen that their connections are closed.
+    fn may_end(&mut self) -> bool {
+        if !self.core.stopped(self.now()) {
+            self.stopped_since = None;
+            return false;
+        }
+        // A connection that the machine has accepted is served before the process ends.
+        self.accept();
+        let since = *self.stopped_since.get_or_insert_with(Instant::now);
+        let waits = self.wires.connections.values().any(|connection| connection.out.waiting() > 0);
+        let lingers = self.wires.callers > 0 || waits;
+        self.core.stopped(self.now()) && (!lingers || since.elapsed() >= LAST_LINGER)
+    }
+
     fn log_counters(&mut self) {
         let now = Instant::now();
         if now >= self.next_counter_log {
@@ -354,9 +385,13 @@
     /// How long to wait for what comes.
     fn rest(&self) -> Duration {
         const LONGEST: Duration = Duration::from_millis(250);
+        const SHORT_REST: Duration = Duration::from_millis(5);
         if !self.wires.more.is_empty() || !self.wires.failed.is_empty() {
             return Duration::ZERO;
         }
+        if self.stopped_since.is_some() {
+            return SHORT_REST;
+        }
         let alarm = self.core.next_timer().map(|due| due.saturating_sub(self.now()));
         alarm.map_or(LONGEST, |rest| rest.min(LONGEST))
     }
@@ -423,15 +458,33 @@
         for signal in pending {
             let now = self.now();
             match signal {
-                SIGHUP => match Config::read(&self.config) {
-                    Ok(config) => self.core.configured(now, &mut self.wires, &config),
-                    Err(error) => warn!("the configuration stays as it was: {error}"),
-                },
+                SIGHUP => self.reload(RELOAD_TRIES),
                 _ => self.core.stop(now, &mut self.wires),
             }
         }
     }
 
+    /// Reads the configuration again. One that can't be read may be half written, so it is tried some times more.
+    fn reload(&mut self, tries: u32) {
+        self.reload = None;
+        match Config::read(&self.config) {
+            Ok(config) => self.core.configured(self.now(), &mut self.wires, &config),
+            Err(error) if tries > 1 => {
+                warn!("the configuration stays as it was, read again soon: {error}");
+                self.reload = Some((Instant::now() + RELOAD_AFTER, tries - 1));
+            }
+            Err(error) => warn!("the configuration stays as it was: {error}"),
+        }
+    }
+
+    fn reload_if_due(&mut self) {
+        if let Some((at, tries)) = self.reload
+            && at <= Instant::now()
+        {
+            self.reload(tries);
+        }
+    }
+
     /// Something can be read or written on a connection.
     fn turn(&mut self, token: Token, writable: bool) {
         let Some(connection) = self.wires.connections.get_mut(&token) else { return };
@@ -471,7 +524,8 @@
         for _ in 0..READS {
             let Some(connection) = self.wires.connections.get_mut(&token) else { return };
             // Who does not read is not read either; flushing takes it up again.
-            if connection.out.waiting() >= MOST_WAITING / 2 {
+            let broken = matches!(connection.phase, Phase::Broken(_));
+            if !broken && connection.out.waiting() >= MOST_WAITING / 2 {
                 return;
             }
             let purpose = connection.purpose;
@@ -486,7 +540,12 @@
                         Purpose::Leaving => {}
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if let Phase::Broken(how) = connection.phase {
+                        self.wires.fail(token, how);
+                    }
+                    return;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return self.wires.fail(token, broke(&error)),
             }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -14,8 +14,9 @@
 use mintstall::host::{CallId, ExchangeId};
 use mintstall_settings::Trade;
 
+use self::shutdown::Shutdown;
 use crate::bus::Bus;
-use crate::desk::{Desk, LinkState, Owed, Timer, Turn};
+use crate::desk::{Caller, Desk, LinkState, Owed, Timer, Turn};
 use crate::reasons::LinkLoss;
 use crate::{Config, Port};
 
@@ -23,17 +24,21 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// A connection that has said nothing, or half a message, is given so long.
 const HALF_FOR: Duration = Duration::from_millis(2200);
+/// One on which a call has stood writes its messages in the end, however slowly.
+const HALF_FOR_PROVEN: Duration = Duration::from_secs(6);
 /// And a link so long for the rest of a message.
 const HALF_ANSWER_FOR: Duration = Duration::from_millis(700);
 /// The bus says something each second; without it for so long it has fallen silent.
 const BUS_SILENT: Duration = Duration::from_millis(2300);
+/// A dial that is not answered is given up after this at first, then after twice as long each time: a crowded bus
+/// accepts late.
 const BUS_DIAL: Duration = Duration::from_millis(500);
-/// A lost bus is dialled again after this.
+const BUS_DIAL_LONGEST: Duration = Duration::from_secs(2);
+/// A lost bus is dialled again after a draw from the upper half of this, doubled with each failure up to the last: all
+/// controllers lose it together. What the bus has counts as told 6 s after it can be reached, so that dial and pause
+/// together stay well below that.
 const BUS_AGAIN: Duration = Duration::from_millis(200);
-/// After the signal to stop, calls keep coming for so long.
-const STOP_COMING: Duration = Duration::from_millis(750);
-/// What is taken after the signal to stop has its answer by then, or in the longest guard time where that is less.
-const STOP_ANSWERS: Duration = Duration::from_millis(3400);
+const BUS_AGAIN_LONGEST: Duration = Duration::from_millis(1000);
 /// Set-ups open on one connection, beyond which a caller is refused: a flood must leave room to others.
 const MOST_OPEN: usize = 256;
 /// Octets of descriptions and headers in all open calls: a flood of long ones must not fill the memory.
@@ -49,11 +54,6 @@
     Lost,
 }
 
-enum Stop {
-    Not,
-    Asked { at: Duration, by: Duration },
-}
-
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum BusState {
     Dialled,
@@ -71,10 +71,12 @@
     bus_state: BusState,
     /// Since when the bus has been in that state, or was last heard.
     bus_since: Duration,
+    /// Times in a row that it was lost without a word.
+    bus_failures: u32,
     /// Exchanges by the names of the bus. Emptied as they go.
     uids: BTreeMap<Box<str>, ExchangeId>,
     next_exchange: u32,
-    stop: Stop,
+    shutdown: Shutdown,
 }
 
 impl Core {
@@ -90,9 +92,10 @@
             bus_at: config.bus,
             bus_state: BusState::Down,
             bus_since: now,
+            bus_failures: 0,
             uids: BTreeMap::new(),
             next_exchange: 0,
-            stop: Stop::Not,
+            shutdown: Shutdown::NotAsked,
         };
         for event in &config.known {
             core.apply(port, event);
@@ -155,6 +158,7 @@
                 let owed: Vec<_> = self.desk.named.values().copied().collect();
                 owed.into_iter().for_each(|call| self.time_is_up(port, call, 500));
             }
+            Timer::Drain => self.drain_callers(port),
         }
     }
 
@@ -171,7 +175,12 @@
         let now = self.desk.now;
         self.desk.set(SWEEP, Timer::Sweep);
         let late = |since: Option<Duration>, span| since.is_some_and(|since| since + span < now);
-        let callers = self.desk.callers.iter().filter(|(_, caller)| late(caller.half, HALF_FOR));
+        let stuck = |caller: &Caller| {
+            let patience = if caller.proven { HALF_FOR_PROVEN } else { HALF_FOR };
+            // What has been taken is answered first.
+            late(caller.half, patience) && caller.open.is_empty()
+        };
+        let callers = self.desk.callers.iter().filter(|(_, caller)| stuck(caller));
         for no in callers.map(|(no, _)| *no).collect::<Vec<_>>() {
             port.detail(format_args!("caller {} closed: silent, or half a message, for too long", no.0));
             metrics::counter!("callers_closed", "reason" => "incomplete_message").increment(1);
@@ -186,7 +195,10 @@
             self.lose(port, no, LinkLoss::DrainExpired);
         }
         self.check_leases(port);
-        let patience = if self.bus_state == BusState::Dialled { BUS_DIAL } else { BUS_SILENT };
+        let patience = match self.bus_state {
+            BusState::Dialled => BUS_DIAL_LONGEST.min(BUS_DIAL * 2u32.pow(self.bus_failures.min(8))),
+            _ => BUS_SILENT,
+        };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
             let reason = if self.bus_state == BusState::Dialled { "dial timeout" } else { "silent" };
             self.drop_bus(port, reason);
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -5,7 +5,8 @@
 use mintstall::host::{CallId, Cause, Ended, Offer, SeizureNo};
 use mintstall_sip::{self as sip, Message, Start};
 
-use super::{Core, MOST_HELD, MOST_OPEN, MOST_STANDING, Stop};
+use super::shutdown::Shutdown;
+use super::{Core, MOST_HELD, MOST_OPEN, MOST_STANDING};
 use crate::desk::{Call, Owed, Standing, TEMPORARY_FAILURE, Timer};
 use crate::message::WireId;
 use crate::offer::{self, SetUp, SetupRequest};
@@ -31,6 +32,7 @@
                 Err(spoilt) => {
                     port.detail(format_args!("caller {} closed: {spoilt}", no.0));
                     metrics::counter!("callers_closed", "reason" => "malformed").increment(1);
+                    self.fail_open_calls(port, no);
                     let mut answer = Vec::new();
                     let why = [("Warning", &*spoilt.to_string())];
                     sip::write_response(&mut answer, spoilt.status(), &why, b"");
@@ -65,6 +67,12 @@
         }
     }
 
+    /// Final answers for what is open on a connection that is about to be closed here: its calls were taken.
+    fn fail_open_calls(&mut self, port: &mut dyn Port, no: CallerNo) {
+        let open = self.desk.callers.get(&no).map(|caller| caller.open.clone()).unwrap_or_default();
+        open.into_iter().for_each(|call| self.time_is_up(port, call, 500));
+    }
+
     /// Nothing is owed for a call any more.
     pub(super) fn withdraw(&mut self, port: &mut dyn Port, id: CallId) {
         self.desk.forget(id);
@@ -82,7 +90,7 @@
                     "CANCEL" => self.cancel(port, no, message),
                     "BYE" => self.caller_releases(port, no, message),
                     "OPTIONS" => {
-                        let status = if matches!(self.stop, Stop::Not) { 200 } else { 503 };
+                        let status = if self.shutdown == Shutdown::NotAsked { 200 } else { 503 };
                         reply(port, no, message, status, "");
                     }
                     "ACK" | "NOTIFY" => {}
@@ -124,6 +132,10 @@
                     return reply(port, no, message, 400, "a call has this id");
                 }
                 self.usual(port, no);
+                if self.draining() {
+                    metrics::counter!("set_ups_refused", "reason" => "shutdown").increment(1);
+                    return reply(port, no, message, 503, "this controller shuts down");
+                }
                 let full = self.desk.callers.get(&no).is_none_or(|caller| caller.open.len() >= MOST_OPEN)
                     || self.desk.standing.len() >= MOST_STANDING
                     || self.desk.held >= MOST_HELD;
@@ -137,10 +149,7 @@
 
     pub(super) fn offer(&mut self, port: &mut dyn Port, no: CallerNo, message: &Message, set_up: &SetUp) {
         let now = self.desk.now;
-        let mut until = now + set_up.patience;
-        if let Stop::Asked { by, .. } = self.stop {
-            until = until.min(by.max(now));
-        }
+        let until = self.answered_by(now + set_up.patience);
         let id = CallId(self.desk.number());
         port.detail(format_args!("{} offered by {}: {set_up:?}", set_up.id, no.0));
         let call = Call {
@@ -184,6 +193,10 @@
             return;
         }
         let now = self.desk.now;
+        if let Some(cause) = self.desk.unmatched_release(id) {
+            port.detail(format_args!("{id} was released by its exchange before its caller named it"));
+            return self.desk.notify_release(port, Some(no), id, cause, now);
+        }
         match self.uids.get(at) {
             Some(exchange) => {
                 let call = CallId(self.desk.number());
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -6,7 +6,7 @@
 
 use mintstall::liveness::Lease;
 
-use super::{BUS_AGAIN, BusState, Core};
+use super::{BUS_AGAIN, BUS_AGAIN_LONGEST, BusState, Core};
 use crate::bus::{self, Event, Topology};
 use crate::desk::{RemoteExchange, Timer};
 use crate::reasons::{CallEnd, LinkLoss};
@@ -37,12 +37,15 @@
         metrics::counter!("bus_dropped").increment(1);
         port.cut_bus();
         (self.bus_state, self.bus_since) = (BusState::Down, self.desk.now);
-        self.desk.set(BUS_AGAIN, Timer::Bus);
+        let pause = BUS_AGAIN_LONGEST.min(BUS_AGAIN * 2u32.pow(self.bus_failures.min(8)));
+        self.bus_failures = self.bus_failures.saturating_add(1);
+        let pause = self.desk.jittered(pause);
+        self.desk.set(pause, Timer::Bus);
     }
 
     pub fn bus_data(&mut self, now: Duration, port: &mut dyn Port, octets: &[u8]) {
         self.desk.now = now;
-        self.bus_since = now;
+        (self.bus_since, self.bus_failures) = (now, 0);
         let mut events = Vec::new();
         let taken = self.bus.take(octets, |event| events.push(event));
         events.iter().for_each(|event| self.apply(port, event));
@@ -58,7 +61,7 @@
         self.desk.now = now;
         if config.bus != self.bus_at {
             port.note(&format!("event bus: now at {}, was at {}", config.bus, self.bus_at));
-            self.bus_at = config.bus;
+            (self.bus_at, self.bus_failures) = (config.bus, 0);
             self.dial_bus(port);
         }
     }
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -95,7 +95,8 @@
                 self.desk.links.entry(no).and_modify(|link| link.state_told = told.or(link.state_told));
             }
             Kind::State | Kind::TestResult => self.report(port, exchange, message.report),
-            Kind::SetUp | Kind::Progress | Kind::ReleaseHeard | Kind::Test => {}
+            Kind::ReleaseHeard => self.desk.release_confirmed_there(exchange, message.call),
+            Kind::SetUp | Kind::Progress | Kind::Test => {}
         }
     }
 
@@ -155,7 +156,7 @@
             return;
         }
         let stood = self.desk.standing.get(&message.call).filter(|call| call.exchange == exchange).copied();
-        let Some(call) = stood else { return };
+        let Some(call) = stood else { return self.desk.keep_unmatched_release(id, cause) };
         self.desk.standing.remove(&message.call);
         let reason = if cause == NORMAL_CLEARING { CallEnd::Released } else { CallEnd::Cut };
         metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -1,33 +1,107 @@
 //! The shutdown: what is still served after the signal to stop, and when the process may end.
+//!
+//! | since the signal | set-ups | connections of callers |
+//! | --- | --- | --- |
+//! | up to [`SERVED_FOR`] | served: callers learn of the shutdown by and by | accepted, kept |
+//! | then, up to the deadline of what was taken | refused at once | closed one by one as nothing is left on them |
+//! | then | - | closed |
+//!
+//! The process ends once no connection is left, well before the platform kills it: a kill in the midst of a message that
+//! has just come would lose it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Core, STOP_ANSWERS, STOP_COMING, Stop};
-use crate::desk::Timer;
+use super::Core;
+use crate::desk::{Caller, Timer};
 use crate::{CallerNo, Port};
 
+/// After the signal calls keep coming for 0.6 s as if nothing were; the rest is for the way and for a late start.
+pub const SERVED_FOR: Duration = Duration::from_millis(750);
+/// Longer deadlines count as this long (the platform's protocol): the kill may come 0.7 s after that.
+const LONGEST_DEADLINE_COUNTED: Duration = Duration::from_secs(3);
+/// What was taken is answered so long after the longest deadline at the latest.
+const ANSWERED_AFTER_DEADLINE: Duration = Duration::from_millis(250);
+/// How often connections are looked at for what is left on them.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Whether the process has been told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shutdown {
+    NotAsked,
+    Asked {
+        at: Duration,
+        /// When the last of what was taken is answered, and connections are closed whatever is left on them.
+        ends: Duration,
+    },
+}
+
 impl Core {
     /// The signal to stop: what comes is still taken, with time for its answer before the process is ended.
     pub fn stop(&mut self, now: Duration, port: &mut dyn Port) {
         self.desk.now = now;
-        if let Stop::Not = self.stop {
-            let longest =
-                self.trade.office.call_types.iter().map(|of| of.guard_time).max().unwrap_or_default();
-            let by = now + STOP_ANSWERS.min(longest.max(STOP_COMING));
-            port.note(&format!("told to stop: {} calls to be answered", self.desk.named.len()));
-            self.stop = Stop::Asked { at: now, by };
-            self.desk.set(by - now, Timer::Stop);
+        if self.shutdown != Shutdown::NotAsked {
+            return;
         }
+        let deadlines = self.trade.office.call_types.iter().map(|of| of.guard_time);
+        let longest = deadlines.max().unwrap_or_default().clamp(SERVED_FOR, LONGEST_DEADLINE_COUNTED);
+        let lasts = longest + ANSWERED_AFTER_DEADLINE;
+        port.note(&format!(
+            "told to stop: {} calls to be answered, {} stand, {} connections",
+            self.desk.named.len(),
+            self.desk.standing.len(),
+            self.desk.callers.len(),
+        ));
+        self.shutdown = Shutdown::Asked { at: now, ends: now + lasts };
+        self.desk.set(lasts, Timer::Stop);
+        self.desk.set(SERVED_FOR, Timer::Drain);
     }
 
-    /// Whether all that was taken is answered and nothing more will come.
+    /// Whether set-ups are refused because the process is about to end.
+    pub fn draining(&self) -> bool {
+        matches!(self.shutdown, Shutdown::Asked { at, .. } if at + SERVED_FOR <= self.desk.now)
+    }
+
+    /// Whether nothing is left to be done before the process ends.
     pub fn stopped(&self, now: Duration) -> bool {
-        matches!(self.stop, Stop::Asked { at, .. } if at + STOP_COMING < now) && self.desk.named.is_empty()
+        let served = matches!(self.shutdown, Shutdown::Asked { at, .. } if at + SERVED_FOR < now);
+        served && self.desk.named.is_empty() && self.desk.callers.is_empty()
+    }
+
+    /// Until when a set-up that came in the shutdown has its answer.
+    pub(super) fn answered_by(&self, deadline: Duration) -> Duration {
+        match self.shutdown {
+            Shutdown::NotAsked => deadline,
+            Shutdown::Asked { ends, .. } => deadline.min(ends.max(self.desk.now)),
+        }
+    }
+
+    /// Closes connections on which nothing is left; when the shutdown ends, all.
+    pub(super) fn drain_callers(&mut self, port: &mut dyn Port) {
+        let Shutdown::Asked { ends, .. } = self.shutdown else { return };
+        let all = ends <= self.desk.now;
+        let carrying: BTreeSet<CallerNo> = self.desk.standing.values().map(|call| call.caller).collect();
+        let finished = |no: &CallerNo, caller: &Caller| {
+            caller.open.is_empty()
+                && caller.half.is_none()
+                && !carrying.contains(no)
+                && !caller.awaits_confirmation(self.desk.now)
+        };
+        let callers = self.desk.callers.iter().filter(|(no, caller)| all || finished(no, caller));
+        for no in callers.map(|(no, _)| *no).collect::<Vec<_>>() {
+            port.detail(format_args!("caller {} closed: shutdown", no.0));
+            metrics::counter!("callers_closed", "reason" => "shutdown").increment(1);
+            self.caller_gone(port, no);
+            port.hang_up(no);
+        }
+        self.desk.set(DRAIN_INTERVAL, Timer::Drain);
     }
 
-    /// The connection that can be closed to make room for another: the longest silent without an open set-up.
+    /// The connection that can be closed to make room for another: the longest silent without an open set-up, and not
+    /// in the middle of a message if it has sent others.
     pub fn idlest(&self) -> Option<CallerNo> {
-        let idle = self.desk.callers.iter().filter(|(_, caller)| caller.open.is_empty());
+        let closable = |caller: &Caller| caller.open.is_empty() && !(caller.usual && caller.half.is_some());
+        let idle = self.desk.callers.iter().filter(|(_, caller)| closable(caller));
         idle.min_by_key(|(_, caller)| (caller.usual, caller.heard)).map(|(no, _)| *no)
     }
 }
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -23,8 +23,14 @@
 /// Q.850: normal clearing; temporary failure.
 pub const NORMAL_CLEARING: u8 = 16;
 pub const TEMPORARY_FAILURE: u8 = 41;
-/// A release that finds no connection to its caller is kept so long: then its time has passed.
-const PENDING_RELEASE_KEPT: Duration = Duration::from_secs(8);
+/// A release that finds no connection to its caller is kept so long. Its time has passed before that, but a caller that
+/// comes back later still holds the call.
+const PENDING_RELEASE_KEPT: Duration = Duration::from_secs(30);
+/// A release of a call that is not known here is kept so long for the caller that is yet to name the call: exchanges
+/// repeat releases as soon as a connection is up, callers come only once the process passes a test.
+const UNMATCHED_RELEASE_KEPT: Duration = Duration::from_secs(30);
+/// A release towards an exchange is repeated on the next connection within this time.
+const REPEAT_RELEASE_WITHIN: Duration = Duration::from_secs(10);
 /// And one that was written is sent again where its connection closes within this time.
 const CONFIRM_WITHIN: Duration = Duration::from_secs(2);
 /// Releases that may wait for a caller's or an exchange's connection: a region's calls, some seconds long.
@@ -54,6 +60,8 @@
     Sweep,
     Bus,
     Stop,
+    /// Another look at which connections of callers can be closed in a shutdown.
+    Drain,
 }
 
 /// A seizure that is out.
@@ -125,6 +133,13 @@
     unconfirmed: VecDeque<(Duration, WireId, u8)>,
 }
 
+impl Caller {
+    /// Whether a release was written lately that it has not confirmed.
+    pub fn awaits_confirmation(&self, now: Duration) -> bool {
+        self.unconfirmed.iter().any(|(at, ..)| *at + CONFIRM_WITHIN > now)
+    }
+}
+
 #[derive(Debug, PartialEq, Eq)]
 pub enum LinkState {
     Dialled,
@@ -164,8 +179,8 @@
     pub next_dial: Duration,
     /// Set-ups that wait for a link.
     pub waiting: VecDeque<CallId>,
-    /// Calls to be released there once a link is up.
-    pub releases: VecDeque<WireId>,
+    /// Calls to be released there once a link is up, and those whose release it has not confirmed, with their time.
+    pub releases: VecDeque<(Duration, WireId)>,
     /// For how long it is believed to hold the calls that stand there.
     pub lease: Lease,
 }
@@ -184,6 +199,8 @@
     pub ends: VecDeque<Ended>,
     /// Releases for callers to whom no connection is open, oldest first.
     pending_releases: VecDeque<(Duration, WireId, u8)>,
+    /// Releases by exchanges of calls that are not known here, oldest first.
+    unmatched_releases: VecDeque<(Duration, WireId, u8)>,
     /// Octets of all descriptions and headers in `calls`.
     pub held: usize,
     pub links_each: usize,
@@ -206,6 +223,7 @@
             timers: BinaryHeap::new(),
             ends: VecDeque::new(),
             pending_releases: VecDeque::new(),
+            unmatched_releases: VecDeque::new(),
             held: 0,
             links_each: 1,
             links_budget,
@@ -225,6 +243,11 @@
         self.timers.push(Reverse((self.now + after, order, timer)));
     }
 
+    /// A draw from the upper half of a span.
+    pub fn jittered(&mut self, span: Duration) -> Duration {
+        span.mul_f64(0.5 + 0.5 * self.chance.below_one())
+    }
+
     // Callers.
 
     pub fn caller_connected(&mut self, caller: CallerNo) {
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -104,9 +104,9 @@
         port.detail(format_args!("link {} to exchange {} up", no.0, to.0));
         let Some(far) = self.exchanges.get_mut(&to) else { return };
         far.failures = 0;
-        let (waiting, releases) = (std::mem::take(&mut far.waiting), std::mem::take(&mut far.releases));
+        let waiting = std::mem::take(&mut far.waiting);
         let ready = far.service == Service::Ready;
-        releases.into_iter().for_each(|id| self.release_there(port, to, id));
+        self.repeat_releases(port, to, no);
         for id in waiting {
             // One that began to drain meanwhile is sent nothing new.
             if !ready {
--- a/crates/platform/src/desk/releases.rs
+++ b/crates/platform/src/desk/releases.rs
@@ -5,7 +5,10 @@
 use mintstall::host::{CallId, ExchangeId};
 use mintstall_sip as sip;
 
-use super::{CONFIRM_WITHIN, Desk, MOST_PENDING_RELEASES, NORMAL_CLEARING, PENDING_RELEASE_KEPT, Standing};
+use super::{
+    CONFIRM_WITHIN, Desk, MOST_PENDING_RELEASES, NORMAL_CLEARING, PENDING_RELEASE_KEPT,
+    REPEAT_RELEASE_WITHIN, Standing, UNMATCHED_RELEASE_KEPT,
+};
 use crate::message::{self, Kind, WireId, code};
 use crate::{CallerNo, LinkNo, Port};
 
@@ -74,16 +77,53 @@
         caller.open.into_iter().collect()
     }
 
-    /// Releases a standing call towards its exchange.
+    /// Releases a standing call towards its exchange: on a link that is up, and on the next one unless it is confirmed,
+    /// as a link may be lost with what was written on it.
     pub fn release_there(&mut self, port: &mut dyn Port, to: ExchangeId, id: WireId) {
         if let Some(link) = self.first_up(to) {
-            return release_on(port, link, id);
+            release_on(port, link, id);
         }
+        let now = self.now;
         let Some(far) = self.exchanges.get_mut(&to) else { return };
+        while far.releases.pop_front_if(|(at, _)| *at + REPEAT_RELEASE_WITHIN < now).is_some() {}
         if far.releases.len() == MOST_PENDING_RELEASES {
             far.releases.pop_front();
         }
-        far.releases.push_back(id);
+        far.releases.push_back((now, id));
+    }
+
+    /// An exchange has confirmed a release.
+    pub fn release_confirmed_there(&mut self, by: ExchangeId, id: WireId) {
+        if let Some(far) = self.exchanges.get_mut(&by) {
+            far.releases.retain(|(_, known)| *known != id);
+        }
+    }
+
+    /// A link has come up: releases that wait, or were not confirmed, go out on it.
+    pub(super) fn repeat_releases(&mut self, port: &mut dyn Port, to: ExchangeId, link: LinkNo) {
+        let now = self.now;
+        let Some(far) = self.exchanges.get_mut(&to) else { return };
+        for (at, id) in std::mem::take(&mut far.releases) {
+            if at + REPEAT_RELEASE_WITHIN >= now {
+                release_on(port, link, id);
+            }
+        }
+    }
+
+    /// Keeps the release of a call that is not known here, for a caller that may yet name it.
+    pub fn keep_unmatched_release(&mut self, id: WireId, cause: u8) {
+        let now = self.now;
+        let expired = |(at, ..): &mut (Duration, WireId, u8)| *at + UNMATCHED_RELEASE_KEPT < now;
+        while self.unmatched_releases.pop_front_if(expired).is_some() {}
+        if self.unmatched_releases.len() == MOST_PENDING_RELEASES {
+            self.unmatched_releases.pop_front();
+        }
+        self.unmatched_releases.push_back((now, id, cause));
+    }
+
+    /// The cause with which a call was released before its caller named it, if it was.
+    pub fn unmatched_release(&self, id: WireId) -> Option<u8> {
+        self.unmatched_releases.iter().rev().find(|(_, known, _)| *known == id).map(|(.., cause)| *cause)
     }
 
     /// Calls that stand at an exchange since before some time, taken off the books.
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -587,16 +587,128 @@
 fn what_comes_long_after_the_signal_to_stop_is_answered_at_once() {
     let mut platform = Platform::start();
     platform.comes(1);
+    platform.says(1, &request("OPTIONS", 0));
+    platform.said();
     platform.core.stop(platform.wires.now, &mut platform.wires);
     platform.pass(ms(600));
     assert!(!platform.core.stopped(platform.wires.now), "calls may still come");
     platform.pass(ms(200));
+    assert_eq!(platform.wires.hung_up, [CallerNo(1)], "nothing is left on it");
     assert!(platform.core.stopped(platform.wires.now));
     platform.pass(ms(4200));
     platform.comes(2);
     platform.calls(2, 8);
     platform.pass(ms(1));
-    assert_eq!(platform.said().len(), 1);
+    assert_eq!(platform.said(), ["2: 503 INVITE"]);
+}
+
+#[test]
+fn a_connection_that_carries_calls_stays_in_a_shutdown_until_their_ends_are_told() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    let link = platform.stands(1, 6);
+    platform.core.stop(platform.wires.now, &mut platform.wires);
+    platform.pass(ms(1000));
+    assert!(platform.wires.hung_up.is_empty() && !platform.core.stopped(platform.wires.now));
+    platform.calls(1, 7);
+    assert_eq!(platform.said(), ["1: 503 INVITE"], "set-ups on it are refused");
+    platform.releases(link, 6, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+    platform.pass(ms(100));
+    assert!(platform.wires.hung_up.is_empty(), "the release is not confirmed yet");
+    platform
+        .says(1, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000006\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n");
+    platform.pass(ms(100));
+    assert_eq!(platform.wires.hung_up, [CallerNo(1)]);
+    assert!(platform.core.stopped(platform.wires.now));
+}
+
+#[test]
+fn a_shutdown_ends_before_the_kill_whatever_is_left() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.comes(2);
+    platform.stands(1, 6);
+    platform.core.stop(platform.wires.now, &mut platform.wires);
+    platform.pass(ms(700));
+    platform.calls(1, 7);
+    // The longest deadline is 3 s: the kill comes 3.7 s after the signal at the earliest.
+    platform.pass(ms(2600));
+    assert!(platform.core.stopped(platform.wires.now), "{:?}", platform.wires.hung_up);
+    assert_eq!(platform.said().len(), 1, "and call 7 has its answer");
+}
+
+#[test]
+fn a_release_that_comes_before_the_caller_names_its_call_is_told_once_it_does() {
+    let mut platform = Platform::start();
+    let link = platform.links(1)[0];
+    platform.releases(link, 6, 16);
+    platform.comes(1);
+    platform.says(1, &invite(6, "at:one", "1500", "hello"));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+}
+
+#[test]
+fn a_release_lost_with_its_link_goes_to_the_exchange_again_on_the_next() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    platform.says(1, &request("BYE", 6));
+    for link in platform.links(1) {
+        platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Lost);
+    }
+    platform.wires.sent.clear();
+    platform.links_up();
+    let released = |sent: &&(LinkNo, Kind, WireId, Option<u8>)| (sent.1, sent.2.0) == (Kind::Release, 6);
+    assert_eq!(platform.wires.sent.iter().filter(released).count(), 1);
+    platform.said();
+    platform.set_ups();
+    platform.stands(1, 7);
+    platform.says(1, &request("BYE", 7));
+    let link = platform.links(1)[0];
+    platform.link_says(link, Kind::ReleaseHeard, 7, &[]);
+    platform.wires.sent.clear();
+    platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Lost);
+    platform.links_up();
+    assert!(platform.wires.sent.is_empty(), "one that was confirmed does not");
+}
+
+#[test]
+fn what_is_open_on_a_connection_that_sends_nonsense_is_answered_before_the_close() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.calls(1, 7);
+    platform.says(1, "GET / HTTP/1.1\r\n\r\n");
+    assert_eq!(platform.said(), ["1: 500 INVITE", "1: 400 -"]);
+    assert_eq!(platform.wires.hung_up, [CallerNo(1)]);
+    platform.comes(2);
+    platform.calls(2, 8);
+    platform.says(2, "INVITE sip:half");
+    platform.pass(ms(1400));
+    assert_eq!(platform.wires.hung_up, [CallerNo(1)]);
+    platform.pass(ms(1500));
+    assert_eq!(platform.wires.hung_up, [CallerNo(1), CallerNo(2)], "once its call has its answer");
+    assert!(platform.said()[0].starts_with("2: "));
+}
+
+#[test]
+fn a_bus_that_can_not_be_reached_is_dialled_with_jitter_and_given_longer_each_time() {
+    let mut platform = Platform::start();
+    platform.core.bus_disconnected(platform.wires.now, &mut platform.wires);
+    let dials = |platform: &mut Platform, span: u64| {
+        platform.wires.bus.clear();
+        platform.pass(ms(span));
+        platform.wires.bus.iter().filter(|step| step.starts_with("dial")).count()
+    };
+    let first = dials(&mut platform, 2000);
+    assert!((2..=3).contains(&first), "{first} dials that are not answered in 2 s");
+    let later = dials(&mut platform, 12_000);
+    assert!(
+        (4..=6).contains(&later),
+        "{later} in the next 12 s: none lasts over 2 s, nor does a pause over 1 s"
+    );
+    platform.core.bus_connected(platform.wires.now, &mut platform.wires);
+    assert_eq!(platform.wires.bus.last().unwrap(), "from 1\n");
 }
 
 #[test]
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,9 @@
 /// Callers close a connection with no call on it after this.
 const IDLE: Duration = Duration::from_secs(4);
 
+/// A slow writer takes no longer for one message.
+const SLOWEST_WRITE: Duration = Duration::from_millis(1200);
+
 static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
 
 /// What a caller does beside setting calls up.
@@ -89,8 +92,8 @@
     /// Refused set-ups that are to be repeated, with how often they were.
     refused: Vec<u32>,
     repeats: BTreeMap<CallId, u32>,
-    /// Whether anything has come from the controller.
-    heard: bool,
+    /// What the reader wants written: one thread writes, so that messages do not run into each other.
+    replies: Vec<String>,
 }
 
 impl Connection {
@@ -202,14 +205,12 @@
     }
 
     fn message(&self, connection: &Arc<Connection>, message: &Message) {
-        connection.lock().heard = true;
         let call = message.header("Call-ID").and_then(|id| CallId::from_str_radix(id, 16).ok());
         let Some(call) = call else { return };
         match message.start {
-            Start::Response { status } if status >= 200 => {
-                if message.cseq().is_some_and(|(_, method)| method == "INVITE") {
-                    self.final_answer(connection, call, status, message.body);
-                }
+            Start::Response { status: 100..=199 } => {}
+            Start::Response { status } if message.cseq().is_some_and(|(_, method)| method == "INVITE") => {
+                self.final_answer(connection, call, status, message.body);
             }
             Start::Request { method: "BYE", .. } => {
                 self.recorder.add(Event::ReleaseHeard { call, controller: self.controller.no });
@@ -217,8 +218,7 @@
                 let answer = format!(
                     "SIP/2.0 200 OK\r\nCall-ID: {call:016x}\r\nCSeq: 1 BYE\r\nContent-Length: 0\r\n\r\n"
                 );
-                // A connection that has gone is seen by the reader.
-                let _ = (&connection.stream).write_all(answer.as_bytes());
+                connection.lock().replies.push(answer);
             }
             _ => {}
         }
@@ -229,8 +229,8 @@
         let uid = description.split('/').next().unwrap_or_default().to_string();
         let event = Event::FinalAnswer { call, connection: connection.no, status, description };
         self.recorder.add(event);
-        let _ = (&connection.stream).write_all(request("ACK", call, "sip:peer@net").as_bytes());
         let mut state = connection.lock();
+        state.replies.push(request("ACK", call, "sip:peer@net"));
         state.open.remove(&call);
         let repeats = state.repeats.remove(&call).unwrap_or_default();
         match status {
@@ -278,6 +278,7 @@
             self.connect();
             let Some(connection) = self.connection.clone() else { continue };
             self.announce(&connection);
+            Self::send_replies(&connection);
             self.send_due(&connection);
             self.cancel_due(&connection);
             self.release_due(&connection);
@@ -296,6 +297,12 @@
         }
     }
 
+    fn send_replies(connection: &Connection) {
+        let replies = std::mem::take(&mut connection.lock().replies);
+        // A connection that has gone is seen by the reader.
+        let _ = (&connection.stream).write_all(replies.concat().as_bytes());
+    }
+
     /// Tells a controller that has started again of the calls that stand.
     fn announce(&self, connection: &Connection) {
         let starts = self.group.controller.starts();
@@ -376,7 +383,8 @@
             return (&connection.stream).write_all(text.as_bytes());
         }
         let piece = self.rng.random_range(5..120);
-        let pause = Duration::from_millis(self.rng.random_range(0..60));
+        let pieces = text.len().div_ceil(piece) as u32;
+        let pause = SLOWEST_WRITE.mul_f64(self.rng.random::<f64>()) / pieces;
         for octets in text.as_bytes().chunks(piece) {
             (&connection.stream).write_all(octets)?;
             thread::sleep(pause);
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -453,6 +453,8 @@
 fn judge_repetition(breaches: &mut Vec<Breach>, at: Micros, call: CallId, attempts: &[Attempt]) {
     let Some(before) = attempts.last() else { return };
     match before.ended {
+        // What has not come whole to its exchange is not out.
+        None if before.received.is_none() => {}
         None => {
             let what = format!("call {call:016x} is sent again while its attempt at {} is out", before.uid);
             breaches.push(breach(Rule::Duplicate, at, what));
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -208,8 +208,12 @@
                 Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(_) => ended = true,
             }
-            if ended && direction == Direction::Up {
-                shared.recorder.add(Event::LinkClosed { link: link.no, controller: shared.controller });
+            if ended {
+                let (link, controller) = (link.no, shared.controller);
+                shared.recorder.add(match direction {
+                    Direction::Up => Event::LinkClosed { link, controller },
+                    Direction::Down => Event::LinkReset { link, controller },
+                });
             }
         } else {
             thread::sleep(TICK);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,7 @@
     proxies: Vec<Proxy>,
     /// How often it has been replaced; also whether a later step of an action is still about the same exchange.
     generation: u32,
+    ended: bool,
 }
 
 struct World {
@@ -161,7 +162,7 @@
             let exchange = world.start_exchange(office, 0)?;
             let proxies = world.start_proxies(&exchange, office);
             world.publish(office, &exchange.uid, &proxies, "in_service", 0);
-            world.offices.push(Mutex::new(Office { exchange, proxies, generation: 0 }));
+            world.offices.push(Mutex::new(Office { exchange, proxies, generation: 0, ended: false }));
         }
         for controller in &world.controllers {
             let known = world.bus.known(controller.no);
@@ -311,6 +312,10 @@
     /// Ends an exchange; what follows is still about that one while the generation is the same.
     fn end_exchange(&self, office: usize, network: Network) -> u32 {
         let mut office = lock(&self.offices[office]);
+        if std::mem::replace(&mut office.ended, true) {
+            // Another fault has ended it before; what follows belongs to that one.
+            return u32::MAX;
+        }
         office.proxies.iter().for_each(|proxy| proxy.set_network(network));
         // What passes has come to its end before the process does.
         thread::sleep(2 * TICK);
@@ -355,7 +360,7 @@
         };
         let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
         self.publish(office, &next.uid, &proxies, "in_service", boot);
-        *present = Office { exchange: next, proxies, generation: generation + 1 };
+        *present = Office { exchange: next, proxies, generation: generation + 1, ended: false };
     }
 
     fn replace(&self, office: usize, same_address: bool) {
@@ -389,6 +394,9 @@
     fn cut(&self, office: usize, only: Option<usize>, lasts: Duration) {
         let (uid, proxies) = {
             let present = lock(&self.offices[office]);
+            if present.ended {
+                return;
+            }
             (present.exchange.uid.clone(), present.proxies.clone())
         };
         let cut: Vec<_> = match only {
@@ -399,7 +407,7 @@
         cut.iter().for_each(|proxy| proxy.set_network(Network::Cut));
         self.pass(lasts);
         let present = lock(&self.offices[office]);
-        if present.exchange.uid == uid {
+        if present.exchange.uid == uid && !present.ended {
             cut.iter().for_each(|proxy| proxy.set_network(Network::Passes));
             self.recorder.add(Event::NetworkHealed { uid });
         }
