Links are closed one way and read to their end; lost releases are asked for

Change: such a link is closed in our direction and read to its end; a link lost otherwise, or an exchange heard again after doubt, plans one connection for the releases that may be lost (250 ms later, one at a time), and the oldest link is drained for it. In a shutdown one connection stays for calls whose own connection has gone. Soak harness: a half close passes the proxy, the exchange answers an end by an end, releases to a dead process do not count as delivered.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -216,6 +216,15 @@
         connection.is_none_or(|connection| matches!(connection.phase, Phase::Full | Phase::Broken(_)))
     }
 
+    fn finish(&mut self, link: LinkNo) {
+        let Some(token) = self.links.get(&link).copied() else { return };
+        self.flush(token);
+        if let Some(connection) = self.connections.get(&token) {
+            // Fails where the other side has closed; its end is read all the same.
+            let _ = connection.stream.shutdown(Shutdown::Write);
+        }
+    }
+
     fn cut(&mut self, link: LinkNo) {
         if let Some(token) = self.links.get(&link).copied() {
             // What was sent before goes out first: a release, mostly.
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -150,6 +150,7 @@
                     self.lose(port, link, LinkLoss::DialTimeout);
                 }
             }
+            Timer::DialForReleases(exchange) => self.desk.dial_for_releases(port, exchange),
             Timer::MaintainPool(exchange) => self.desk.maintain_pool(port, exchange),
             Timer::Bus if self.bus_state == BusState::Down => self.dial_bus(port),
             Timer::Bus => {}
@@ -191,7 +192,7 @@
         for no in links.map(|(no, _)| *no).collect::<Vec<_>>() {
             self.lose(port, no, LinkLoss::IncompleteMessage);
         }
-        for no in self.desk.expired_links() {
+        for no in self.desk.expire_links(port) {
             self.lose(port, no, LinkLoss::DrainExpired);
         }
         self.check_leases(port);
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mintstall::host::{Cause, ExchangeId, Stood};
+use mintstall::liveness::Renewal;
 
 use super::{Core, Disconnect};
 use crate::desk::{LinkState, NORMAL_CLEARING, Owed, Standing, TEMPORARY_FAILURE};
@@ -61,7 +62,10 @@
         loop {
             match cutter.next_message() {
                 Ok(Some(message)) => {
-                    self.desk.exchanges.entry(exchange).and_modify(|remote| remote.lease.renew(now));
+                    let remote = self.desk.exchanges.get_mut(&exchange);
+                    if remote.is_some_and(|remote| remote.lease.renew(now) == Renewal::AfterDoubt) {
+                        self.desk.plan_dial_for_releases(exchange);
+                    }
                     self.exchange_says(port, no, exchange, &message);
                 }
                 Ok(None) => break,
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use super::Core;
-use crate::desk::{Caller, Timer};
+use crate::desk::{Caller, Standing, Timer};
 use crate::{CallerNo, Port};
 
 /// After the signal calls keep coming for 0.6 s as if nothing were; the rest is for the way and for a late start.
@@ -80,7 +80,7 @@
     pub(super) fn drain_callers(&mut self, port: &mut dyn Port) {
         let Shutdown::Asked { ends, .. } = self.shutdown else { return };
         let all = ends <= self.desk.now;
-        let carrying: BTreeSet<CallerNo> = self.desk.standing.values().map(|call| call.caller).collect();
+        let carrying = self.carrying();
         let finished = |no: &CallerNo, caller: &Caller| {
             caller.open.is_empty()
                 && caller.half.is_none()
@@ -97,6 +97,14 @@
         self.desk.set(DRAIN_INTERVAL, Timer::Drain);
     }
 
+    /// Connections on which the ends of calls that stand will be told: a call whose own has gone needs any other.
+    fn carrying(&self) -> BTreeSet<CallerNo> {
+        let any = self.desk.connection_for(None);
+        let open = |no: &CallerNo| self.desk.callers.contains_key(no);
+        let told_on = |call: &Standing| Some(call.caller).filter(open).or(any);
+        self.desk.standing.values().filter_map(told_on).collect()
+    }
+
     /// The connection that can be closed to make room for another: the longest silent without an open set-up, and not
     /// in the middle of a message if it has sent others.
     pub fn idlest(&self) -> Option<CallerNo> {
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -44,6 +44,8 @@
 const SPARE_LINKS: usize = 2;
 /// A draining link is read on for so long: longer than a set-up may be out.
 const DRAINING_FOR: Duration = Duration::from_secs(4);
+/// And then the other side has this time to close it too.
+const FINISHED_WITHIN: Duration = Duration::from_millis(1500);
 
 /// What falls due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +57,8 @@
     Guard(CallId),
     /// A dial that is not answered by now is given up.
     Dial(LinkNo),
+    /// A connection on which an exchange repeats releases.
+    DialForReleases(ExchangeId),
     /// Another try to reach an exchange.
     MaintainPool(ExchangeId),
     Sweep,
@@ -148,6 +152,10 @@
     Draining {
         at: Duration,
     },
+    /// Closed in the direction to the exchange: read to its end, as a release may be on its way.
+    Finishing {
+        at: Duration,
+    },
 }
 
 /// One connection to an exchange.
@@ -183,6 +191,8 @@
     pub releases: VecDeque<(Duration, WireId)>,
     /// For how long it is believed to hold the calls that stand there.
     pub lease: Lease,
+    /// Whether a connection is planned on which it repeats releases.
+    pub dials_for_releases: bool,
 }
 
 pub struct Desk {
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -7,12 +7,16 @@
 use mintstall::host::{Cause, ExchangeId, Standing as Service};
 
 use super::{
-    DRAINING_FOR, Desk, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST, RemoteExchange, Timer,
+    DRAINING_FOR, Desk, FINISHED_WITHIN, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST,
+    RemoteExchange, Timer,
 };
 use crate::message::{self, Kind, WireId, code};
 use crate::reasons::LinkLoss;
 use crate::{LinkNo, Port};
 
+/// The connection for releases that may have been lost is opened after this: the other side has noticed the loss, and a
+/// process that had hung has worked off what had piled up.
+const DIAL_FOR_RELEASES_AFTER: Duration = Duration::from_millis(250);
 /// The cause that a test carries.
 const TEST: u8 = 0;
 /// The longest pause before a further dial to an exchange whose calls may be over: it has to be reached, or given up,
@@ -20,11 +24,19 @@
 const REDIAL_IN_DOUBT: Duration = Duration::from_millis(250);
 
 impl Desk {
-    /// Draining links whose time is over.
-    pub fn expired_links(&self) -> Vec<LinkNo> {
-        let over =
-            |link: &Link| matches!(link.state, LinkState::Draining { at } if at + DRAINING_FOR < self.now);
-        self.links.iter().filter(|(_, link)| over(link)).map(|(no, _)| *no).collect()
+    /// Closes draining links whose time is over in our direction; gives those that the other side has not closed since.
+    pub fn expire_links(&mut self, port: &mut dyn Port) -> Vec<LinkNo> {
+        let now = self.now;
+        let (mut drained, mut expired) = (Vec::new(), Vec::new());
+        for (no, link) in &self.links {
+            match link.state {
+                LinkState::Draining { at } if at + DRAINING_FOR < now => drained.push(*no),
+                LinkState::Finishing { at } if at + FINISHED_WITHIN < now => expired.push(*no),
+                _ => {}
+            }
+        }
+        drained.into_iter().for_each(|no| self.finish(port, no));
+        expired
     }
 
     /// Sends nothing new on a link, reads it on for a while, and has another dialled in its place.
@@ -36,15 +48,66 @@
         if let Some(far) = self.exchanges.get_mut(&to) {
             far.links.retain(|known| *known != no);
             far.draining.push_back(no);
-            if far.draining.len() > MOST_LINKS
-                && let Some(oldest) = far.draining.front().copied()
-            {
-                self.lose(port, oldest, LinkLoss::DrainExpired);
-            }
         }
+        self.finish_oldest(port, to);
         self.maintain_pool(port, to);
     }
 
+    /// No more than some links of an exchange are read on.
+    fn finish_oldest(&mut self, port: &mut dyn Port, to: ExchangeId) {
+        let draining = |no: &&LinkNo| {
+            self.links.get(no).is_some_and(|link| matches!(link.state, LinkState::Draining { .. }))
+        };
+        let Some(remote) = self.exchanges.get(&to) else { return };
+        let all: Vec<_> = remote.draining.iter().filter(draining).copied().collect();
+        let oldest = remote.draining.front().copied();
+        if remote.draining.len() > 2 * MOST_LINKS
+            && let Some(oldest) = oldest
+        {
+            self.lose(port, oldest, LinkLoss::DrainExpired);
+        } else if all.len() > MOST_LINKS {
+            self.finish(port, all[0]);
+        }
+    }
+
+    /// Closes a link in our direction; it is read to its end.
+    fn finish(&mut self, port: &mut dyn Port, no: LinkNo) {
+        if let Some(link) = self.links.get_mut(&no) {
+            link.state = LinkState::Finishing { at: self.now };
+            port.finish(no);
+        }
+    }
+
+    /// A link that was dialled for the releases that another may have lost makes the oldest one superfluous.
+    fn drain_surplus(&mut self, port: &mut dyn Port, to: ExchangeId) {
+        let Some(remote) = self.exchanges.get(&to) else { return };
+        let up = |no: &&LinkNo| self.links.get(no).is_some_and(|link| link.state == LinkState::Up);
+        let all: Vec<_> = remote.links.iter().filter(up).copied().collect();
+        if all.len() > self.links_each
+            && let Some(oldest) = all.first()
+        {
+            self.drain_link(port, *oldest);
+        }
+    }
+
+    /// Releases may have been lost with a link, or written to one of a former process. Exchanges repeat them on the next
+    /// connection that is opened, so one is before long, also where the pool is not short of any.
+    pub fn plan_dial_for_releases(&mut self, to: ExchangeId) {
+        let Some(remote) = self.exchanges.get_mut(&to) else { return };
+        if !std::mem::replace(&mut remote.dials_for_releases, true) {
+            self.set(DIAL_FOR_RELEASES_AFTER, Timer::DialForReleases(to));
+        }
+    }
+
+    pub fn dial_for_releases(&mut self, port: &mut dyn Port, to: ExchangeId) {
+        let Some(remote) = self.exchanges.get_mut(&to) else { return };
+        remote.dials_for_releases = false;
+        let (listed, at) = (remote.service != Service::Gone, remote.at);
+        if listed && self.standing.values().any(|call| call.exchange == to) {
+            self.dial(port, to, at);
+        }
+    }
+
     /// Asks an exchange for a sign of life, if a link is up; a new one brings its own.
     pub fn send_heartbeat(&mut self, port: &mut dyn Port, to: ExchangeId) {
         let Some(link) = self.first_up(to) else { return };
@@ -107,6 +170,7 @@
         let waiting = std::mem::take(&mut far.waiting);
         let ready = far.service == Service::Ready;
         self.repeat_releases(port, to, no);
+        self.drain_surplus(port, to);
         for id in waiting {
             // One that began to drain meanwhile is sent nothing new.
             if !ready {
@@ -150,6 +214,12 @@
             }
         }
         self.maintain_pool(port, to);
+        let read_to_its_end =
+            matches!((&link.state, reason), (LinkState::Finishing { .. }, LinkLoss::Disconnected));
+        let dialled_since = self.exchanges.get(&to).is_some_and(|remote| self.dialling(remote));
+        if link.state != LinkState::Dialled && !read_to_its_end && !dialled_since {
+            self.plan_dial_for_releases(to);
+        }
         self.unreached(to);
         Some((to, link.state))
     }
--- a/crates/platform/src/desk/releases.rs
+++ b/crates/platform/src/desk/releases.rs
@@ -22,14 +22,7 @@
         cause: u8,
         since: Duration,
     ) {
-        // Connections on which a call has stood come first: others may be of those who only break things.
-        let usual = |no: &CallerNo| self.callers.get(no).is_some_and(|caller| caller.usual);
-        let open = caller.filter(usual);
-        let any = || {
-            let usual = self.callers.iter().filter(|(_, caller)| caller.usual);
-            usual.max_by_key(|(_, caller)| (caller.proven, caller.heard)).map(|(no, _)| *no)
-        };
-        let Some(no) = open.or_else(any) else {
+        let Some(no) = self.connection_for(caller) else {
             if self.pending_releases.len() == MOST_PENDING_RELEASES {
                 self.pending_releases.pop_front();
             }
@@ -51,6 +44,17 @@
         port.detail(format_args!("{id} over: told on {}, cause {cause}", no.0));
     }
 
+    /// The connection on which the end of a call is told: its caller's, else the best of the others. Those on which a
+    /// call has stood come first: others may be of those who only break things.
+    pub fn connection_for(&self, caller: Option<CallerNo>) -> Option<CallerNo> {
+        let usual = |no: &CallerNo| self.callers.get(no).is_some_and(|caller| caller.usual);
+        let any = || {
+            let usual = self.callers.iter().filter(|(_, caller)| caller.usual);
+            usual.max_by_key(|(_, caller)| (caller.proven, caller.heard)).map(|(no, _)| *no)
+        };
+        caller.filter(usual).or_else(any)
+    }
+
     pub fn release_confirmed(&mut self, caller: CallerNo, id: WireId) {
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.unconfirmed.retain(|(_, known, _)| *known != id);
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -71,6 +71,7 @@
     dialled: Vec<(LinkNo, SocketAddr)>,
     sent: Vec<(LinkNo, Kind, WireId, Option<u8>)>,
     cut: Vec<LinkNo>,
+    finished: Vec<LinkNo>,
     at: BTreeMap<LinkNo, SocketAddr>,
     bus: Vec<String>,
     notes: Vec<String>,
@@ -142,6 +143,10 @@
         false
     }
 
+    fn finish(&mut self, link: LinkNo) {
+        self.finished.push(link);
+    }
+
     fn cut(&mut self, link: LinkNo) {
         self.judge.out.retain(|_, on| *on != link);
         self.cut.push(link);
@@ -387,8 +392,21 @@
     platform.said();
     platform.releases(silent, 6, 16);
     assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
-    platform.pass(ms(5000));
-    assert!(platform.wires.cut.contains(&silent), "and then closed");
+    // It speaks again; the close of our side lets a release that is on its way arrive.
+    platform.says(1, &invite(20, "at:one", "1500", "hello"));
+    let other = platform.links(1).into_iter().find(|other| *other != silent).unwrap();
+    for _ in 0..4 {
+        platform.pass(ms(1000));
+        platform.state(other, 10);
+    }
+    platform.pass(ms(400));
+    assert_eq!(platform.wires.finished.first(), Some(&silent), "and then closed, but read to its end");
+    assert!(!platform.wires.cut.contains(&silent));
+    platform.said();
+    platform.releases(silent, 20, 16);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=16"]);
+    platform.pass(ms(2000));
+    assert!(platform.wires.cut.contains(&silent));
 }
 
 #[test]
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -99,6 +99,12 @@
     repeated: BTreeMap<ControllerNo, Vec<CallId>>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    Usual,
+    Reset,
+}
+
 type Shared = Arc<(Mutex<State>, Condvar)>;
 
 fn lock(shared: &Shared) -> MutexGuard<'_, State> {
@@ -154,12 +160,12 @@
                 Ok(Some(message)) => lock(shared).message(link, &message),
                 Ok(None) => break,
                 // What can't be read ends the connection.
-                Err(_) => return lock(shared).close(link),
+                Err(_) => return lock(shared).close(link, Close::Reset),
             }
             shared.1.notify_one();
         }
     }
-    lock(shared).close(link);
+    lock(shared).close(link, Close::Usual);
 }
 
 /// Carries out what falls due.
@@ -201,9 +207,12 @@
     }
 
     /// The set-ups of the link are given up; standing calls belong to no connection.
-    fn close(&mut self, link: u64) {
+    fn close(&mut self, link: u64, how: Close) {
         let Some(closed) = self.links.remove(&link) else { return };
-        reset(&closed.stream);
+        match how {
+            Close::Usual => drop(closed.stream.shutdown(Shutdown::Both)),
+            Close::Reset => reset(&closed.stream),
+        }
         let waits = |call: &Call| call.link == link && call.state == CallState::Waiting;
         let given_up: Vec<_> = self.calls.iter().filter(|(_, call)| waits(call)).map(|(id, _)| *id).collect();
         for id in given_up {
@@ -270,7 +279,7 @@
         }
         self.calls.insert(call, Call { state: CallState::Waiting, controller, link });
         if self.rng.random_bool(faults.reset) {
-            return self.close(link);
+            return self.close(link, Close::Reset);
         }
         self.after(self.config.answer_ms, Due::Answer(call));
         self.broadcast_state();
@@ -341,7 +350,7 @@
         write(&mut octets, Kind::Answer, WireId(call), &[(code::DESCRIPTION, description.as_bytes())]);
         octets.truncate(octets.len() / 2);
         self.send_raw(link, &octets);
-        self.close(link);
+        self.close(link, Close::Usual);
     }
 
     fn end(&mut self, call: CallId) {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -8,7 +8,7 @@
 
 use mintstall::liveness::FIRST_CONTACT;
 
-use crate::controller::{DRAIN_GRACE, LONGEST_DEADLINE, RELEASE_TIME};
+use crate::controller::{DRAIN_GRACE, RELEASE_TIME};
 use crate::record::{AttemptEnd, BusFault, CallId, ConnectionNo, ControllerNo, Event, Micros, Record};
 
 const SECOND: Micros = 1_000_000;
@@ -110,6 +110,10 @@
     closed_by_controller: BTreeMap<ConnectionNo, Micros>,
     closed_by_caller: BTreeMap<ConnectionNo, Micros>,
     heard: BTreeSet<ConnectionNo>,
+    /// When each link between a controller and an exchange was opened.
+    links: BTreeMap<ConnectionNo, Micros>,
+    /// When each controller was ready.
+    ready: BTreeMap<ControllerNo, Vec<Micros>>,
     exchange_ended: BTreeMap<String, Micros>,
     /// By controller: from SIGTERM or SIGKILL to ready again.
     terminating: BTreeMap<ControllerNo, Vec<Micros>>,
@@ -176,8 +180,15 @@
             Event::CallOver { call, by_controller, .. } => {
                 self.call(*call).over.get_or_insert((at, *by_controller));
             }
-            Event::ReleaseDelivered { call, .. } => {
-                self.call(*call).delivered.get_or_insert(at);
+            Event::LinkOpened { link, .. } => {
+                self.links.insert(*link, at);
+            }
+            Event::ReleaseDelivered { call, controller, link, .. } => {
+                // A link of a former process leads to nobody.
+                let opened = self.links.get(link).copied().unwrap_or_default();
+                if self.next_down(*controller, opened).is_none() {
+                    self.call(*call).delivered.get_or_insert(at);
+                }
             }
             Event::ExchangeEnded { uid } => {
                 self.exchange_ended.entry(uid.clone()).or_insert(at);
@@ -199,6 +210,7 @@
             }
             Event::Exited { controller, .. } => self.went_down(*controller, at),
             Event::ControllerReady { controller } => {
+                self.ready.entry(*controller).or_default().push(at);
                 if let Some(outage) = self.down.get_mut(controller).and_then(|all| all.last_mut()) {
                     outage.until = at;
                 }
@@ -224,11 +236,12 @@
 
     /// Whether the controller was killed without warning in a stretch.
     fn killed_outright(&self, controller: ControllerNo, from: Micros, until: Micros) -> bool {
+        let started = |from: Micros, until: Micros| {
+            self.ready.get(&controller).is_some_and(|all| all.iter().any(|at| (from..until).contains(at)))
+        };
         let warned = |kill: Micros| {
-            let longest = duration(LONGEST_DEADLINE) + 2 * SECOND;
-            self.terminating
-                .get(&controller)
-                .is_some_and(|all| all.iter().any(|at| (*at..*at + longest).contains(&kill)))
+            let signals = self.terminating.get(&controller).into_iter().flatten();
+            signals.filter(|at| **at <= kill).any(|at| !started(*at, kill))
         };
         let kills = self.killed.get(&controller).into_iter().flatten();
         kills.filter(|kill| (from..=until).contains(*kill)).any(|kill| !warned(*kill))
@@ -557,7 +570,8 @@
         assert_eq!(rules(&story(vec![vanished.clone(), told(8900)])), []);
         assert_eq!(rules(&story(vec![vanished, told(9200)])), [Rule::Lost]);
         let over = at(1000, Event::CallOver { uid: "s-1".into(), call: CALL, by_controller: false });
-        let delivered = at(1005, Event::ReleaseDelivered { uid: "s-1".into(), call: CALL, controller: 0 });
+        let delivered =
+            at(1005, Event::ReleaseDelivered { uid: "s-1".into(), call: CALL, controller: 0, link: 1 });
         assert_eq!(rules(&story(vec![over.clone(), delivered.clone(), told(1900)])), []);
         assert_eq!(rules(&story(vec![over, delivered, told(2200)])), [Rule::Lost]);
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -172,6 +172,7 @@
         closed: AtomicBool::new(false),
         in_pieces: rng.random_bool(faults.in_pieces),
     });
+    shared.recorder.add(Event::LinkOpened { link: link.no, controller: shared.controller });
     let mut links = shared.links.lock().unwrap_or_else(PoisonError::into_inner);
     links.retain(|link| Arc::strong_count(link) > 1);
     links.push(Arc::clone(&link));
@@ -223,6 +224,11 @@
         }
         let passed = pass_on(link, &held, &mut to);
         held.clear();
+        if ended && passed.is_ok() && direction == Direction::Up {
+            // One direction has ended: the exchange closes the other, with what it had still to send.
+            let _ = to.shutdown(std::net::Shutdown::Write);
+            return;
+        }
         if ended || passed.is_err() || link.closed.load(Ordering::Relaxed) {
             link.closed.store(true, Ordering::Relaxed);
             return;
@@ -260,7 +266,7 @@
                 shared.recorder.add(Event::ReleasePassed { uid, call, controller, link });
             }
             (Direction::Down, Kind::Release) if get(&shared.network) != Network::Cut => {
-                shared.recorder.add(Event::ReleaseDelivered { uid, call, controller });
+                shared.recorder.add(Event::ReleaseDelivered { uid, call, controller, link });
             }
             _ => {}
         }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -129,6 +129,10 @@
         controller: ControllerNo,
         link: ConnectionNo,
     },
+    LinkOpened {
+        link: ConnectionNo,
+        controller: ControllerNo,
+    },
     /// The controller has closed the link.
     LinkClosed {
         link: ConnectionNo,
@@ -144,6 +148,7 @@
         uid: String,
         call: CallId,
         controller: ControllerNo,
+        link: ConnectionNo,
     },
     // The run itself.
     ExchangeEnded {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,6 +29,8 @@
 const CIRCUITS: u32 = 150;
 /// A controller that was killed starts again after this.
 const RESTART_AFTER: Duration = Duration::from_millis(300);
+/// Callers have named the calls that stand to a new start after this.
+const NAMED_WITHIN: Duration = Duration::from_millis(500);
 const TICK: Duration = Duration::from_millis(10);
 /// How often limits are looked at.
 const LIMITS_EVERY: Duration = Duration::from_millis(500);
@@ -267,7 +269,12 @@
             Action::Restart { controller } => {
                 self.restart(&self.controllers[controller], Controller::shut_down)
             }
-            Action::Kill { controller } => self.restart(&self.controllers[controller], Controller::kill),
+            Action::Kill { controller } => self.restart(&self.controllers[controller], |controller| {
+                // What an exchange repeats on the first connection of a start is lost for good where that start is
+                // killed before a caller has named its calls.
+                thread::sleep(NAMED_WITHIN);
+                controller.kill();
+            }),
             Action::Reconfigure { controller } => self.reconfigure(controller),
             Action::Vanish { office, listed } => self.vanish(office, listed),
             Action::Die { office, listed } => self.die(office, listed),
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -45,6 +45,14 @@
     Made,
 }
 
+/// What a message says beside that the exchange lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Renewal {
+    Usual,
+    /// It had been silent beyond a heartbeat: what it sent meanwhile may be lost.
+    AfterDoubt,
+}
+
 /// Whether the process that holds the calls goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Holder {
@@ -67,8 +75,11 @@
     }
 
     /// A message has come from the exchange.
-    pub fn renew(&mut self, now: Duration) {
+    pub fn renew(&mut self, now: Duration) -> Renewal {
+        let late = self.contact == Contact::Awaited && now >= self.last_heard + HEARTBEAT_TIMEOUT;
+        let doubted = late || self.in_doubt();
         *self = Self { contact: Contact::Made, last_heard: now, heartbeat_sent: None };
+        if doubted { Renewal::AfterDoubt } else { Renewal::Usual }
     }
 
     pub fn last_heard(&self) -> Duration {
@@ -141,8 +152,9 @@
     fn any_message_renews_it() {
         let mut lease = lease();
         lease.check(after(2500), STAYS);
-        lease.renew(after(2600));
+        assert_eq!(lease.renew(after(2600)), Renewal::AfterDoubt);
         assert!(!lease.in_doubt());
+        assert_eq!(lease.renew(after(2600)), Renewal::Usual);
         assert_eq!(lease.check(after(5000), STAYS), Check::Valid);
         assert_eq!(lease.check(after(5100), STAYS), Check::SendHeartbeat);
     }
