A shutdown with no caller left closes its links; nothing is written on a half-closed link

A first message later than 250 ms after the start counts as heard after doubt. Emulated exchange: a connection whose other side has closed is not open for a release; a real one might not notice so soon, which stays as an open risk.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,6 +64,8 @@
     Open,
     /// Open, and waits until more can be written.
     Full,
+    /// Closed in our direction: nothing more is written, and it is read to its end.
+    HalfClosed,
     /// A write has failed: what had come before is read, then it is over.
     Broken(Disconnect),
 }
@@ -117,7 +119,9 @@
 
     fn push(&mut self, token: Option<Token>, octets: &[u8]) {
         let Some(token) = token else { return };
-        if let Some(connection) = self.connections.get_mut(&token) {
+        if let Some(connection) = self.connections.get_mut(&token)
+            && connection.phase != Phase::HalfClosed
+        {
             connection.out.push(octets);
             self.dirty.push(token);
         }
@@ -144,7 +148,7 @@
 
     fn flush(&mut self, token: Token) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        if matches!(connection.phase, Phase::Dialled | Phase::Broken(_)) {
+        if matches!(connection.phase, Phase::Dialled | Phase::HalfClosed | Phase::Broken(_)) {
             return;
         }
         if connection.out.overrun() {
@@ -219,7 +223,10 @@
     fn finish(&mut self, link: LinkNo) {
         let Some(token) = self.links.get(&link).copied() else { return };
         self.flush(token);
-        if let Some(connection) = self.connections.get(&token) {
+        if let Some(connection) = self.connections.get_mut(&token)
+            && connection.phase != Phase::Dialled
+        {
+            connection.phase = Phase::HalfClosed;
             // Fails where the other side has closed; its end is read all the same.
             let _ = connection.stream.shutdown(Shutdown::Write);
         }
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -94,6 +94,10 @@
             self.caller_gone(port, no);
             port.hang_up(no);
         }
+        if self.desk.callers.is_empty() {
+            // What an exchange tells from now on is for the successor: nobody is left to pass it on to.
+            self.desk.close_links(port);
+        }
         self.desk.set(DRAIN_INTERVAL, Timer::Drain);
     }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -214,6 +214,8 @@
     /// Octets of all descriptions and headers in `calls`.
     pub held: usize,
     pub links_each: usize,
+    /// Whether the process ends, and dials no further links.
+    pub links_closed: bool,
     pub links_budget: usize,
     pub dial_within: Duration,
     chance: Chance,
@@ -236,6 +238,7 @@
             unmatched_releases: VecDeque::new(),
             held: 0,
             links_each: 1,
+            links_closed: false,
             links_budget,
             dial_within,
             chance: Chance::new(seed ^ 0x5eed),
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -78,6 +78,15 @@
         }
     }
 
+    /// Closes all links, and dials none any more. Exchanges repeat on the next connection what they have told meanwhile.
+    pub fn close_links(&mut self, port: &mut dyn Port) {
+        self.links_closed = true;
+        let all: Vec<_> = self.links.keys().copied().collect();
+        for no in all {
+            self.lose(port, no, LinkLoss::Shutdown);
+        }
+    }
+
     /// A link that was dialled for the releases that another may have lost makes the oldest one superfluous.
     fn drain_surplus(&mut self, port: &mut dyn Port, to: ExchangeId) {
         let Some(remote) = self.exchanges.get(&to) else { return };
@@ -143,6 +152,9 @@
     }
 
     pub(super) fn dial(&mut self, port: &mut dyn Port, to: ExchangeId, at: SocketAddr) {
+        if self.links_closed {
+            return;
+        }
         let no = LinkNo(self.number());
         let (state, cutter) = (LinkState::Dialled, message::Cutter::default());
         let link =
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -21,6 +21,8 @@
     AddressChanged,
     /// The event bus has told that the exchange is gone.
     ExchangeGone,
+    /// The process ends.
+    Shutdown,
 }
 
 impl LinkLoss {
@@ -34,6 +36,7 @@
             Self::DrainExpired => "drain_expired",
             Self::AddressChanged => "address_changed",
             Self::ExchangeGone => "exchange_gone",
+            Self::Shutdown => "shutdown",
         }
     }
 }
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -7,11 +7,14 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use mintstall_platform::message::{Cutter, Kind, Message, WireId, code, write};
+use nix::errno::Errno;
+use nix::sys::socket::{MsgFlags, recv};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -200,6 +203,10 @@
         let link = self.next_link;
         self.links.insert(link, Link { controller, stream });
         self.send_state(link);
+        // One whose other side has closed it already, while this process was stopped, is no open connection.
+        if !self.is_open(link) {
+            return link;
+        }
         for call in self.repeated.remove(&controller).unwrap_or_default() {
             self.send(link, Kind::Release, call, &[(code::CAUSE, &[NORMAL_CLEARING])]);
         }
@@ -221,6 +228,16 @@
         }
     }
 
+    /// Whether a connection is there, and its other side has not closed it.
+    fn is_open(&self, link: u64) -> bool {
+        let Some(link) = self.links.get(&link) else { return false };
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        match recv(link.stream.as_raw_fd(), &mut [0; 1], flags) {
+            Ok(count) => count > 0,
+            Err(error) => error == Errno::EAGAIN,
+        }
+    }
+
     fn report(&self) -> String {
         let idle = (self.config.circuits as usize).saturating_sub(self.calls.len());
         format!("idle:{idle};circuits:{}", self.config.circuits)
@@ -356,9 +373,9 @@
     fn end(&mut self, call: CallId) {
         let Some(known) = self.calls.remove(&call) else { return };
         record(Event::CallOver { uid: self.uid(), call, by_controller: false });
-        let any =
-            || self.links.iter().find(|(_, link)| link.controller == known.controller).map(|(no, _)| *no);
-        let link = if self.links.contains_key(&known.link) { Some(known.link) } else { any() };
+        let of_controller = self.links.iter().filter(|(_, link)| link.controller == known.controller);
+        let mut all = std::iter::once(known.link).chain(of_controller.map(|(no, _)| *no));
+        let link = all.find(|no| self.is_open(*no));
         if let Some(link) = link {
             self.send(link, Kind::Release, call, &[(code::CAUSE, &[NORMAL_CLEARING])]);
         }
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -45,6 +45,10 @@
     Made,
 }
 
+/// The first message comes with a connection. An exchange whose first one takes longer had hung, or was cut off, while
+/// this process started, and has written what it had to say to the former one.
+const FIRST_MESSAGE_WITHIN: Duration = Duration::from_millis(250);
+
 /// What a message says beside that the exchange lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Renewal {
@@ -76,7 +80,7 @@
 
     /// A message has come from the exchange.
     pub fn renew(&mut self, now: Duration) -> Renewal {
-        let late = self.contact == Contact::Awaited && now >= self.last_heard + HEARTBEAT_TIMEOUT;
+        let late = self.contact == Contact::Awaited && now >= self.last_heard + FIRST_MESSAGE_WITHIN;
         let doubted = late || self.in_doubt();
         *self = Self { contact: Contact::Made, last_heard: now, heartbeat_sent: None };
         if doubted { Renewal::AfterDoubt } else { Renewal::Usual }
