--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -7,14 +7,12 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use mintstall_platform::message::{Cutter, Kind, Message, WireId, code, write};
-use nix::errno::Errno;
-use nix::sys::socket::{MsgFlags, recv};
+use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -228,14 +226,9 @@
         }
     }
 
-    /// Whether a connection is there, and its other side has not closed it.
+    /// Whether a connection is there, and its other side has not closed it, also behind what is still unread.
     fn is_open(&self, link: u64) -> bool {
-        let Some(link) = self.links.get(&link) else { return false };
-        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-        match recv(link.stream.as_raw_fd(), &mut [0; 1], flags) {
-            Ok(count) => count > 0,
-            Err(error) => error == Errno::EAGAIN,
-        }
+        self.links.get(&link).is_some_and(|link| !is_closed_by_peer(&link.stream).unwrap_or(true))
     }
 
     fn report(&self) -> String {
@@ -383,3 +376,11 @@
         self.broadcast_state();
     }
 }
+
+/// Whether the end of a connection has come, behind what is unread.
+fn is_closed_by_peer(stream: &TcpStream) -> nix::Result<bool> {
+    let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
+    epoll.add(stream, EpollEvent::new(EpollFlags::EPOLLRDHUP, 0))?;
+    let mut events = [EpollEvent::empty()];
+    Ok(epoll.wait(&mut events, EpollTimeout::ZERO)? > 0)
+}
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -175,7 +175,9 @@
             Event::ReleaseSentByCaller { call } => self.call(*call).released_by_caller = Some(at),
             Event::Announced { call, .. } => self.call(*call).announced = Some(at),
             Event::AttemptEnded { uid, call, end: AttemptEnd::Answered } => {
-                self.call(*call).stood = Some((uid.clone(), at));
+                // What a former attempt left is not about this one.
+                let call = self.call(*call);
+                (call.stood, call.over, call.delivered) = (Some((uid.clone(), at)), None, None);
             }
             Event::CallOver { call, by_controller, .. } => {
                 self.call(*call).over.get_or_insert((at, *by_controller));
