Another process at an exchange's address ends the former one's calls; postmortem

The same mistake in related code: an open link was taken for the same process. The first report after all links were lost, if it says that all circuits are free, ends the calls that stood before. Stories for it, for heartbeats and for the first contact of a new process.

--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -132,6 +132,7 @@
                 waiting: Default::default(),
                 releases: Default::default(),
                 lease: Lease::new(self.desk.now),
+                all_links_lost: None,
                 dials_for_releases: false,
             };
             let far = self.desk.exchanges.entry(line.exchange).or_insert(fresh);
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use mintstall::host::{Cause, ExchangeId, Stood};
-use mintstall::liveness::Renewal;
+use mintstall::host::{Cause, ExchangeId, Report, Stood};
+use mintstall::liveness::{self, Renewal};
 
 use super::{Core, Disconnect};
 use crate::desk::{LinkState, NORMAL_CLEARING, Owed, Standing, TEMPORARY_FAILURE};
@@ -108,10 +108,23 @@
         let report = text.and_then(|text| self.trade.reports.named_report(text));
         port.detail(format_args!("exchange {} reports {text:?}", exchange.0));
         if let Some(report) = report {
+            self.end_calls_of_former_process(port, exchange, &report);
             self.decide(port, |controller, now, turn| controller.reported(now, turn, exchange, &report));
         }
     }
 
+    /// The first report after all links were lost: a process with all its circuits free holds none of the calls that
+    /// stood, so it is not the one that they were set up with.
+    fn end_calls_of_former_process(&mut self, port: &mut dyn Port, exchange: ExchangeId, report: &Report) {
+        let remote = self.desk.exchanges.get_mut(&exchange);
+        let Some(lost) = remote.and_then(|remote| remote.all_links_lost.take()) else { return };
+        if liveness::holds_no_calls(report) {
+            for id in self.cut_calls(port, exchange, lost, CallEnd::ExchangeRestarted) {
+                self.desk.release_there(port, exchange, id);
+            }
+        }
+    }
+
     pub(super) fn answered(
         &mut self,
         port: &mut dyn Port,
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -191,6 +191,8 @@
     pub releases: VecDeque<(Duration, WireId)>,
     /// For how long it is believed to hold the calls that stand there.
     pub lease: Lease,
+    /// When its last open link was lost by the other side: whoever listens there next may be another process.
+    pub all_links_lost: Option<Duration>,
     /// Whether a connection is planned on which it repeats releases.
     pub dials_for_releases: bool,
 }
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -218,6 +218,11 @@
         if let Some(far) = self.exchanges.get_mut(&to) {
             far.links.retain(|known| *known != no);
             far.draining.retain(|known| *known != no);
+            let open = |no: &LinkNo| self.links.get(no).is_some_and(|link| link.state != LinkState::Dialled);
+            let none_open = !far.links.iter().chain(&far.draining).any(open);
+            if none_open && link.state != LinkState::Dialled && reason == LinkLoss::Disconnected {
+                far.all_links_lost = Some(self.now);
+            }
             if link.state == LinkState::Dialled {
                 far.failures = far.failures.saturating_add(1);
                 let last = if far.lease.in_doubt() { REDIAL_IN_DOUBT } else { REDIAL_LAST };
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -852,3 +852,57 @@
     platform.pass(ms(8000));
     assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
 }
+
+#[test]
+fn another_process_at_the_address_ends_the_calls_of_the_former_one() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    platform.pass(ms(10));
+    let lose_all = |platform: &mut Platform| {
+        for link in platform.links(1) {
+            platform.core.link_disconnected(platform.wires.now, &mut platform.wires, link, Disconnect::Lost);
+        }
+        while let Some((link, _)) = platform.wires.dialled.pop() {
+            platform.core.link_connected(platform.wires.now, &mut platform.wires, link);
+        }
+        platform.links(1)[0]
+    };
+    let link = lose_all(&mut platform);
+    platform.state(link, 19);
+    assert!(platform.said().is_empty(), "one of its 20 circuits is taken: it may be the same process");
+    let link = lose_all(&mut platform);
+    platform.state(link, 20);
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+}
+
+#[test]
+fn a_quiet_exchange_is_sent_a_heartbeat_and_its_answer_keeps_the_calls() {
+    let mut platform = Platform::start();
+    platform.comes(1);
+    platform.stands(1, 6);
+    for _ in 0..5 {
+        platform.wires.sent.clear();
+        platform.pass(ms(2800));
+        let tests: Vec<_> = platform.wires.sent.iter().filter(|sent| sent.1 == Kind::Test).collect();
+        let [(link, _, id, _)] = tests[..] else { panic!("one heartbeat, not {tests:?}") };
+        let (link, id) = (*link, id.0);
+        platform.link_says(link, Kind::TestResult, id, &[(code::CAUSE, &[1])]);
+    }
+    assert!(platform.said().is_empty(), "14 s and the call stands");
+    platform.pass(ms(7500));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+}
+
+#[test]
+fn calls_named_to_a_new_process_end_soon_where_their_exchange_is_never_reached() {
+    let mut wires = Wires { now: START, ..Wires::default() };
+    let core = Core::new(&config(), START, &mut wires);
+    let mut platform = Platform { core, wires };
+    platform.comes(1);
+    platform.says(1, &invite(6, "at:one", "1500", "hello"));
+    platform.pass(ms(1900));
+    assert!(platform.said().is_empty());
+    platform.pass(ms(400));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+}
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -238,6 +238,10 @@
 
     /// Looks at memory and descriptors, and whether it still runs.
     pub fn check_limits(&self) {
+        // One that is not ready may not even have begun to run the program.
+        if self.phase() == Phase::Down {
+            return;
+        }
         let process = self.lock().child.as_ref().map(Child::id);
         let Some(process) = process.filter(|_| !self.has_ended()) else { return };
         let path = Path::new("/proc").join(process.to_string());
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -314,12 +314,8 @@
         }
     }
 
-    fn description(&self, call: CallId) -> String {
-        format!("{}/{call:016x}\r\nc=IN IP4 10.4.7.9\r\n", self.config.uid)
-    }
-
     fn send_answer(&mut self, link: u64, call: CallId) {
-        let description = self.description(call);
+        let description = description(&self.config.uid, call);
         self.send(link, Kind::Answer, call, &[(code::DESCRIPTION, description.as_bytes())]);
     }
 
@@ -356,7 +352,7 @@
             return self.send_raw(link, &[0xff, 0xff, 0xee, 1, 2, 3]);
         }
         let mut octets = Vec::new();
-        let description = self.description(call);
+        let description = description(&self.config.uid, call);
         write(&mut octets, Kind::Answer, WireId(call), &[(code::DESCRIPTION, description.as_bytes())]);
         octets.truncate(octets.len() / 2);
         self.send_raw(link, &octets);
@@ -377,6 +373,11 @@
     }
 }
 
+/// What an exchange answers: it names exchange and call, so that an answer can be told from any other.
+pub fn description(uid: &str, call: CallId) -> String {
+    format!("{uid}/{call:016x}\r\nc=IN IP4 10.4.7.9\r\n")
+}
+
 /// Whether the end of a connection has come, behind what is unread.
 fn is_closed_by_peer(stream: &TcpStream) -> nix::Result<bool> {
     let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -86,16 +86,23 @@
     /// When, on which connection, with which status and description.
     answers: Vec<(Micros, ConnectionNo, u16, String)>,
     cancelled: Option<Micros>,
-    /// Answered by an exchange: which, when.
-    stood: Option<(String, Micros)>,
-    /// Over at the exchange: when, and whether by the controller.
-    over: Option<(Micros, bool)>,
-    delivered: Option<Micros>,
+    /// What became of it at each exchange that answered: of several attempts one alone is the caller's.
+    stood: BTreeMap<String, Stood>,
     told: Option<Micros>,
     released_by_caller: Option<Micros>,
     announced: Option<Micros>,
 }
 
+/// A call that stands, or stood, at one exchange.
+#[derive(Clone, Copy, Debug)]
+struct Stood {
+    since: Micros,
+    /// When it was over there, and whether by the controller.
+    over: Option<(Micros, bool)>,
+    /// When its release reached the controller.
+    delivered: Option<Micros>,
+}
+
 /// A stretch of time in which a process did not serve.
 #[derive(Debug)]
 struct Outage {
@@ -175,21 +182,23 @@
             Event::ReleaseSentByCaller { call } => self.call(*call).released_by_caller = Some(at),
             Event::Announced { call, .. } => self.call(*call).announced = Some(at),
             Event::AttemptEnded { uid, call, end: AttemptEnd::Answered } => {
-                // What a former attempt left is not about this one.
-                let call = self.call(*call);
-                (call.stood, call.over, call.delivered) = (Some((uid.clone(), at)), None, None);
+                let stood = Stood { since: at, over: None, delivered: None };
+                self.call(*call).stood.insert(uid.clone(), stood);
             }
-            Event::CallOver { call, by_controller, .. } => {
-                self.call(*call).over.get_or_insert((at, *by_controller));
+            Event::CallOver { uid, call, by_controller } => {
+                if let Some(stood) = self.call(*call).stood.get_mut(uid) {
+                    stood.over.get_or_insert((at, *by_controller));
+                }
             }
             Event::LinkOpened { link, .. } => {
                 self.links.insert(*link, at);
             }
-            Event::ReleaseDelivered { call, controller, link, .. } => {
+            Event::ReleaseDelivered { uid, call, controller, link } => {
                 // A link of a former process leads to nobody.
                 let opened = self.links.get(link).copied().unwrap_or_default();
-                if self.next_down(*controller, opened).is_none() {
-                    self.call(*call).delivered.get_or_insert(at);
+                let alive = self.next_down(*controller, opened).is_none();
+                if let Some(stood) = self.call(*call).stood.get_mut(uid).filter(|_| alive) {
+                    stood.delivered.get_or_insert(at);
                 }
             }
             Event::ExchangeEnded { uid } => {
@@ -263,8 +272,8 @@
             }
             if let Some((at, _, 200, description)) = call.answers.first() {
                 verdict.served += 1;
-                let given =
-                    call.stood.as_ref().map(|(uid, _)| format!("{uid}/{id:016x}\r\nc=IN IP4 10.4.7.9\r\n"));
+                let uid = uid_of(description);
+                let given = call.stood.contains_key(uid).then(|| crate::exchange::description(uid, *id));
                 if given.as_ref() != Some(description) {
                     let what = format!(
                         "call {id:016x} is answered with {description:?}, the exchange gave {given:?}"
@@ -312,12 +321,12 @@
 
     fn judge_ends(&self, verdict: &mut Verdict) {
         for (id, call) in &self.calls {
-            let served = call.answers.first().is_some_and(|answer| answer.2 == 200);
-            let (Some((uid, stood)), Some(sent), true) = (&call.stood, call.sent.last(), served) else {
-                continue;
-            };
-            let vanished = self.exchange_ended.get(uid).copied().filter(|at| at >= stood);
-            let (over, by_controller) = match (call.over, vanished) {
+            let served = call.answers.first().filter(|(_, _, status, _)| *status == 200);
+            let (Some((.., description)), Some(sent)) = (served, call.sent.last()) else { continue };
+            let uid = uid_of(description);
+            let Some(stood) = call.stood.get(uid) else { continue };
+            let vanished = self.exchange_ended.get(uid).copied().filter(|at| *at >= stood.since);
+            let (over, by_controller) = match (stood.over, vanished) {
                 (Some(over), Some(vanished)) if over.0 > vanished => (vanished, false),
                 (Some(over), _) => over,
                 (None, Some(vanished)) => (vanished, false),
@@ -327,7 +336,7 @@
             if call.released_by_caller.is_some_and(|at| at <= over + END_TOLD_WITHIN) {
                 continue;
             }
-            let due = self.end_due(call, sent.controller, over, by_controller);
+            let due = self.end_due(call, stood, sent.controller, over, by_controller);
             if due > self.end || call.told.is_some_and(|at| at <= due) {
                 continue;
             }
@@ -340,10 +349,17 @@
     }
 
     /// By when a call's end is to be told to its caller.
-    fn end_due(&self, call: &Call, controller: ControllerNo, over: Micros, by_controller: bool) -> Micros {
+    fn end_due(
+        &self,
+        call: &Call,
+        stood: &Stood,
+        controller: ControllerNo,
+        over: Micros,
+        by_controller: bool,
+    ) -> Micros {
         let slow = over + END_TOLD_WITHIN + SLACK + RECORDING;
         let quick = |from: Micros| from + RELEASE_PASSED_WITHIN + SLACK + RECORDING;
-        let due = match call.delivered {
+        let due = match stood.delivered {
             _ if by_controller => quick(over),
             Some(delivered) if delivered >= over => quick(delivered).min(slow),
             _ => slow,
@@ -383,6 +399,11 @@
     }
 }
 
+/// The exchange that a description is from.
+fn uid_of(description: &str) -> &str {
+    description.split('/').next().unwrap_or_default()
+}
+
 fn duration(of: std::time::Duration) -> Micros {
     of.as_micros() as Micros
 }
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::host::Report;
+
 /// A call's end that its exchange can't tell has to reach the caller within this time (the platform's protocol).
 const END_TOLD_WITHIN: Duration = Duration::from_secs(8);
 /// Kept of that for timers, for a process that is scheduled late, and for the way to the caller.
@@ -26,6 +28,14 @@
 /// A heartbeat without an answer for so long says that the connection, or the exchange, is of no use.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Whether an exchange that reports this holds no call of anybody.
+pub fn holds_no_calls(report: &Report) -> bool {
+    match (report.free, report.size) {
+        (Some(free), Some(size)) => size > 0.0 && free >= size,
+        _ => false,
+    }
+}
+
 /// What is to be done about an exchange at which calls stand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Check {
