Heartbeats only where the settings allow tests; else by a new connection

Read in the platform's settings: limits.probes tells whether exchanges may be tested; leases sent tests regardless. Change: Trade.may_probe; without it a new connection, whose first message is the group's state.

--- a/crates/platform/src/core/leases.rs
+++ b/crates/platform/src/core/leases.rs
@@ -20,10 +20,15 @@
             let quiet = self.desk.now.saturating_sub(remote.lease.last_heard());
             match remote.lease.check(self.desk.now, holder) {
                 Check::Valid => {}
-                Check::SendHeartbeat => {
+                Check::SendHeartbeat if self.trade.may_probe => {
                     port.detail(format_args!("exchange {} quiet for {quiet:?}: heartbeat", exchange.0));
                     self.desk.send_heartbeat(port, exchange);
                 }
+                Check::SendHeartbeat => {
+                    // Each new connection brings the group's state as its first message.
+                    port.detail(format_args!("exchange {} quiet for {quiet:?}: connection", exchange.0));
+                    self.replace_connection(port, exchange);
+                }
                 Check::ReplaceConnection => {
                     port.detail(format_args!("exchange {} quiet for {quiet:?}: no answer", exchange.0));
                     self.replace_connection(port, exchange);
@@ -42,7 +47,9 @@
             self.desk.drain_link(port, link);
         }
         self.desk.maintain_pool(port, exchange);
-        self.desk.send_heartbeat(port, exchange);
+        if self.trade.may_probe {
+            self.desk.send_heartbeat(port, exchange);
+        }
     }
 
     /// The calls are over for their callers; an exchange that still holds them learns so when it can be reached.
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -41,7 +41,7 @@
             "tenants": [{"name": "acme"}], "dcs": ["east"],
             "specifics": {"own_number": 0, "widths": [1], "call_length_s": [5.0], "clear_wait_s": 0.2},
             "limits": {"most_tries": 5, "cancelling": true, "retry_after": true, "max_retry_after_s": 2.0,
-                "dial_timeout_s": 0.5},
+                "dial_timeout_s": 0.5, "probes": true},
             "report": {"fields": ["idle", "circuits"]},
             "rules": {"fall_multiple": 2.5, "cold_from": 0.3, "ramp_time_s": 15.0}
         }
@@ -906,3 +906,22 @@
     platform.pass(ms(400));
     assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
 }
+
+#[test]
+fn where_exchanges_may_not_be_tested_a_quiet_one_is_asked_by_a_new_connection() {
+    let mut wires = Wires { now: START, ..Wires::default() };
+    let config = config_with(|config| config["settings"]["limits"]["probes"] = json!(false)).unwrap();
+    let core = Core::new(&config, START, &mut wires);
+    let mut platform = Platform { core, wires };
+    platform.links_up();
+    platform.comes(1);
+    platform.stands(1, 6);
+    for _ in 0..5 {
+        platform.pass(ms(2800));
+        assert!(!platform.wires.dialled.is_empty());
+        platform.links_up();
+    }
+    assert!(platform.wires.sent.iter().all(|sent| sent.1 != Kind::Test) && platform.said().is_empty());
+    platform.pass(ms(7500));
+    assert_eq!(platform.said(), ["1: BYE Q.850;cause=41"]);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -175,6 +175,8 @@
     pub zones: Vec<String>,
     /// A connection that is not there by then is not waited for.
     pub dial_within: Duration,
+    /// Whether exchanges may be sent tests.
+    pub may_probe: bool,
 }
 
 /// The settings as path=value lines.
@@ -253,6 +255,7 @@
         customers: paths.names("tenants")?,
         zones: paths.texts("dcs"),
         dial_within: paths.span_or_none("limits.dial_timeout_s")?,
+        may_probe: paths.or("limits.probes", false)?,
     })
 }
 
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -58,6 +58,8 @@
     directory: PathBuf,
     recorder: Recorder,
     seed: u64,
+    /// Whether the settings allow tests of exchanges.
+    may_probe: bool,
 }
 
 /// Where a run finds the program and leaves its files.
@@ -74,6 +76,7 @@
         bus: SocketAddr,
         files: &Files,
         seed: u64,
+        may_probe: bool,
         recorder: &Recorder,
     ) -> Self {
         let state = State { phase: Phase::Down, child: None, starts: 0, bus };
@@ -86,6 +89,7 @@
             directory: files.directory.clone(),
             recorder: recorder.clone(),
             seed,
+            may_probe,
         }
     }
 
@@ -136,7 +140,7 @@
                 "lanes": [lane("voice", 0.8, 1.5, "free"), lane("data", 1.0, deadline, "single_shot")],
                 "tenants": [{"name": "acme"}], "dcs": ["east"],
                 "specifics": {"own_number": 0, "widths": [1, 1], "call_length_s": [4.0, 4.0], "clear_wait_s": RELEASE_TIME.as_secs_f64()},
-                "limits": {"most_tries": 4, "cancelling": true, "retry_after": true, "max_retry_after_s": 1.0, "dial_timeout_s": 0.5},
+                "limits": {"most_tries": 4, "cancelling": true, "retry_after": true, "max_retry_after_s": 1.0, "probes": self.may_probe, "dial_timeout_s": 0.5},
                 "report": {"fields": ["idle", "circuits"]},
                 "rules": {"fall_multiple": 2.5, "cold_from": 0.5, "ramp_time_s": 3.0}
             }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -88,6 +88,8 @@
     /// Between two set-ups of one caller.
     pub gap: Duration,
     pub bad_callers: bool,
+    /// Whether the controllers' settings allow tests of exchanges.
+    pub may_probe: bool,
     pub answers: AnswerFaults,
     pub connections: ConnectionFaults,
 }
@@ -253,6 +255,7 @@
             actions: draw.actions,
             habits,
             gap,
+            may_probe: !(seed / THEMES.len() as u64).is_multiple_of(3),
             bad_callers: theme == Theme::BadPeers || all,
             answers,
             connections,
@@ -274,6 +277,7 @@
             habits: vec![Habit::Plain; 4],
             gap: millis(110),
             bad_callers: false,
+            may_probe: true,
             answers: AnswerFaults::default(),
             connections: ConnectionFaults::default(),
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -145,6 +145,7 @@
                     bus_addresses[no][0],
                     &files,
                     plan.seed + no as u64,
+                    plan.may_probe,
                     &recorder,
                 )
             })
