Platform: one way to end calls, close a caller, and back off; behaviour unchanged

Written twice: ending calls with their release at the exchange (leases, former process), closing a caller's connection (three places, its reason now typed), the doubled and jittered pause (links, bus), counting ended calls, the links that are up. A drained link maintained its pool twice. Stories and unit tests pass unchanged.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -16,8 +16,8 @@
 
 use self::shutdown::Shutdown;
 use crate::bus::Bus;
-use crate::desk::{Caller, Desk, LinkState, Owed, Timer, Turn};
-use crate::reasons::LinkLoss;
+use crate::desk::{Caller, Desk, LinkState, Owed, Timer, Turn, doubled};
+use crate::reasons::{CallerClose, LinkLoss};
 use crate::{Config, Port};
 
 /// How often half messages and silent connections are looked for.
@@ -183,10 +183,7 @@
         };
         let callers = self.desk.callers.iter().filter(|(_, caller)| stuck(caller));
         for no in callers.map(|(no, _)| *no).collect::<Vec<_>>() {
-            port.detail(format_args!("caller {} closed: silent, or half a message, for too long", no.0));
-            metrics::counter!("callers_closed", "reason" => "incomplete_message").increment(1);
-            self.caller_gone(port, no);
-            port.hang_up(no);
+            self.close_caller(port, no, CallerClose::IncompleteMessage);
         }
         let links = self.desk.links.iter().filter(|(_, link)| late(link.half, HALF_ANSWER_FOR));
         for no in links.map(|(no, _)| *no).collect::<Vec<_>>() {
@@ -197,7 +194,7 @@
         }
         self.check_leases(port);
         let patience = match self.bus_state {
-            BusState::Dialled => BUS_DIAL_LONGEST.min(BUS_DIAL * 2u32.pow(self.bus_failures.min(8))),
+            BusState::Dialled => doubled(BUS_DIAL, self.bus_failures, BUS_DIAL_LONGEST),
             _ => BUS_SILENT,
         };
         if self.bus_state != BusState::Down && self.bus_since + patience < now {
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -10,7 +10,7 @@
 use crate::desk::{Call, Owed, Standing, TEMPORARY_FAILURE, Timer};
 use crate::message::WireId;
 use crate::offer::{self, SetUp, SetupRequest};
-use crate::reasons::CallEnd;
+use crate::reasons::{CallEnd, CallerClose};
 use crate::{CallerNo, Port};
 
 impl Core {
@@ -30,15 +30,13 @@
                 Ok(Some(message)) => self.message(port, no, &message),
                 Ok(None) => break,
                 Err(spoilt) => {
-                    port.detail(format_args!("caller {} closed: {spoilt}", no.0));
-                    metrics::counter!("callers_closed", "reason" => "malformed").increment(1);
+                    port.detail(format_args!("caller {}: {spoilt}", no.0));
                     self.fail_open_calls(port, no);
                     let mut answer = Vec::new();
                     let why = [("Warning", &*spoilt.to_string())];
                     sip::write_response(&mut answer, spoilt.status(), &why, b"");
                     port.say(no, &answer);
-                    self.caller_gone(port, no);
-                    port.hang_up(no);
+                    self.close_caller(port, no, CallerClose::Malformed);
                     break;
                 }
             }
@@ -67,6 +65,14 @@
         }
     }
 
+    /// Closes a caller's connection, once what was said on it is written.
+    pub(super) fn close_caller(&mut self, port: &mut dyn Port, no: CallerNo, reason: CallerClose) {
+        port.detail(format_args!("caller {} closed: {reason}", no.0));
+        metrics::counter!("callers_closed", "reason" => reason.label()).increment(1);
+        self.caller_gone(port, no);
+        port.hang_up(no);
+    }
+
     /// Final answers for what is open on a connection that is about to be closed here: its calls were taken.
     fn fail_open_calls(&mut self, port: &mut dyn Port, no: CallerNo) {
         let open = self.desk.callers.get(&no).map(|caller| caller.open.clone()).unwrap_or_default();
@@ -208,7 +214,7 @@
             None => {
                 let reason = CallEnd::ExchangeUnknown;
                 port.detail(format_args!("{id} ended: {reason} ({at})"));
-                metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
+                reason.count(1);
                 self.desk.notify_release(port, Some(no), id, TEMPORARY_FAILURE, now);
             }
         }
@@ -232,7 +238,7 @@
         reply(port, no, message, 200, "");
         let reason = CallEnd::ReleasedByCaller;
         port.detail(format_args!("{id} ended: {reason}"));
-        metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
+        reason.count(1);
         self.desk.release_there(port, call.exchange, id);
         self.over(port, &call, Cause::Cancelled);
     }
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use mintstall::host::{ExchangeId, OfficeNo, RosterLine, Standing as Service, Zone};
-
 use mintstall::liveness::Lease;
 
 use super::{BUS_AGAIN, BUS_AGAIN_LONGEST, BusState, Core};
 use crate::bus::{self, Event, Topology};
-use crate::desk::{RemoteExchange, Timer};
+use crate::desk::{RemoteExchange, Timer, doubled};
 use crate::reasons::{CallEnd, LinkLoss};
 use crate::{Config, Port};
 
@@ -37,9 +36,8 @@
         metrics::counter!("bus_dropped").increment(1);
         port.cut_bus();
         (self.bus_state, self.bus_since) = (BusState::Down, self.desk.now);
-        let pause = BUS_AGAIN_LONGEST.min(BUS_AGAIN * 2u32.pow(self.bus_failures.min(8)));
+        let pause = self.desk.jittered(doubled(BUS_AGAIN, self.bus_failures, BUS_AGAIN_LONGEST));
         self.bus_failures = self.bus_failures.saturating_add(1);
-        let pause = self.desk.jittered(pause);
         self.desk.set(pause, Timer::Bus);
     }
 
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -119,9 +119,7 @@
         let remote = self.desk.exchanges.get_mut(&exchange);
         let Some(lost) = remote.and_then(|remote| remote.all_links_lost.take()) else { return };
         if liveness::holds_no_calls(report) {
-            for id in self.cut_calls(port, exchange, lost, CallEnd::ExchangeRestarted) {
-                self.desk.release_there(port, exchange, id);
-            }
+            self.end_calls(port, exchange, lost, CallEnd::ExchangeRestarted);
         }
     }
 
@@ -175,13 +173,11 @@
         let stood = self.desk.standing.get(&message.call).filter(|call| call.exchange == exchange).copied();
         let Some(call) = stood else { return self.desk.keep_unmatched_release(id, cause) };
         self.desk.standing.remove(&message.call);
-        let reason = if cause == NORMAL_CLEARING { CallEnd::Released } else { CallEnd::Cut };
-        metrics::counter!("calls_ended", "reason" => reason.label()).increment(1);
-        let (cause, of) = if cause == NORMAL_CLEARING {
-            (NORMAL_CLEARING, Cause::Done)
-        } else {
-            (TEMPORARY_FAILURE, Cause::Cut)
+        let (reason, cause, of) = match cause {
+            NORMAL_CLEARING => (CallEnd::Released, NORMAL_CLEARING, Cause::Done),
+            _ => (CallEnd::Cut, TEMPORARY_FAILURE, Cause::Cut),
         };
+        reason.count(1);
         self.desk.notify_release(port, Some(call.caller), message.call, cause, self.desk.now);
         let mut heard = Vec::new();
         message::write(&mut heard, Kind::ReleaseHeard, message.call, &[]);
@@ -190,6 +186,20 @@
         self.over(port, &call, of);
     }
 
+    /// Calls that stand at an exchange since before some time are over for their callers; an exchange that still holds
+    /// them learns so when it can be reached.
+    pub(super) fn end_calls(
+        &mut self,
+        port: &mut dyn Port,
+        exchange: ExchangeId,
+        before: Duration,
+        reason: CallEnd,
+    ) {
+        for id in self.cut_calls(port, exchange, before, reason) {
+            self.desk.release_there(port, exchange, id);
+        }
+    }
+
     /// Calls that stand at an exchange since before some time ended with it; gives them.
     pub(super) fn cut_calls(
         &mut self,
@@ -204,7 +214,7 @@
         }
         let count = ended.len();
         port.note(&format!("exchange {}: {count} standing calls ended: {reason}", exchange.0));
-        metrics::counter!("calls_ended", "reason" => reason.label()).increment(count as u64);
+        reason.count(count);
         for (id, call) in &ended {
             self.desk.notify_release(port, Some(call.caller), *id, TEMPORARY_FAILURE, self.desk.now);
             self.over(port, call, Cause::Cut);
--- a/crates/platform/src/core/leases.rs
+++ b/crates/platform/src/core/leases.rs
@@ -35,7 +35,7 @@
                 }
                 Check::Expired => {
                     port.note(&format!("exchange {} quiet for {quiet:?}: its lease has expired", exchange.0));
-                    self.expire(port, exchange);
+                    self.end_calls(port, exchange, Duration::MAX, CallEnd::LeaseExpired);
                 }
             }
         }
@@ -43,19 +43,13 @@
 
     /// A heartbeat was not answered: a new connection shows whether the exchange or the connection is at fault.
     fn replace_connection(&mut self, port: &mut dyn Port, exchange: ExchangeId) {
-        if let Some(link) = self.desk.first_up(exchange) {
-            self.desk.drain_link(port, link);
+        match self.desk.first_up(exchange) {
+            // Which sees to the pool itself.
+            Some(link) => self.desk.drain_link(port, link),
+            None => self.desk.maintain_pool(port, exchange),
         }
-        self.desk.maintain_pool(port, exchange);
         if self.trade.may_probe {
             self.desk.send_heartbeat(port, exchange);
         }
     }
-
-    /// The calls are over for their callers; an exchange that still holds them learns so when it can be reached.
-    fn expire(&mut self, port: &mut dyn Port, exchange: ExchangeId) {
-        for id in self.cut_calls(port, exchange, Duration::MAX, CallEnd::LeaseExpired) {
-            self.desk.release_there(port, exchange, id);
-        }
-    }
 }
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -14,10 +14,11 @@
 
 use super::Core;
 use crate::desk::{Caller, Standing, Timer};
+use crate::reasons::CallerClose;
 use crate::{CallerNo, Port};
 
 /// After the signal calls keep coming for 0.6 s as if nothing were; the rest is for the way and for a late start.
-pub const SERVED_FOR: Duration = Duration::from_millis(750);
+const SERVED_FOR: Duration = Duration::from_millis(750);
 /// Longer deadlines count as this long (the platform's protocol): the kill may come 0.7 s after that.
 const LONGEST_DEADLINE_COUNTED: Duration = Duration::from_secs(3);
 /// What was taken is answered so long after the longest deadline at the latest.
@@ -58,7 +59,7 @@
     }
 
     /// Whether set-ups are refused because the process is about to end.
-    pub fn draining(&self) -> bool {
+    pub(super) fn draining(&self) -> bool {
         matches!(self.shutdown, Shutdown::Asked { at, .. } if at + SERVED_FOR <= self.desk.now)
     }
 
@@ -89,10 +90,7 @@
         };
         let callers = self.desk.callers.iter().filter(|(no, caller)| all || finished(no, caller));
         for no in callers.map(|(no, _)| *no).collect::<Vec<_>>() {
-            port.detail(format_args!("caller {} closed: shutdown", no.0));
-            metrics::counter!("callers_closed", "reason" => "shutdown").increment(1);
-            self.caller_gone(port, no);
-            port.hang_up(no);
+            self.close_caller(port, no, CallerClose::Shutdown);
         }
         if self.desk.callers.is_empty() {
             // What an exchange tells from now on is for the successor: nobody is left to pass it on to.
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -258,7 +258,7 @@
         self.timers.push(Reverse((self.now + after, order, timer)));
     }
 
-    /// A draw from the upper half of a span.
+    /// A draw from the upper half of a span: what many lost together they do not ask for together.
     pub fn jittered(&mut self, span: Duration) -> Duration {
         span.mul_f64(0.5 + 0.5 * self.chance.below_one())
     }
@@ -278,3 +278,9 @@
         self.callers.insert(caller, fresh);
     }
 }
+
+/// A span doubled with each failure, up to the last.
+pub fn doubled(first: Duration, failures: u32, last: Duration) -> Duration {
+    const MOST_DOUBLINGS: u32 = 8;
+    last.min(first * 2u32.pow(failures.min(MOST_DOUBLINGS)))
+}
--- a/crates/platform/src/desk/links.rs
+++ b/crates/platform/src/desk/links.rs
@@ -8,7 +8,7 @@
 
 use super::{
     DRAINING_FOR, Desk, FINISHED_WITHIN, Link, LinkState, MOST_LINKS, REDIAL_FIRST, REDIAL_LAST,
-    RemoteExchange, Timer,
+    RemoteExchange, Timer, doubled,
 };
 use crate::message::{self, Kind, WireId, code};
 use crate::reasons::LinkLoss;
@@ -90,12 +90,10 @@
     /// A link that was dialled for the releases that another may have lost makes the oldest one superfluous.
     fn drain_surplus(&mut self, port: &mut dyn Port, to: ExchangeId) {
         let Some(remote) = self.exchanges.get(&to) else { return };
-        let up = |no: &&LinkNo| self.links.get(no).is_some_and(|link| link.state == LinkState::Up);
-        let all: Vec<_> = remote.links.iter().filter(up).copied().collect();
-        if all.len() > self.links_each
-            && let Some(oldest) = all.first()
+        if self.up_links(remote).count() > self.links_each
+            && let Some(oldest) = self.first_up(to)
         {
-            self.drain_link(port, *oldest);
+            self.drain_link(port, oldest);
         }
     }
 
@@ -204,6 +202,7 @@
         let link = self.links.remove(&no)?;
         port.cut(no);
         let (to, silent) = (link.to, self.now.saturating_sub(link.heard));
+        let was_open = link.state != LinkState::Dialled;
         metrics::counter!("links_lost", "reason" => reason.label()).increment(1);
         port.detail(format_args!(
             "link {} to exchange {} lost: {reason}, was {:?}, {} set-ups out, silent for {silent:?}",
@@ -220,27 +219,34 @@
             far.draining.retain(|known| *known != no);
             let open = |no: &LinkNo| self.links.get(no).is_some_and(|link| link.state != LinkState::Dialled);
             let none_open = !far.links.iter().chain(&far.draining).any(open);
-            if none_open && link.state != LinkState::Dialled && reason == LinkLoss::Disconnected {
+            if none_open && was_open && reason == LinkLoss::Disconnected {
                 far.all_links_lost = Some(self.now);
             }
-            if link.state == LinkState::Dialled {
-                far.failures = far.failures.saturating_add(1);
-                let last = if far.lease.in_doubt() { REDIAL_IN_DOUBT } else { REDIAL_LAST };
-                let ceiling = last.min(REDIAL_FIRST * 2u32.pow(far.failures.min(8)));
-                far.next_dial = self.now + ceiling.mul_f64(0.5 + 0.5 * self.chance.below_one());
-            }
+        }
+        if !was_open {
+            self.back_off(to);
         }
         self.maintain_pool(port, to);
         let read_to_its_end =
             matches!((&link.state, reason), (LinkState::Finishing { .. }, LinkLoss::Disconnected));
         let dialled_since = self.exchanges.get(&to).is_some_and(|remote| self.dialling(remote));
-        if link.state != LinkState::Dialled && !read_to_its_end && !dialled_since {
+        if was_open && !read_to_its_end && !dialled_since {
             self.plan_dial_for_releases(to);
         }
         self.unreached(to);
         Some((to, link.state))
     }
 
+    /// A dial has failed: when the next may follow.
+    fn back_off(&mut self, to: ExchangeId) {
+        let Some(far) = self.exchanges.get_mut(&to) else { return };
+        far.failures = far.failures.saturating_add(1);
+        let last = if far.lease.in_doubt() { REDIAL_IN_DOUBT } else { REDIAL_LAST };
+        let ceiling = doubled(REDIAL_FIRST, far.failures, last);
+        let next_dial = self.now + self.jittered(ceiling);
+        self.exchanges.entry(to).and_modify(|far| far.next_dial = next_dial);
+    }
+
     /// Set-ups that wait for an exchange to which nothing is dialled are not reached.
     pub(super) fn unreached(&mut self, to: ExchangeId) {
         if self.exchanges.get(&to).is_some_and(|far| !self.dialling(far))
@@ -252,10 +258,15 @@
         }
     }
 
+    /// The links of an exchange that are up, oldest first.
+    fn up_links(&self, of: &RemoteExchange) -> impl Iterator<Item = LinkNo> {
+        let up = |no: &&LinkNo| self.links.get(no).is_some_and(|link| link.state == LinkState::Up);
+        of.links.iter().filter(up).copied()
+    }
+
     /// The oldest link that is up. Its word of the group's state alone is believed: each link is told each change, and
     /// a copy that comes after a further seizure would set the free circuits back up.
     pub fn first_up(&self, of: ExchangeId) -> Option<LinkNo> {
-        let mut links = self.exchanges.get(&of)?.links.iter();
-        links.find(|no| self.links.get(no).is_some_and(|link| link.state == LinkState::Up)).copied()
+        self.up_links(self.exchanges.get(&of)?).next()
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -46,8 +46,8 @@
     fn send(&mut self, link: LinkNo, octets: &[u8]);
     /// Whether what was sent on a link waits to be written.
     fn backed_up(&self, link: LinkNo) -> bool;
-    /// Closes the direction to the exchange of an open link once what was sent is written; what comes is still told, and
-    /// the end of the other direction as the link's.
+    /// Closes the direction to the exchange of an open link; what could not be written by now is dropped. What comes is
+    /// still told, and the end of the other direction as the link's.
     fn finish(&mut self, link: LinkNo);
     /// Closes a link, dialled or open; nothing more is told of it.
     fn cut(&mut self, link: LinkNo);
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -75,6 +75,32 @@
             Self::ExchangeUnknown => "exchange_unknown",
         }
     }
+
+    /// Counts calls that ended for this reason.
+    pub fn count(self, calls: usize) {
+        metrics::counter!("calls_ended", "reason" => self.label()).increment(calls as u64);
+    }
+}
+
+/// Why a caller's connection is closed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerClose {
+    /// What came can't be read as SIP.
+    Malformed,
+    /// Nothing, or part of a message, for too long.
+    IncompleteMessage,
+    /// The process ends, and nothing is left on it.
+    Shutdown,
+}
+
+impl CallerClose {
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::IncompleteMessage => "incomplete_message",
+            Self::Shutdown => "shutdown",
+        }
+    }
 }
 
 macro_rules! display_by_label {
@@ -87,4 +113,4 @@
     )*};
 }
 
-display_by_label!(LinkLoss, CallEnd);
+display_by_label!(LinkLoss, CallEnd, CallerClose);
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -28,6 +28,10 @@
 /// A heartbeat without an answer for so long says that the connection, or the exchange, is of no use.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// The first message comes with a connection. An exchange whose first one takes longer had hung, or was cut off, while
+/// this process started, and has written what it had to say to the former one.
+const FIRST_MESSAGE_WITHIN: Duration = Duration::from_millis(250);
+
 /// Whether an exchange that reports this holds no call of anybody.
 pub fn holds_no_calls(report: &Report) -> bool {
     match (report.free, report.size) {
@@ -55,10 +59,6 @@
     Made,
 }
 
-/// The first message comes with a connection. An exchange whose first one takes longer had hung, or was cut off, while
-/// this process started, and has written what it had to say to the former one.
-const FIRST_MESSAGE_WITHIN: Duration = Duration::from_millis(250);
-
 /// What a message says beside that the exchange lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Renewal {
