Soak: one lock, one listener, one description; set-ups keep what they say

Read through once more. Written twice: locks that outlive a panic (13 places), the reusable listener (bus and proxies), the exchange's name in a description, the octets of an answer. Dead: CallerGroup::standing, a match with two equal arms. A sentinel generation is an Option, tuples of a set-up are a type, patience is no longer read back from its text.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,6 +1,5 @@
 //! Faults on real processes, judged by the protocol's rules: the run of issue 25, and some fixed seeds of the soak.
 
-use std::path::Path;
 use std::thread;
 
 use mintstall_soak::plan::Plan;
@@ -23,7 +22,7 @@
         std::fs::remove_dir_all(directory).unwrap();
         return Vec::new();
     }
-    save(&records, Path::new(&directory).join("records.jsonl").as_path()).unwrap();
+    save(&records, &directory.join("records.jsonl")).unwrap();
     let count = verdict.breaches.len();
     let first = verdict.breaches.iter().take(5).map(|breach| format!("seed {}: {breach}", plan.seed));
     first.chain([format!("seed {}: {count} breaches, {}", plan.seed, directory.display())]).collect()
--- a/crates/soak/src/bus.rs
+++ b/crates/soak/src/bus.rs
@@ -1,17 +1,19 @@
 //! An emulated event bus: numbered changes of the list of exchanges, at several addresses for each controller.
 
-use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 
+use crate::listener::listen;
 use crate::record::{BusFault, ControllerNo, Event, Recorder};
+use crate::sync::lock;
 
 const TICK: Duration = Duration::from_millis(20);
+const BACKLOG: i32 = 64;
 /// A line with the last number follows that often.
 const PULSE: Duration = Duration::from_secs(1);
 /// An address that is left closes its connections after this.
@@ -72,7 +74,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Adds a change of the list.
@@ -140,7 +142,7 @@
             if !open {
                 listener = None;
             } else if listener.is_none() {
-                listener = listen(addr).ok();
+                listener = listen(addr, BACKLOG).ok();
             }
             match listener.as_ref().and_then(|listener: &TcpListener| listener.accept().ok()) {
                 Some((stream, _)) => {
@@ -195,25 +197,13 @@
     }
 }
 
-fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&addr.into())?;
-    socket.listen(64)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
-}
-
 /// The number in the line `from N`.
 fn asked_from(stream: &TcpStream) -> Option<usize> {
     stream.set_nonblocking(false).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     let mut line = String::new();
-    match BufReader::new(stream.try_clone().ok()?).read_line(&mut line) {
-        Ok(_) => line.trim().strip_prefix("from ")?.parse().ok(),
-        Err(error) if error.kind() == ErrorKind::Interrupted => None,
-        Err(_) => None,
-    }
+    BufReader::new(stream.try_clone().ok()?).read_line(&mut line).ok()?;
+    line.trim().strip_prefix("from ")?.parse().ok()
 }
 
 fn line(offset: u64, target: &Target, controller: ControllerNo) -> String {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,9 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::controller::Controller;
+use crate::exchange::uid_of;
 use crate::record::{CallId, ConnectionNo, Event, Recorder, now};
+use crate::sync::lock;
 
 /// How often a caller looks at what is due.
 const TICK: Duration = Duration::from_millis(10);
@@ -62,7 +64,7 @@
 struct Shared {
     standing: BTreeMap<CallId, Standing>,
     /// Set-ups that crossed the end of their connection.
-    crossed: Vec<(CallId, String)>,
+    crossed: Vec<SetUp>,
     /// To which start of the controller the standing calls have been announced.
     announced: u32,
 }
@@ -76,6 +78,20 @@
     over: Arc<AtomicBool>,
 }
 
+/// A set-up as it is written, perhaps twice.
+#[derive(Clone, Debug)]
+struct SetUp {
+    call: CallId,
+    text: String,
+    patience_ms: u64,
+}
+
+#[derive(Debug)]
+struct OpenSetUp {
+    sent: Instant,
+    set_up: SetUp,
+}
+
 /// One connection to a controller, read by a thread of its own.
 #[derive(Debug)]
 pub struct Connection {
@@ -87,8 +103,8 @@
 
 #[derive(Debug, Default)]
 struct ConnectionState {
-    /// Set-ups without a final answer, with their text and when they were sent.
-    open: BTreeMap<CallId, (Instant, String)>,
+    /// Set-ups without a final answer.
+    open: BTreeMap<CallId, OpenSetUp>,
     /// Refused set-ups that are to be repeated, with how often they were.
     refused: Vec<u32>,
     repeats: BTreeMap<CallId, u32>,
@@ -106,7 +122,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ConnectionState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
@@ -144,12 +160,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
-        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Calls that stand, as far as their callers know.
-    pub fn standing(&self) -> Vec<CallId> {
-        self.lock().standing.keys().copied().collect()
+        lock(&self.shared)
     }
 
     /// Starts one caller; it ends with the run.
@@ -226,7 +237,7 @@
 
     fn final_answer(&self, connection: &Arc<Connection>, call: CallId, status: u16, body: &[u8]) {
         let description = String::from_utf8_lossy(body).to_string();
-        let uid = description.split('/').next().unwrap_or_default().to_string();
+        let uid = uid_of(&description).to_string();
         let event = Event::FinalAnswer { call, connection: connection.no, status, description };
         self.recorder.add(event);
         let mut state = connection.lock();
@@ -249,8 +260,8 @@
     fn closed_by_controller(&self, connection: &Arc<Connection>) {
         self.recorder.add(Event::ClosedByController { connection: connection.no });
         let open = std::mem::take(&mut connection.lock().open);
-        let crossed = open.into_iter().filter(|(_, (sent, _))| sent.elapsed() < CROSSING);
-        self.lock().crossed.extend(crossed.map(|(call, (_, text))| (call, text)));
+        let crossed = open.into_values().filter(|open| open.sent.elapsed() < CROSSING);
+        self.lock().crossed.extend(crossed.map(|open| open.set_up));
     }
 }
 
@@ -323,8 +334,8 @@
 
     fn send_due(&mut self, connection: &Arc<Connection>) {
         let crossed = std::mem::take(&mut self.group.lock().crossed);
-        for (call, text) in crossed {
-            self.send(connection, call, &text, 0);
+        for set_up in crossed {
+            self.send(connection, set_up, 0);
         }
         if self.plan.habit == Habit::RepeatsAtOnce {
             let refused = std::mem::take(&mut connection.lock().refused);
@@ -343,31 +354,28 @@
     fn set_up(&mut self, connection: &Arc<Connection>, repeats: u32) {
         let call: CallId = self.rng.random();
         let (lane, longest) = if self.rng.random_bool(0.7) { ("voice", 1500) } else { ("data", 2500) };
-        let patience = if self.rng.random_bool(0.1) { self.rng.random_range(20..200) } else { longest };
+        let patience_ms = if self.rng.random_bool(0.1) { self.rng.random_range(20..200) } else { longest };
         let office = self.rng.random_range(1..=self.plan.offices);
-        let text = invite(call, self.rng.random(), lane, patience, &format!("dest:{office};width:1;via:-1"));
-        self.send(connection, call, &text, repeats);
+        let info = format!("dest:{office};width:1;via:-1");
+        let text = invite(call, self.rng.random(), lane, patience_ms, &info);
+        self.send(connection, SetUp { call, text, patience_ms }, repeats);
     }
 
-    fn send(&mut self, connection: &Arc<Connection>, call: CallId, text: &str, repeats: u32) {
-        let patience_ms = text
-            .lines()
-            .find_map(|line| line.strip_prefix("Expires-Ms: "))
-            .and_then(|text| text.parse().ok())
-            .unwrap_or_default();
+    fn send(&mut self, connection: &Arc<Connection>, set_up: SetUp, repeats: u32) {
+        let SetUp { call, patience_ms, text } = set_up.clone();
         {
             let mut state = connection.lock();
-            state.open.insert(call, (Instant::now(), text.to_string()));
+            state.open.insert(call, OpenSetUp { sent: Instant::now(), set_up });
             state.repeats.insert(call, repeats);
         }
-        if self.write(connection, text).is_err() {
+        if self.write(connection, &text).is_err() {
             // It never went out whole: no request.
             connection.lock().open.remove(&call);
             return;
         }
         let at = now();
-        if let Some((sent, _)) = connection.lock().open.get_mut(&call) {
-            *sent = Instant::now();
+        if let Some(open) = connection.lock().open.get_mut(&call) {
+            open.sent = Instant::now();
         }
         let (no, controller) = (connection.no, self.group.controller.no);
         self.group.recorder.add_at(at, Event::SetUpSent { call, connection: no, controller, patience_ms });
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,7 @@
 
 use crate::callers::{Connection, test_message};
 use crate::record::{ControllerNo, Event, Recorder};
+use crate::sync::lock;
 
 /// Calls wait no longer than this for their answer.
 pub const LONGEST_DEADLINE: Duration = Duration::from_millis(2500);
@@ -94,7 +95,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     pub fn phase(&self) -> Phase {
@@ -108,7 +109,7 @@
 
     /// Waits for a restart that is under way, and keeps others waiting.
     pub fn begin_restart(&self) -> MutexGuard<'_, ()> {
-        self.restart.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.restart)
     }
 
     /// Whether the front opens new connections to it.
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -19,6 +19,7 @@
 
 use crate::listener::reset;
 use crate::record::{AttemptEnd, CallId, ControllerNo, Event, Record, now};
+use crate::sync;
 
 /// Q.850: normal clearing.
 const NORMAL_CLEARING: u8 = 16;
@@ -109,7 +110,7 @@
 type Shared = Arc<(Mutex<State>, Condvar)>;
 
 fn lock(shared: &Shared) -> MutexGuard<'_, State> {
-    shared.0.lock().unwrap_or_else(PoisonError::into_inner)
+    sync::lock(&shared.0)
 }
 
 /// Runs until the process is killed.
@@ -315,8 +316,14 @@
     }
 
     fn send_answer(&mut self, link: u64, call: CallId) {
-        let description = description(&self.config.uid, call);
-        self.send(link, Kind::Answer, call, &[(code::DESCRIPTION, description.as_bytes())]);
+        let octets = self.answer_octets(call);
+        self.send_raw(link, &octets);
+    }
+
+    fn answer_octets(&self, call: CallId) -> Vec<u8> {
+        let (mut octets, description) = (Vec::new(), description(&self.config.uid, call));
+        write(&mut octets, Kind::Answer, WireId(call), &[(code::DESCRIPTION, description.as_bytes())]);
+        octets
     }
 
     fn answer(&mut self, call: CallId) {
@@ -351,9 +358,7 @@
         if noise {
             return self.send_raw(link, &[0xff, 0xff, 0xee, 1, 2, 3]);
         }
-        let mut octets = Vec::new();
-        let description = description(&self.config.uid, call);
-        write(&mut octets, Kind::Answer, WireId(call), &[(code::DESCRIPTION, description.as_bytes())]);
+        let mut octets = self.answer_octets(call);
         octets.truncate(octets.len() / 2);
         self.send_raw(link, &octets);
         self.close(link, Close::Usual);
@@ -378,6 +383,11 @@
     format!("{uid}/{call:016x}\r\nc=IN IP4 10.4.7.9\r\n")
 }
 
+/// The exchange that a description is from.
+pub fn uid_of(description: &str) -> &str {
+    description.split('/').next().unwrap_or_default()
+}
+
 /// Whether the end of a connection has come, behind what is unread.
 fn is_closed_by_peer(stream: &TcpStream) -> nix::Result<bool> {
     let epoll = Epoll::new(EpollCreateFlags::EPOLL_CLOEXEC)?;
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -9,6 +9,7 @@
 use mintstall::liveness::FIRST_CONTACT;
 
 use crate::controller::{DRAIN_GRACE, RELEASE_TIME};
+use crate::exchange::{description as description_of, uid_of};
 use crate::record::{AttemptEnd, BusFault, CallId, ConnectionNo, ControllerNo, Event, Micros, Record};
 
 const SECOND: Micros = 1_000_000;
@@ -122,8 +123,9 @@
     /// When each controller was ready.
     ready: BTreeMap<ControllerNo, Vec<Micros>>,
     exchange_ended: BTreeMap<String, Micros>,
-    /// By controller: from SIGTERM or SIGKILL to ready again.
+    /// When each controller was sent SIGTERM.
     terminating: BTreeMap<ControllerNo, Vec<Micros>>,
+    /// From its end or SIGKILL to ready again.
     down: BTreeMap<ControllerNo, Vec<Outage>>,
     killed: BTreeMap<ControllerNo, Vec<Micros>>,
     reconfigured: BTreeMap<ControllerNo, Vec<Micros>>,
@@ -239,7 +241,7 @@
         self.down.get(&controller)?.iter().map(|outage| outage.from).find(|at| *at >= from)
     }
 
-    /// Whether the controller was down, or its callers had yet to announce their calls, at some time of a stretch.
+    /// Whether the controller was down at some time of a stretch.
     fn was_down(&self, controller: ControllerNo, from: Micros, until: Micros) -> bool {
         let overlaps = |outage: &Outage| outage.from <= until && outage.until >= from;
         self.down.get(&controller).is_some_and(|all| all.iter().any(overlaps))
@@ -273,7 +275,7 @@
             if let Some((at, _, 200, description)) = call.answers.first() {
                 verdict.served += 1;
                 let uid = uid_of(description);
-                let given = call.stood.contains_key(uid).then(|| crate::exchange::description(uid, *id));
+                let given = call.stood.contains_key(uid).then(|| description_of(uid, *id));
                 if given.as_ref() != Some(description) {
                     let what = format!(
                         "call {id:016x} is answered with {description:?}, the exchange gave {given:?}"
@@ -404,11 +406,6 @@
     }
 }
 
-/// The exchange that a description is from.
-fn uid_of(description: &str) -> &str {
-    description.split('/').next().unwrap_or_default()
-}
-
 fn duration(of: std::time::Duration) -> Micros {
     of.as_micros() as Micros
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod proxy;
 pub mod record;
 pub mod run;
+mod sync;
--- a/crates/soak/src/listener.rs
+++ b/crates/soak/src/listener.rs
@@ -24,14 +24,24 @@
     Socket::new(Domain::IPV4, Type::STREAM, None)
 }
 
+/// Listens at an address that another listener may just have left; does not block.
+pub fn listen(addr: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    let socket = stream_socket()?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(backlog)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
 impl CuttableListener {
     pub fn bind(addr: SocketAddr) -> io::Result<Self> {
-        let socket = stream_socket()?;
-        socket.set_reuse_address(true)?;
-        socket.bind(&addr.into())?;
-        socket.listen(BACKLOG)?;
-        socket.set_nonblocking(true)?;
-        Ok(Self { listener: socket.into(), addr, fillers: Vec::new(), filler_ports: BTreeSet::new() })
+        Ok(Self {
+            listener: listen(addr, BACKLOG)?,
+            addr,
+            fillers: Vec::new(),
+            filler_ports: BTreeSet::new(),
+        })
     }
 
     /// From now on no new connection comes up.
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -5,7 +5,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use crate::listener::{CuttableListener, reset};
 use crate::record::{ConnectionNo, ControllerNo, Event, Recorder};
+use crate::sync::lock;
 
 /// How often a thread looks at what has been asked of it.
 const TICK: Duration = Duration::from_millis(5);
@@ -63,11 +64,11 @@
 }
 
 fn get<T: Clone>(of: &Mutex<T>) -> T {
-    of.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    lock(of).clone()
 }
 
 fn set<T>(of: &Mutex<T>, to: T) {
-    *of.lock().unwrap_or_else(PoisonError::into_inner) = to;
+    *lock(of) = to;
 }
 
 /// The way from one controller to one exchange.
@@ -173,7 +174,7 @@
         in_pieces: rng.random_bool(faults.in_pieces),
     });
     shared.recorder.add(Event::LinkOpened { link: link.no, controller: shared.controller });
-    let mut links = shared.links.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut links = lock(&shared.links);
     links.retain(|link| Arc::strong_count(link) > 1);
     links.push(Arc::clone(&link));
     drop(links);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,10 +1,12 @@
 //! What happened in a run: records with the Unix clock, from all parties, for the judge.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
+use crate::sync::lock;
+
 /// Microseconds since the Unix epoch.
 pub type Micros = u64;
 
@@ -221,13 +223,13 @@
     }
 
     pub fn add_at(&self, at: Micros, event: Event) {
-        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut records = lock(&self.records);
         records.push(Record { at, event });
     }
 
     /// All records so far in order of time.
     pub fn sorted(&self) -> Vec<Record> {
-        let mut all = self.records.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut all = lock(&self.records).clone();
         all.sort_by_key(|record| record.at);
         all
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,9 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -23,6 +23,7 @@
 use crate::plan::{Action, CONTROLLERS, OFFICES, Plan};
 use crate::proxy::{Network, Proxy};
 use crate::record::{Event, Record, Recorder, now};
+use crate::sync::lock;
 
 /// Addresses of the bus that each controller's configuration may name.
 const BUS_ADDRESSES: usize = 3;
@@ -318,12 +319,11 @@
         let _ = controller.reconfigure(&self.bus.known(controller.no), next);
     }
 
-    /// Ends an exchange; what follows is still about that one while the generation is the same.
-    fn end_exchange(&self, office: usize, network: Network) -> u32 {
+    /// Ends an exchange, unless another fault has; what follows is about that one while the generation is the same.
+    fn end_exchange(&self, office: usize, network: Network) -> Option<u32> {
         let mut office = lock(&self.offices[office]);
         if std::mem::replace(&mut office.ended, true) {
-            // Another fault has ended it before; what follows belongs to that one.
-            return u32::MAX;
+            return None;
         }
         office.proxies.iter().for_each(|proxy| proxy.set_network(network));
         // What passes has come to its end before the process does.
@@ -335,17 +335,17 @@
         if network == Network::Refuses {
             office.proxies.iter().for_each(Proxy::reset_links);
         }
-        office.generation
+        Some(office.generation)
     }
 
     fn vanish(&self, office: usize, listed: Duration) {
-        let generation = self.end_exchange(office, Network::Cut);
+        let Some(generation) = self.end_exchange(office, Network::Cut) else { return };
         self.pass(listed);
         self.replace_ended(office, generation, false);
     }
 
     fn die(&self, office: usize, listed: Duration) {
-        let generation = self.end_exchange(office, Network::Refuses);
+        let Some(generation) = self.end_exchange(office, Network::Refuses) else { return };
         self.pass(listed);
         self.replace_ended(office, generation, true);
     }
@@ -367,8 +367,8 @@
         } else {
             self.start_proxies(&next, office)
         };
-        let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
-        self.publish(office, &next.uid, &proxies, "in_service", boot);
+        let boot_ms = now() / 1000;
+        self.publish(office, &next.uid, &proxies, "in_service", boot_ms);
         *present = Office { exchange: next, proxies, generation: generation + 1, ended: false };
     }
 
@@ -436,10 +436,6 @@
     }
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Writes all records of a run, one JSON object a line.
 pub fn save(records: &[Record], path: &Path) -> Result<(), RunError> {
     let mut text = String::new();
