--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -177,11 +177,16 @@
 }
 
 impl Platform {
+    /// Nothing has come up yet.
+    fn unconnected(config: &Config) -> Self {
+        let mut wires = Wires { now: START, ..Wires::default() };
+        let core = Core::new(config, START, &mut wires);
+        Self { core, wires }
+    }
+
     /// All exchanges reached, each with one link that told 10 free circuits.
     fn start() -> Self {
-        let mut wires = Wires { now: START, ..Wires::default() };
-        let core = Core::new(&config(), START, &mut wires);
-        let mut platform = Self { core, wires };
+        let mut platform = Self::unconnected(&config());
         platform.core.bus_connected(START, &mut platform.wires);
         platform.links_up();
         platform
@@ -896,9 +901,7 @@
 
 #[test]
 fn calls_named_to_a_new_process_end_soon_where_their_exchange_is_never_reached() {
-    let mut wires = Wires { now: START, ..Wires::default() };
-    let core = Core::new(&config(), START, &mut wires);
-    let mut platform = Platform { core, wires };
+    let mut platform = Platform::unconnected(&config());
     platform.comes(1);
     platform.says(1, &invite(6, "at:one", "1500", "hello"));
     platform.pass(ms(1900));
@@ -909,10 +912,8 @@
 
 #[test]
 fn where_exchanges_may_not_be_tested_a_quiet_one_is_asked_by_a_new_connection() {
-    let mut wires = Wires { now: START, ..Wires::default() };
     let config = config_with(|config| config["settings"]["limits"]["probes"] = json!(false)).unwrap();
-    let core = Core::new(&config, START, &mut wires);
-    let mut platform = Platform { core, wires };
+    let mut platform = Platform::unconnected(&config);
     platform.links_up();
     platform.comes(1);
     platform.stands(1, 6);
