Log and count connections that are closed with unread output

Four hypotheses fit: the caller does not read; the controller never tried to write; a message was rejected; the network reset the connection. Change: the close is logged with the octets that wait, those added since the last attempt to write, and whether the socket was full, in both event loops; `connections_closed_unread/PEER` counts it.

--- a/crates/daemon/src/output_buffer.rs
+++ b/crates/daemon/src/output_buffer.rs
@@ -6,6 +6,8 @@
     pending: Vec<u8>,
     /// Octets of `pending` that are written already.
     written: usize,
+    /// Octets added since the last attempt to write.
+    unattempted: usize,
     /// Maximum of octets that may wait; 0 once the last octets were pushed.
     limit: usize,
     overrun: Overrun,
@@ -35,11 +37,12 @@
 impl OutputBuffer {
     /// A buffer in which at most `limit` octets wait.
     pub fn new(limit: usize) -> Self {
-        Self { pending: Vec::new(), written: 0, limit, overrun: Overrun::Not }
+        Self { pending: Vec::new(), written: 0, unattempted: 0, limit, overrun: Overrun::Not }
     }
 
     /// Adds octets to be written. If they exceed the limit they are dropped and the buffer is overrun.
     pub fn push(&mut self, octets: &[u8]) {
+        self.unattempted += octets.len();
         if self.waiting() + octets.len() > self.limit {
             self.overrun = Overrun::Yes;
         } else {
@@ -60,6 +63,11 @@
         self.pending.len() - self.written
     }
 
+    /// Octets added since the last attempt to write, those that an overrun dropped included. A peer can't have read them.
+    pub fn unattempted(&self) -> usize {
+        self.unattempted
+    }
+
     /// Whether more octets were pushed than may wait.
     pub fn overrun(&self) -> bool {
         self.overrun == Overrun::Yes
@@ -72,6 +80,7 @@
 
     /// Writes until the writer would block or the buffer is empty; `Ok(true)`: it is empty.
     pub fn write_to(&mut self, writer: &mut impl std::io::Write) -> std::io::Result<bool> {
+        self.unattempted = 0;
         while self.waiting() > 0 {
             match writer.write(&self.pending[self.written..]) {
                 Ok(0) => return Err(std::io::ErrorKind::WriteZero.into()),
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -183,6 +183,7 @@
             false => connection.output.push(&octets),
         }
         if connection.output.overrun() {
+            log_overrun(token, &connection.output, connection.write_state);
             socket.close(close::POLICY, "reads too slowly");
             connection.output.push_last(socket.output());
             socket.output().clear();
@@ -231,6 +232,7 @@
             return;
         }
         if connection.output.overrun() {
+            log_overrun(token, &connection.output, connection.write_state);
             return self.close(Some(token), "reads too slowly");
         }
         let write_state = match connection.output.write_to(&mut connection.stream) {
@@ -264,6 +266,18 @@
     }
 }
 
+/// Logs what tells a peer that does not read from output that it had no chance to read.
+fn log_overrun(token: Token, output: &OutputBuffer, write_state: WriteState) {
+    warn!(
+        target: LOG_TARGET,
+        connection = token.0,
+        waiting = output.waiting(),
+        unattempted = output.unattempted(),
+        socket_full = write_state == WriteState::Blocked,
+        "closed with unread output"
+    );
+}
+
 impl Transport for Connections {
     fn send_to_link(&mut self, to: ExchangeNumber, octets: &[u8]) {
         self.push(self.links.get(&to).copied(), &[octets]);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,7 @@
 mod metrics;
 
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Arguments;
+use std::fmt::{self, Arguments};
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::path::PathBuf;
@@ -58,6 +58,27 @@
     ClosingCaller,
 }
 
+impl Purpose {
+    /// The kind of peer, as a metric label.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Bus => "bus",
+            Self::Link(_) => "link",
+            Self::Caller(_) | Self::ClosingCaller => "caller",
+        }
+    }
+}
+
+impl fmt::Display for Purpose {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Bus | Self::ClosingCaller => f.write_str(self.label()),
+            Self::Link(link) => write!(f, "{} {}", self.label(), link.0),
+            Self::Caller(caller) => write!(f, "{} {}", self.label(), caller.0),
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Connecting,
@@ -155,6 +176,7 @@
             return;
         }
         if connection.output.overrun() {
+            log_overrun(connection);
             return self.fail(token, Disconnect::Lost);
         }
         let reading_was_paused = connection.output.waiting() >= MAX_OUTPUT_OCTETS / 2;
@@ -189,6 +211,20 @@
     }
 }
 
+/// Logs what tells a peer that does not read from output that it had no chance to read.
+fn log_overrun(connection: &Connection) {
+    let peer = connection.purpose.label();
+    ::metrics::counter!("connections_closed_unread", "peer" => peer).increment(1);
+    warn!(
+        target: "mintstall::connections",
+        "{} closed with unread output: {} octets wait, {} were added since the last attempt to write, socket {}",
+        connection.purpose,
+        connection.output.waiting(),
+        connection.output.unattempted(),
+        if connection.phase == Phase::WriteBlocked { "full" } else { "not known to be full" },
+    );
+}
+
 fn disconnect_reason(error: &io::Error) -> Disconnect {
     if error.kind() == io::ErrorKind::ConnectionRefused { Disconnect::Refused } else { Disconnect::Lost }
 }
