--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,23 +5,23 @@
 //! are limited, a caller that does not read its messages is not read from, and the number of accepted connections leaves
 //! the file descriptors that links and the event bus need.
 
+mod connections;
 mod metrics;
 
-use std::collections::{BTreeMap, VecDeque};
-use std::fmt::{self, Arguments};
 use std::io::{self, Read};
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use mintstall_daemon::output_buffer::OutputBuffer;
-use mintstall_platform::{CallerConnectionId, Config, Core, Disconnect, LinkId, Transport};
-use mio::net::{TcpListener, TcpStream};
+use mintstall_platform::{CallerConnectionId, Config, Core, Disconnect};
+use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use thiserror::Error;
-use tracing::{debug, info, warn};
+use tracing::warn;
+
+use crate::connections::{Connections, MAX_OUTPUT_OCTETS, Phase, Purpose, disconnect_reason};
 
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -33,277 +33,16 @@
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
-const FIRST_CONNECTION_TOKEN: usize = 2;
 const READ_BUFFER_OCTETS: usize = 16 << 10;
 /// Per connection and turn, so that one that floods the controller does not hold up the others.
 const MAX_READS_PER_TURN: usize = 4;
 const MAX_ACCEPTS_PER_TURN: usize = 64;
-/// Octets that may wait to be written to a connection. A connection is not read from while half of that is waiting.
-const MAX_OUTPUT_OCTETS: usize = 128 << 10;
-/// How long a connection is still read from after its last message. Closing at once would reset the connection if the
-/// caller still sends, and the reset would discard the message.
-const LINGER: Duration = Duration::from_millis(1500);
 /// How long open connections delay the end of the process, so that the callers see the close.
 const SHUTDOWN_LINGER: Duration = Duration::from_millis(200);
 /// The delay before a configuration file that can't be read is tried again.
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RELOAD_ATTEMPTS: u32 = 8;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Purpose {
-    Bus,
-    Link(LinkId),
-    Caller(CallerConnectionId),
-    /// A caller that has been sent its last message. Further input is discarded until the connection is closed.
-    ClosingCaller,
-}
-
-impl Purpose {
-    /// The kind of peer, as a metric label.
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Bus => "bus",
-            Self::Link(_) => "link",
-            Self::Caller(_) | Self::ClosingCaller => "caller",
-        }
-    }
-}
-
-impl fmt::Display for Purpose {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Self::Bus | Self::ClosingCaller => f.write_str(self.label()),
-            Self::Link(link) => write!(f, "{} {}", self.label(), link.0),
-            Self::Caller(caller) => write!(f, "{} {}", self.label(), caller.0),
-        }
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Connecting,
-    Open,
-    /// Open, but the socket's send buffer is full.
-    WriteBlocked,
-    /// Shut down for writing, and read until the other side closes.
-    HalfClosed,
-    /// A write has failed. Data received before is still read, then the connection is reported as lost.
-    WriteFailed(Disconnect),
-}
-
-struct Connection {
-    stream: TcpStream,
-    purpose: Purpose,
-    phase: Phase,
-    output: OutputBuffer,
-}
-
-struct Connections {
-    poll: Poll,
-    by_token: BTreeMap<Token, Connection>,
-    links: BTreeMap<LinkId, Token>,
-    bus: Option<Token>,
-    caller_count: usize,
-    /// Connections with output to write.
-    pending_writes: Vec<Token>,
-    /// Connections, and the listener, that may have more input than the limit per turn.
-    pending_reads: Vec<Token>,
-    /// Connections lost during a turn that have not been reported to the core yet.
-    failed: Vec<(Purpose, Disconnect)>,
-    /// Connections that linger, with the time when they are closed, in order.
-    closing: VecDeque<(Instant, Token)>,
-    next_token: usize,
-}
-
-impl Connections {
-    fn add(&mut self, mut stream: TcpStream, purpose: Purpose, phase: Phase) -> io::Result<Token> {
-        let token = Token(self.next_token);
-        self.next_token += 1;
-        // Sends small messages without delay. If the option can't be set, the connection works without it.
-        let _ = stream.set_nodelay(true);
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, token, interest)?;
-        self.by_token.insert(
-            token,
-            Connection { stream, purpose, phase, output: OutputBuffer::new(MAX_OUTPUT_OCTETS) },
-        );
-        Ok(token)
-    }
-
-    fn connect(&mut self, to: SocketAddr, purpose: Purpose) -> Option<Token> {
-        let added = TcpStream::connect(to).and_then(|stream| self.add(stream, purpose, Phase::Connecting));
-        match added {
-            Ok(token) => Some(token),
-            Err(error) => {
-                self.failed.push((purpose, disconnect_reason(&error)));
-                None
-            }
-        }
-    }
-
-    fn push(&mut self, token: Option<Token>, octets: &[u8]) {
-        let Some(token) = token else { return };
-        if let Some(connection) = self.by_token.get_mut(&token)
-            && connection.phase != Phase::HalfClosed
-        {
-            connection.output.push(octets);
-            self.pending_writes.push(token);
-        }
-    }
-
-    fn remove(&mut self, token: Token) -> Option<Connection> {
-        let mut connection = self.by_token.remove(&token)?;
-        // Fails if the stream was never registered or is closed already. Neither needs to be handled.
-        let _ = self.poll.registry().deregister(&mut connection.stream);
-        match connection.purpose {
-            Purpose::Bus => self.bus = None,
-            Purpose::Link(link) => drop(self.links.remove(&link)),
-            Purpose::Caller(_) | Purpose::ClosingCaller => self.caller_count -= 1,
-        }
-        Some(connection)
-    }
-
-    /// Removes a lost connection. The loss is reported to the core later.
-    fn fail(&mut self, token: Token, reason: Disconnect) {
-        if let Some(connection) = self.remove(token) {
-            self.failed.push((connection.purpose, reason));
-        }
-    }
-
-    fn flush(&mut self, token: Token) {
-        let Some(connection) = self.by_token.get_mut(&token) else { return };
-        if matches!(connection.phase, Phase::Connecting | Phase::HalfClosed | Phase::WriteFailed(_)) {
-            return;
-        }
-        if connection.output.overrun() {
-            log_overrun(connection);
-            return self.fail(token, Disconnect::Lost);
-        }
-        let reading_was_paused = connection.output.waiting() >= MAX_OUTPUT_OCTETS / 2;
-        match connection.output.write_to(&mut connection.stream) {
-            Ok(true) => {
-                connection.phase = Phase::Open;
-                if connection.purpose == Purpose::ClosingCaller {
-                    // Fails if the other side has closed, which does no harm.
-                    let _ = connection.stream.shutdown(Shutdown::Write);
-                }
-                if reading_was_paused {
-                    self.pending_reads.push(token);
-                }
-            }
-            Ok(false) => connection.phase = Phase::WriteBlocked,
-            Err(error) => {
-                connection.phase = Phase::WriteFailed(disconnect_reason(&error));
-                self.pending_reads.push(token);
-            }
-        }
-    }
-
-    fn flush_all(&mut self) {
-        let mut tokens = std::mem::take(&mut self.pending_writes);
-        tokens.sort_unstable();
-        tokens.dedup();
-        tokens.drain(..).for_each(|token| self.flush(token));
-        if self.pending_writes.is_empty() {
-            // Keeps the allocation for the next turn.
-            self.pending_writes = tokens;
-        }
-    }
-}
-
-/// Logs what tells a peer that does not read from output that it had no chance to read.
-fn log_overrun(connection: &Connection) {
-    let peer = connection.purpose.label();
-    ::metrics::counter!("connections_closed_unread", "peer" => peer).increment(1);
-    warn!(
-        target: "mintstall::connections",
-        "{} closed with unread output: {} octets wait, {} were added since the last attempt to write, socket {}",
-        connection.purpose,
-        connection.output.waiting(),
-        connection.output.unattempted(),
-        if connection.phase == Phase::WriteBlocked { "full" } else { "not known to be full" },
-    );
-}
-
-fn disconnect_reason(error: &io::Error) -> Disconnect {
-    if error.kind() == io::ErrorKind::ConnectionRefused { Disconnect::Refused } else { Disconnect::Lost }
-}
-
-impl Transport for Connections {
-    fn send_to_caller(&mut self, caller: CallerConnectionId, octets: &[u8]) {
-        self.push(Some(Token(caller.0 as usize)), octets);
-    }
-
-    fn close_caller_after_flush(&mut self, caller: CallerConnectionId) {
-        let token = Token(caller.0 as usize);
-        if let Some(connection) = self.by_token.get_mut(&token) {
-            connection.purpose = Purpose::ClosingCaller;
-            self.closing.push_back((Instant::now() + LINGER, token));
-            self.pending_writes.push(token);
-            self.pending_reads.push(token);
-        }
-    }
-
-    fn connect_link(&mut self, link: LinkId, to: SocketAddr) {
-        if let Some(token) = self.connect(to, Purpose::Link(link)) {
-            self.links.insert(link, token);
-        }
-    }
-
-    fn send_to_link(&mut self, link: LinkId, octets: &[u8]) {
-        self.push(self.links.get(&link).copied(), octets);
-    }
-
-    fn is_write_blocked(&self, link: LinkId) -> bool {
-        let connection = self.links.get(&link).and_then(|token| self.by_token.get(token));
-        connection
-            .is_none_or(|connection| matches!(connection.phase, Phase::WriteBlocked | Phase::WriteFailed(_)))
-    }
-
-    fn shutdown_link_write(&mut self, link: LinkId) {
-        let Some(token) = self.links.get(&link).copied() else { return };
-        self.flush(token);
-        if let Some(connection) = self.by_token.get_mut(&token)
-            && connection.phase != Phase::Connecting
-        {
-            connection.phase = Phase::HalfClosed;
-            // Fails if the other side has closed. The connection is read to its end all the same.
-            let _ = connection.stream.shutdown(Shutdown::Write);
-        }
-    }
-
-    fn close_link(&mut self, link: LinkId) {
-        if let Some(token) = self.links.get(&link).copied() {
-            // Writes the waiting output first, which is mostly a release.
-            self.flush(token);
-            self.remove(token);
-        }
-    }
-
-    fn connect_bus(&mut self, to: SocketAddr) {
-        self.close_bus();
-        self.bus = self.connect(to, Purpose::Bus);
-    }
-
-    fn send_to_bus(&mut self, text: &str) {
-        self.push(self.bus, text.as_bytes());
-    }
-
-    fn close_bus(&mut self) {
-        if let Some(token) = self.bus {
-            self.remove(token);
-        }
-    }
-
-    fn log_info(&mut self, line: &str) {
-        info!(target: "mintstall::mode", "{line}");
-    }
-
-    fn log_debug(&mut self, step: Arguments) {
-        debug!(target: "mintstall::calls", "{step}");
-    }
-}
-
 /// A controller with its sockets, timers and signals.
 pub struct Node {
     core: Core,
@@ -336,18 +75,7 @@
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(NodeError::Poll)?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(NodeError::Poll)?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(NodeError::Poll)?;
-        let mut connections = Connections {
-            poll,
-            by_token: BTreeMap::new(),
-            links: BTreeMap::new(),
-            bus: None,
-            caller_count: 0,
-            pending_writes: Vec::new(),
-            pending_reads: Vec::new(),
-            failed: Vec::new(),
-            closing: VecDeque::new(),
-            next_token: FIRST_CONNECTION_TOKEN,
-        };
+        let mut connections = Connections::new(poll);
         // A clock set before 1970 can't date the start times of processors. It counts as zero.
         let started_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let started = Instant::now();
