Tests: the parties around `mintstall node` move to a module that test files share

Cause: what follows tests `mintstall node` in a file of its own with the same callers, configuration and event bus.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the tests: they run the command `mintstall`, and controllers as processes.
 #![allow(dead_code)]
 
+pub mod node;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
