Judge a caller or exchange by what it takes over time, not by what one turn adds

Callers saw: answers or releases that come together (an exchange that hung for a second, a group of calls that ends) reset their connection, though they read all the time; each open call on it got no answer, and calls went on standing at their exchanges that their caller never learnt of. Releases then went to the next caller's connection and closed that, too. Set-ups of many callers that come together closed the links to an exchange in the same way. Cause: `Connections::push` only collects, `flush_all` writes at the end of the turn. `OutputBuffer::push` dropped what exceeded 128 KiB, and `flush` closed the connection before any attempt to write. The limit measured what one turn had read (up to 64 KiB a link, and a release becomes nine times as long), not whether the peer reads. Change: a burst is written as soon as 64 KiB wait, within the turn. `OutputMonitor` (crates/limits, no I/O) knows the waiting output of all connections. A peer over its 128 KiB is closed if it takes less than one message (16 KiB) in 5 s. Memory is bounded for all together, by a quarter of `limits.memory_mb`: from half of that on, exchanges and callers with waiting output are not read from, and peers that take nothing for 0.5 s are closed, most waiting first. A caller is paused at 64 KiB as before; a paused connection is now read again by the loop, not only on its next event. Why it works: an amount that is due at once can't close a connection any more, only time in which a peer takes nothing. Tests: the three bursts of node_bursts.rs fail before ("closed after 0 of 50", "closed after 0 of 2560", "8 of 50 set-ups have arrived") and pass; a caller that does not read is closed after 5 s, others are answered within 2 s meanwhile, and the process stays under 32 MiB. The buffer no longer drops octets; its two tests say so: what exceeds the limit is kept, where it was dropped, and is still reported.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `resumable_sessions` | sessions that can be resumed after their connection was lost |
 //! | `backlog` | messages kept for a session that has no connection until it is resumed |
 //! | `connection_monitor` | timeouts of connections: opening handshake, idle time, closing handshake |
+//! | `output_monitor` | output that waits for connections: peers that do not read, and when to read less |
 //! | `retry` | client: when to reconnect, and when to offer a refused call again |
 //! | `call_table` | client: its calls, and their reconciliation with the server after a lost connection |
 
@@ -23,6 +24,7 @@
 mod connection_monitor;
 mod event_log;
 mod fair_queue;
+mod output_monitor;
 mod resumable_sessions;
 mod retry;
 mod session_limiter;
@@ -38,6 +40,9 @@
 };
 pub use event_log::{CursorError, CustomerFilter, EventBatch, EventLog};
 pub use fair_queue::{Evicted, FairQueue};
+pub use output_monitor::{
+    MIN_PROGRESS_OCTETS, OutputMonitor, SCARCE_STALL_TIMEOUT, STALL_TIMEOUT, StalledPeer,
+};
 pub use resumable_sessions::{DisconnectOutcome, ResumableSessions, ResumeError, SessionKey};
 pub use retry::{ReconnectBackoff, ReconnectPolicy, RedialBudget, RedialDenied, RedialPolicy};
 pub use session_limiter::{AdmissionError, Limits, OpenOutcome, SessionId, SessionLimiter};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 use thiserror::Error;
 use tracing::warn;
 
-use crate::connections::{Connections, MAX_OUTPUT_OCTETS, Phase, Purpose, disconnect_reason};
+use crate::connections::{Connections, Phase, Purpose, disconnect_reason};
 
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -37,6 +37,9 @@
 /// Per connection and turn, so that one that floods the controller does not hold up the others.
 const MAX_READS_PER_TURN: usize = 4;
 const MAX_ACCEPTS_PER_TURN: usize = 64;
+/// The output that waits for all connections may take up the memory limit divided by this.
+const OUTPUT_SHARE_OF_MEMORY: usize = 4;
+const MIN_OUTPUT_OCTETS: usize = 1 << 20;
 /// How long open connections delay the end of the process, so that the callers see the close.
 const SHUTDOWN_LINGER: Duration = Duration::from_millis(200);
 /// The delay before a configuration file that can't be read is tried again.
@@ -75,7 +78,8 @@
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(NodeError::Poll)?;
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(NodeError::Poll)?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(NodeError::Poll)?;
-        let mut connections = Connections::new(poll);
+        let max_output_octets = (config.memory_octets / OUTPUT_SHARE_OF_MEMORY).max(MIN_OUTPUT_OCTETS);
+        let mut connections = Connections::new(poll, max_output_octets);
         // A clock set before 1970 can't date the start times of processors. It counts as zero.
         let started_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let started = Instant::now();
@@ -113,6 +117,8 @@
         loop {
             self.report_failures();
             self.connections.flush_all();
+            self.connections.close_stalled();
+            self.connections.resume_reads();
             if self.may_exit() {
                 return Ok(());
             }
@@ -121,6 +127,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) => return Err(NodeError::Poll(error)),
             }
+            self.connections.now = self.now();
             let mut ready: Vec<_> = events.iter().map(|event| (event.token(), event.is_writable())).collect();
             ready.extend(
                 std::mem::take(&mut self.connections.pending_reads).into_iter().map(|token| (token, false)),
@@ -312,12 +319,10 @@
 
     fn read(&mut self, token: Token) {
         for _ in 0..MAX_READS_PER_TURN {
-            let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
-            // A peer that does not read its messages is not read from until `flush` has written them.
-            let write_failed = matches!(connection.phase, Phase::WriteFailed(_));
-            if !write_failed && connection.output.waiting() >= MAX_OUTPUT_OCTETS / 2 {
-                return;
+            if !self.connections.may_read(token) {
+                return self.connections.pause_reads(token);
             }
+            let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
             let purpose = connection.purpose;
             match connection.stream.read(&mut self.buffer) {
                 Ok(0) => return self.connections.fail(token, Disconnect::Lost),
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -41,6 +41,12 @@
 #[derive(Debug, Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
+}
+
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
 }
 
 #[derive(Debug, Deserialize)]
@@ -52,6 +58,9 @@
 /// The number of descriptors that a controller needs at least.
 const MIN_SOCKETS: usize = 64;
 
+/// The memory limit where the platform states none, in MiB.
+const DEFAULT_MEMORY_MB: f64 = 64.0;
+
 /// A valid configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -61,6 +70,8 @@
     pub seed: u64,
     /// Number of descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take up.
+    pub memory_octets: usize,
     /// Events with the list of exchanges at the start.
     pub initial_events: Vec<Event>,
     /// Offset of the last of these events.
@@ -85,6 +96,9 @@
         if file.limits.sockets < MIN_SOCKETS {
             return Err(ConfigError::Limits { path: path_buf(), reason: "sockets: fewer than 64" });
         }
+        if file.limits.memory_mb <= 0.0 {
+            return Err(ConfigError::Limits { path: path_buf(), reason: "memory_mb: not above 0" });
+        }
         let is_full = |event: &Event| event.topology.as_ref().is_some_and(|topology| topology.is_full);
         if !file.known.batch.iter().any(is_full) {
             return Err(ConfigError::MissingFullList { path: path_buf() });
@@ -95,6 +109,7 @@
             bus: file.bus,
             seed,
             sockets: file.limits.sockets,
+            memory_octets: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
             initial_events: file.known.batch,
             last_offset: file.known.offset,
             settings,
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -986,6 +986,10 @@
             .contains("lanes.0.aim_s=soon")
     );
     assert!(error(|config| config["limits"]["sockets"] = json!(3)).contains("sockets"));
+    assert_eq!(
+        error(|config| config["limits"]["memory_mb"] = json!(0)),
+        "config.json: limits: memory_mb: not above 0"
+    );
     assert!(error(|config| config["known"]["batch"] = json!([])).contains("known"));
 }
 
