Read the answers of an exchange although it reads late itself

Callers saw: while an exchange did not read (64 KiB of set-ups and releases waited for a link), its answers, releases and reports on that link were left unread: answers came late or never, and the exchange's lease ran out. Cause: `read` paused every connection with 64 KiB waiting. The pause is meant for callers, whose requests cause answers on the same connection. What an exchange sends goes to callers; leaving it unread saves no memory for the link, and an exchange that writes before it reads on would never read again. Change: `may_read` pauses a link only while the memory for all output is scarce. Tests: an_exchange_that_does_not_read_is_read_from_... fails before (the link may not be read) and passes.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -251,7 +251,7 @@
         let waiting = connection.output.waiting();
         match (connection.purpose, connection.phase) {
             (_, Phase::WriteFailed(_)) | (Purpose::Bus | Purpose::ClosingCaller, _) => true,
-            (Purpose::Link(_), _) => waiting < READ_PAUSE_OCTETS && !self.output_monitor.is_scarce(),
+            (Purpose::Link(_), _) => !self.output_monitor.is_scarce(),
             (Purpose::Caller(_), _) => {
                 waiting < READ_PAUSE_OCTETS && (waiting == 0 || !self.output_monitor.is_scarce())
             }
--- a/crates/node/src/connections/tests.rs
+++ b/crates/node/src/connections/tests.rs
@@ -163,6 +163,21 @@
     assert_eq!(peers.connections.pending_reads, [caller], "it is read from again");
 }
 
+// Guards against: answers are left unread on a link because its exchange reads late.
+#[test]
+fn an_exchange_that_does_not_read_is_read_from_gets_no_more_set_ups_and_is_closed_alone() {
+    let mut peers = Peers::new(PLENTY);
+    let (link, _peer) = peers.open_link();
+    let (other, _other_peer) = peers.open_link();
+    peers.fill(link, 2 * SLOW_READER_OCTETS);
+    assert!(peers.connections.may_read(link));
+    assert!(peers.connections.is_write_blocked(LinkId(link.0 as u64)));
+    assert!(!peers.connections.is_write_blocked(LinkId(other.0 as u64)));
+    peers.connections.now += STALL_TIMEOUT;
+    peers.end_turn();
+    assert_eq!(peers.closed(), [format!("link {}", link.0)]);
+}
+
 #[test]
 fn exchanges_are_not_read_while_memory_is_scarce_until_the_peers_that_do_not_read_are_closed() {
     const MAX_OUTPUT_OCTETS: usize = 4 << 20;
