Release the memory of output that is written while more waits

Callers saw: nothing; a process served a peer that reads slowly, so that something always waits, with memory that grows with all that was ever written to it. Cause: `OutputBuffer::write_to` advanced `written` and cleared `pending` only once the buffer was empty. The limit counted what waits, not what is held. Change: when a write blocks and at least as much is written as waits, the written part is dropped and the capacity follows; each octet is moved a bounded number of times. Tests: what_is_written_is_released_although_the_buffer_is_never_empty (before: over 16 KB held with 1 KB waiting, after 15 messages) and the_memory_of_a_burst_is_released_while_it_is_written (before: 4 MiB held with 100 KiB waiting). The module's tests move to a file of their own, as they were.

--- a/crates/daemon/src/output_buffer.rs
+++ b/crates/daemon/src/output_buffer.rs
@@ -87,7 +87,10 @@
             match writer.write(&self.pending[self.written..]) {
                 Ok(0) => return Err(std::io::ErrorKind::WriteZero.into()),
                 Ok(count) => self.written += count,
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    self.release_written();
+                    return Ok(false);
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
@@ -97,37 +100,16 @@
         self.written = 0;
         Ok(true)
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn exceeding_the_limit_is_reported_and_memory_is_released_after_writing() {
-        let mut buffer = OutputBuffer::default();
-        (0..DEFAULT_OUTPUT_LIMIT / 1024).for_each(|_| buffer.push(&[0; 1024]));
-        assert!(!buffer.overrun());
-        buffer.push(&[0]);
-        assert!(buffer.overrun() && buffer.waiting() == DEFAULT_OUTPUT_LIMIT + 1, "nothing is dropped");
-        assert!(buffer.write_to(&mut Vec::new()).unwrap());
-        assert_eq!(
-            (buffer.waiting(), buffer.pending.capacity() <= MAX_IDLE_CAPACITY),
-            (0, true),
-            "the memory is released"
-        );
-    }
 
-    #[test]
-    fn the_last_octets_are_written_after_an_overrun_and_later_ones_are_dropped() {
-        let mut buffer = OutputBuffer::new(4);
-        buffer.push(b"abcd");
-        buffer.push(b"e");
-        assert!(buffer.overrun());
-        buffer.push_last(b"why");
-        buffer.push(b"more");
-        let mut written = Vec::new();
-        buffer.write_to(&mut written).unwrap();
-        assert_eq!(written, b"abcdewhy");
+    /// Releases the memory of what is written, once that is at least as much as what waits: each octet is moved a bounded
+    /// number of times.
+    fn release_written(&mut self) {
+        if self.written >= self.waiting() {
+            self.pending.drain(..std::mem::take(&mut self.written));
+            self.pending.shrink_to((2 * self.pending.len()).max(MAX_IDLE_CAPACITY));
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/output_buffer/tests.rs
@@ -0,0 +1,78 @@
+//! The buffer of output: what is kept, dropped and released.
+
+use super::*;
+
+#[test]
+fn exceeding_the_limit_is_reported_and_memory_is_released_after_writing() {
+    let mut buffer = OutputBuffer::default();
+    (0..DEFAULT_OUTPUT_LIMIT / 1024).for_each(|_| buffer.push(&[0; 1024]));
+    assert!(!buffer.overrun());
+    buffer.push(&[0]);
+    assert!(buffer.overrun() && buffer.waiting() == DEFAULT_OUTPUT_LIMIT + 1, "nothing is dropped");
+    assert!(buffer.write_to(&mut Vec::new()).unwrap());
+    assert_eq!(
+        (buffer.waiting(), buffer.pending.capacity() <= MAX_IDLE_CAPACITY),
+        (0, true),
+        "the memory is released"
+    );
+}
+
+#[test]
+fn the_last_octets_are_written_after_an_overrun_and_later_ones_are_dropped() {
+    let mut buffer = OutputBuffer::new(4);
+    buffer.push(b"abcd");
+    buffer.push(b"e");
+    assert!(buffer.overrun());
+    buffer.push_last(b"why");
+    buffer.push(b"more");
+    let mut written = Vec::new();
+    buffer.write_to(&mut written).unwrap();
+    assert_eq!(written, b"abcdewhy");
+}
+
+/// Takes this many octets at a time, and blocks after each.
+struct SlowWriter {
+    octets: usize,
+    blocked: bool,
+}
+
+impl std::io::Write for SlowWriter {
+    fn write(&mut self, octets: &[u8]) -> std::io::Result<usize> {
+        self.blocked = !self.blocked;
+        if self.blocked {
+            Ok(self.octets.min(octets.len()))
+        } else {
+            Err(std::io::ErrorKind::WouldBlock.into())
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+// Guards against: memory that grows with what was written while a peer that reads slowly always has something waiting.
+#[test]
+fn what_is_written_is_released_although_the_buffer_is_never_empty() {
+    const MESSAGE_OCTETS: usize = 1000;
+    let (mut buffer, mut writer) =
+        (OutputBuffer::default(), SlowWriter { octets: MESSAGE_OCTETS, blocked: false });
+    buffer.push(&[0; MESSAGE_OCTETS]);
+    for message in 0..10_000 {
+        buffer.push(&[0; MESSAGE_OCTETS]);
+        assert!(!buffer.write_to(&mut writer).unwrap());
+        assert_eq!(buffer.waiting(), MESSAGE_OCTETS);
+        assert!(buffer.pending.capacity() <= 16 * MESSAGE_OCTETS, "after {message} messages");
+    }
+}
+
+// Guards against: a slow peer keeps the memory of a burst although most of it is written.
+#[test]
+fn the_memory_of_a_burst_is_released_while_it_is_written() {
+    let (mut buffer, mut writer) = (OutputBuffer::default(), SlowWriter { octets: 1 << 10, blocked: false });
+    buffer.push(&vec![7; 4 << 20]);
+    while buffer.waiting() > 100 << 10 {
+        assert!(!buffer.write_to(&mut writer).unwrap());
+    }
+    assert!(buffer.pending.capacity() <= 512 << 10, "{}", buffer.pending.capacity());
+}
