Daemon: the sockets and their output move to a module of their own

Cause: server.rs (1,006 lines) held the process and its sockets with their output; what follows changes only the latter, and tests need it by itself. Change: `Connections`, `Connection`, `Purpose`, `WriteState` are in connections.rs, as they were.

--- /dev/null
+++ b/crates/daemon/src/connections.rs
@@ -0,0 +1,293 @@
+//! The sockets of the process: links, lines, the directory and admin clients, with the output that waits for each.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::io;
+use std::time::{Duration, Instant};
+
+use mintstall::interface::ExchangeNumber;
+use mintstall_callapi::LineDecoder;
+use mintstall_isup::Deframer;
+use mintstall_limits::ConnectionMonitor;
+use mintstall_websocket::{ServerHandshake, WebSocketConnection, close};
+use mio::net::TcpStream;
+use mio::{Interest, Poll, Token};
+use tracing::{info, warn};
+
+use crate::exchange::{LineId, Transport};
+use crate::output_buffer::OutputBuffer;
+
+/// Log target of the event loop. Operators filter by it, so it does not follow the module path.
+pub const LOG_TARGET: &str = "mintstall_daemon::shell";
+
+/// The clock starts at one hour, not at zero: processors that started before this process are given by their age, and
+/// their start times must not be negative.
+pub const CLOCK_START: Duration = Duration::from_secs(3600);
+const FIRST_CONNECTION: usize = 16;
+
+/// What a connection is for.
+pub enum Purpose {
+    /// An outgoing connection that is not established yet.
+    Connecting(ConnectTarget),
+    Link(ExchangeNumber),
+    /// Accepted on the signalling port; the far end has not identified itself yet.
+    Unidentified {
+        deframer: Deframer,
+        octets: Vec<u8>,
+    },
+    Line(LineId),
+    /// Accepted on the port of the call-control API; the WebSocket handshake is not complete yet.
+    Handshake(ServerHandshake),
+    /// A line over WebSocket.
+    WebSocket {
+        line: LineId,
+        socket: Box<WebSocketConnection>,
+    },
+    /// Rejected in its handshake; closed once the rejection is written.
+    Closing,
+    Directory,
+    Admin(LineDecoder),
+}
+
+/// The far end of an outgoing connection.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ConnectTarget {
+    Link(ExchangeNumber),
+    Directory,
+}
+
+// Keeps the published form of the log field `dialled`.
+impl fmt::Debug for ConnectTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Link(to) => write!(f, "Link(OfficeNo({}))", to.0),
+            Self::Directory => f.write_str("Directory"),
+        }
+    }
+}
+
+/// One connection, incoming or outgoing.
+pub struct Connection {
+    pub stream: TcpStream,
+    pub purpose: Purpose,
+    pub output: OutputBuffer,
+    pub write_state: WriteState,
+    /// The connection is closed once its output is written.
+    close_after_flush: bool,
+}
+
+/// Whether the socket takes output.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum WriteState {
+    Idle,
+    /// Output waits; the socket is registered for writing too.
+    Blocked,
+}
+
+/// All connections; the transport of the exchange.
+pub struct Connections {
+    pub poll: Poll,
+    pub by_token: BTreeMap<Token, Connection>,
+    pub links: BTreeMap<ExchangeNumber, Token>,
+    pub lines: BTreeMap<LineId, Token>,
+    pub directory: Option<Token>,
+    /// Timeouts of signalling connections that have not identified their exchange.
+    pub unidentified: ConnectionMonitor<Token>,
+    /// Timeouts of clients over WebSocket.
+    pub clients: ConnectionMonitor<Token>,
+    pub admin_connections: usize,
+    max_unread_octets: usize,
+    pub started: Instant,
+    /// Connections with new output.
+    unflushed: Vec<Token>,
+    /// Connections to be closed, with the reason.
+    pub to_close: VecDeque<(Token, String)>,
+    next_token: usize,
+}
+
+impl Connections {
+    pub fn new(
+        poll: Poll,
+        unidentified: ConnectionMonitor<Token>,
+        clients: ConnectionMonitor<Token>,
+        max_unread_octets: usize,
+    ) -> Self {
+        Self {
+            poll,
+            by_token: BTreeMap::new(),
+            links: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            directory: None,
+            unidentified,
+            clients,
+            admin_connections: 0,
+            max_unread_octets,
+            started: Instant::now(),
+            unflushed: Vec::new(),
+            to_close: VecDeque::new(),
+            next_token: FIRST_CONNECTION,
+        }
+    }
+
+    pub fn now(&self) -> Duration {
+        CLOCK_START + self.started.elapsed()
+    }
+
+    pub fn push(&mut self, token: Option<Token>, parts: &[&[u8]]) {
+        let Some((token, connection)) = token.and_then(|token| Some((token, self.by_token.get_mut(&token)?)))
+        else {
+            return;
+        };
+        parts.iter().for_each(|part| connection.output.push(part));
+        self.unflushed.push(token);
+    }
+
+    pub fn close(&mut self, token: Option<Token>, why: &str) {
+        self.to_close.extend(token.map(|token| (token, why.to_string())));
+    }
+
+    /// Moves the output of a WebSocket connection to its buffer. A connection that has ended is closed after the flush.
+    pub fn transfer_websocket_output(&mut self, token: Token) {
+        let now = self.now();
+        let Some(connection) = self.by_token.get_mut(&token) else { return };
+        let Purpose::WebSocket { socket, .. } = &mut connection.purpose else { return };
+        let octets = std::mem::take(socket.output());
+        match socket.close_info().is_some() || socket.is_closing() && !connection.output.last_pushed() {
+            true => connection.output.push_last(&octets),
+            false => connection.output.push(&octets),
+        }
+        if connection.output.overrun() {
+            log_overrun(token, &connection.output, connection.write_state);
+            socket.close(close::POLICY, "reads too slowly");
+            connection.output.push_last(socket.output());
+            socket.output().clear();
+        }
+        if socket.is_closing() {
+            self.clients.start_close(now, token);
+        }
+        if socket.close_info().is_some() {
+            self.close_after_flush(token);
+        }
+        self.unflushed.push(token);
+    }
+
+    /// Closes the connection once its output is written. Nothing is read any more.
+    pub fn close_after_flush(&mut self, token: Token) {
+        let now = self.now();
+        self.clients.start_close(now, token);
+        let Some(connection) = self.by_token.get_mut(&token) else { return };
+        connection.close_after_flush = true;
+        self.unflushed.push(token);
+    }
+
+    pub fn add(&mut self, mut stream: TcpStream, purpose: Purpose) -> io::Result<Token> {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        // Small messages must not be delayed by Nagle's algorithm. If the option can't be set, they are.
+        let _ = stream.set_nodelay(true);
+        let connecting = matches!(purpose, Purpose::Connecting(_));
+        let interest = if connecting { Interest::WRITABLE } else { Interest::READABLE };
+        self.poll.registry().register(&mut stream, token, interest)?;
+        let write_state = WriteState::Idle;
+        let output = match purpose {
+            Purpose::Handshake(_) => OutputBuffer::new(self.max_unread_octets),
+            _ => OutputBuffer::default(),
+        };
+        self.admin_connections += usize::from(matches!(purpose, Purpose::Admin(_)));
+        self.by_token
+            .insert(token, Connection { stream, purpose, output, write_state, close_after_flush: false });
+        Ok(token)
+    }
+
+    /// Writes as much output as the socket accepts, and registers for writing if some is left.
+    pub fn flush(&mut self, token: Token) {
+        let Some(connection) = self.by_token.get_mut(&token) else { return };
+        if matches!(connection.purpose, Purpose::Connecting(_)) {
+            return;
+        }
+        if connection.output.overrun() {
+            log_overrun(token, &connection.output, connection.write_state);
+            return self.close(Some(token), "reads too slowly");
+        }
+        let write_state = match connection.output.write_to(&mut connection.stream) {
+            Ok(true) if connection.close_after_flush => {
+                return self.close(Some(token), "closed after the last message");
+            }
+            Ok(true) => WriteState::Idle,
+            Ok(false) => WriteState::Blocked,
+            Err(error) => return self.close(Some(token), &error.to_string()),
+        };
+        if std::mem::replace(&mut connection.write_state, write_state) != write_state {
+            let interest = match write_state {
+                WriteState::Idle => Interest::READABLE,
+                WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
+            };
+            if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
+                self.close(Some(token), &error.to_string());
+            }
+        }
+    }
+
+    pub fn flush_all(&mut self) {
+        let mut unflushed = std::mem::take(&mut self.unflushed);
+        unflushed.sort_unstable();
+        unflushed.dedup();
+        unflushed.drain(..).for_each(|token| self.flush(token));
+        // Reuses the allocation.
+        if self.unflushed.is_empty() {
+            self.unflushed = unflushed;
+        }
+    }
+}
+
+/// Logs what tells a peer that does not read from output that it had no chance to read.
+fn log_overrun(token: Token, output: &OutputBuffer, write_state: WriteState) {
+    warn!(
+        target: LOG_TARGET,
+        connection = token.0,
+        waiting = output.waiting(),
+        unattempted = output.unattempted(),
+        socket_full = write_state == WriteState::Blocked,
+        "closed with unread output"
+    );
+}
+
+impl Transport for Connections {
+    fn send_to_link(&mut self, to: ExchangeNumber, octets: &[u8]) {
+        self.push(self.links.get(&to).copied(), &[octets]);
+    }
+    fn close_link(&mut self, to: ExchangeNumber, why: &str) {
+        self.close(self.links.get(&to).copied(), why);
+    }
+    fn send_to_line(&mut self, line: LineId, text: &str) {
+        let Some(token) = self.lines.get(&line).copied() else { return };
+        match self.by_token.get_mut(&token).map(|connection| &mut connection.purpose) {
+            Some(Purpose::WebSocket { socket, .. }) => {
+                socket.send_text(text);
+                self.transfer_websocket_output(token);
+            }
+            _ => self.push(Some(token), &[text.as_bytes(), b"\n"]),
+        }
+    }
+    fn close_line(&mut self, line: LineId, why: &str) {
+        let Some(token) = self.lines.get(&line).copied() else { return };
+        match self.by_token.get_mut(&token).map(|connection| &mut connection.purpose) {
+            Some(Purpose::WebSocket { socket, .. }) => {
+                socket.close(close::POLICY, why);
+                self.transfer_websocket_output(token);
+            }
+            _ => self.close(Some(token), why),
+        }
+    }
+    fn has_room(&self, line: LineId) -> bool {
+        const MAX_WAITING_OCTETS: usize = 64 << 10;
+        let connection = self.lines.get(&line).and_then(|token| self.by_token.get(token));
+        connection.is_some_and(|connection| connection.output.waiting() < MAX_WAITING_OCTETS)
+    }
+    fn send_to_directory(&mut self, text: &str) {
+        self.push(self.directory, &[text.as_bytes(), b"\n"]);
+    }
+    fn log_info(&mut self, line: &str) {
+        info!(target: "mintstall::mode", "{line}");
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,11 +3,13 @@
 //! | file | holds |
 //! | --- | --- |
 //! | `config` | the configuration: JSON with a schema, and its checks |
+//! | `connections` | the sockets, and the output that waits for each |
 //! | `exchange` | call control, membership and subscriber lines together, without I/O |
-//! | `output_buffer` | a size-limited buffer of octets to be written to a connection |
-//! | `server` | the mio loop: sockets, timers, signals |
+//! | `output_buffer` | the octets that wait to be written to a connection |
+//! | `server` | the mio loop: listeners, reads, timers, signals |
 
 pub mod config;
+mod connections;
 pub mod exchange;
 pub mod output_buffer;
 pub mod server;
