Judge sessions, lines, links and admin clients by what they take over time, too

Callers saw: `mintstall run` closed a session with 1008 "reads too slowly", or a subscriber's line, an admin connection or a link to an exchange, as soon as one turn of the event loop added more output than may wait (256 KiB or `calls.most_unread` for a session, 1 MiB for the others), though the peer reads all the time. A lost link cuts every call on it. Octets beyond the limit were dropped in the middle of the stream besides. Evidence: "closed with unread output waiting=65604 unattempted=65604 socket_full=false" for a session, 5671095 and 4352442 for the line and the admin client of the tests: no attempt to write came before. A burst is written within the turn; `OutputMonitor` decides by what a peer takes in 5 s. The memory for all output is bounded by 64 MiB; links and clients with waiting output are not read while half of that waits. New: a client for which more than its limit waits is not read from, so that one that does not read can't cause more. Admin clients are read 4 KiB at a time, as a short request has a long reply. Nothing is dropped. Tests: the three of session_bursts.rs fail before (closed after 781 of 20000, 0 of 100000, 0 of 20000) and pass; bursts to a link and a line, a line that does not read, and links while memory is scarce are tests of connections.rs. The buffer's tests: the limit is reported by the monitor now, whose tests check it (who is closed, when, and who is not); that nothing is dropped and memory is released stays here.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -106,7 +106,7 @@
     pub answer_ms: u64,
     /// Timeout of the closing handshake.
     pub closing_ms: u64,
-    /// Maximum of octets that wait to be written to one client. Beyond it the connection is closed as too slow.
+    /// A client for which more octets wait is not read from. It is closed as too slow if it takes less than 16 KiB in 5 s.
     pub most_unread: usize,
 }
 
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -1,6 +1,6 @@
 //! The sockets of the process: links, lines, the directory and admin clients, with the output that waits for each.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::io;
 use std::time::{Duration, Instant};
@@ -8,7 +8,7 @@
 use mintstall::interface::ExchangeNumber;
 use mintstall_callapi::LineDecoder;
 use mintstall_isup::Deframer;
-use mintstall_limits::ConnectionMonitor;
+use mintstall_limits::{ConnectionMonitor, OutputMonitor, StalledPeer};
 use mintstall_websocket::{ServerHandshake, WebSocketConnection, close};
 use mio::net::TcpStream;
 use mio::{Interest, Poll, Token};
@@ -24,6 +24,12 @@
 /// their start times must not be negative.
 pub const CLOCK_START: Duration = Duration::from_secs(3600);
 const FIRST_CONNECTION: usize = 16;
+/// Output is written at the end of a turn, or as soon as this much waits.
+const EAGER_WRITE_OCTETS: usize = 64 << 10;
+/// Octets that may wait for all connections together.
+const MAX_OUTPUT_OCTETS: usize = 64 << 20;
+pub const MAX_ADMIN_MESSAGE_OCTETS: usize = 4096;
+const READS_TOO_SLOWLY: &str = "reads too slowly";
 
 /// What a connection is for.
 pub enum Purpose {
@@ -49,6 +55,16 @@
     Admin(LineDecoder),
 }
 
+impl Purpose {
+    /// Octets that are read at once. Few from an admin client, whose short requests have long replies.
+    pub fn max_read_octets(&self) -> usize {
+        match self {
+            Self::Admin(_) => MAX_ADMIN_MESSAGE_OCTETS,
+            _ => usize::MAX,
+        }
+    }
+}
+
 /// The far end of an outgoing connection.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectTarget {
@@ -100,6 +116,9 @@
     pub started: Instant,
     /// Connections with new output.
     unflushed: Vec<Token>,
+    output_monitor: OutputMonitor<Token>,
+    /// Connections that are not read from until less output waits.
+    paused_reads: BTreeSet<Token>,
     /// Connections to be closed, with the reason.
     pub to_close: VecDeque<(Token, String)>,
     next_token: usize,
@@ -124,6 +143,8 @@
             max_unread_octets,
             started: Instant::now(),
             unflushed: Vec::new(),
+            output_monitor: OutputMonitor::new(MAX_OUTPUT_OCTETS),
+            paused_reads: BTreeSet::new(),
             to_close: VecDeque::new(),
             next_token: FIRST_CONNECTION,
         }
@@ -139,7 +160,28 @@
             return;
         };
         parts.iter().for_each(|part| connection.output.push(part));
+        self.write_soon(token);
+    }
+
+    /// Schedules the flush of a connection whose output has grown. What a burst adds is written before the end of the turn, so
+    /// that the peer reads it while the rest is collected.
+    fn write_soon(&mut self, token: Token) {
+        let Some(connection) = self.by_token.get(&token) else { return };
+        let write_now =
+            connection.write_state == WriteState::Idle && connection.output.waiting() >= EAGER_WRITE_OCTETS;
         self.unflushed.push(token);
+        if write_now {
+            self.flush(token);
+        } else {
+            self.report_output(token, 0);
+        }
+    }
+
+    /// Tells the monitor how much output waits, of which the socket has taken `taken` octets since the last report.
+    fn report_output(&mut self, token: Token, taken: usize) {
+        let now = self.now();
+        let Some(Connection { output, .. }) = self.by_token.get(&token) else { return };
+        self.output_monitor.update(now, token, output.waiting(), taken, output.limit());
     }
 
     pub fn close(&mut self, token: Option<Token>, why: &str) {
@@ -156,19 +198,13 @@
             true => connection.output.push_last(&octets),
             false => connection.output.push(&octets),
         }
-        if connection.output.overrun() {
-            log_overrun(token, &connection.output, connection.write_state);
-            socket.close(close::POLICY, "reads too slowly");
-            connection.output.push_last(socket.output());
-            socket.output().clear();
-        }
         if socket.is_closing() {
             self.clients.start_close(now, token);
         }
         if socket.close_info().is_some() {
             self.close_after_flush(token);
         }
-        self.unflushed.push(token);
+        self.write_soon(token);
     }
 
     /// Closes the connection once its output is written. Nothing is read any more.
@@ -205,11 +241,10 @@
         if matches!(connection.purpose, Purpose::Connecting(_)) {
             return;
         }
-        if connection.output.overrun() {
-            log_overrun(token, &connection.output, connection.write_state);
-            return self.close(Some(token), "reads too slowly");
-        }
-        let write_state = match connection.output.write_to(&mut connection.stream) {
+        let waiting = connection.output.waiting();
+        let written = connection.output.write_to(&mut connection.stream);
+        let taken = waiting - connection.output.waiting();
+        let write_state = match written {
             Ok(true) if connection.close_after_flush => {
                 return self.close(Some(token), "closed after the last message");
             }
@@ -223,9 +258,10 @@
                 WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
             };
             if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
-                self.close(Some(token), &error.to_string());
+                return self.close(Some(token), &error.to_string());
             }
         }
+        self.report_output(token, taken);
     }
 
     pub fn flush_all(&mut self) {
@@ -238,16 +274,97 @@
             self.unflushed = unflushed;
         }
     }
+
+    /// Closes the connections whose peers do not read. To be called after [`Connections::flush_all`].
+    pub fn close_stalled(&mut self) {
+        if !self.output_monitor.has_waiting() {
+            return;
+        }
+        for peer in self.output_monitor.stalled(self.now()) {
+            let Some(connection) = self.by_token.get_mut(&peer.connection) else { continue };
+            // One that is closing already is dropped by its close timeout.
+            if matches!(&connection.purpose, Purpose::WebSocket { socket, .. } if socket.is_closing()) {
+                continue;
+            }
+            log_stalled(connection, &peer);
+            if let Purpose::WebSocket { socket, .. } = &mut connection.purpose {
+                socket.close(close::POLICY, READS_TOO_SLOWLY);
+                self.transfer_websocket_output(peer.connection);
+            } else {
+                self.close(Some(peer.connection), READS_TOO_SLOWLY);
+            }
+        }
+    }
+
+    /// When [`Connections::close_stalled`] has to be called next.
+    pub fn next_stall_check(&self) -> Option<Duration> {
+        const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+        self.output_monitor.has_waiting().then(|| self.now() + STALL_CHECK_INTERVAL)
+    }
+
+    /// Whether a connection may be read from: not a client that does not take its answers, and no input that causes more
+    /// output while too much waits.
+    pub fn may_read(&self, token: Token) -> bool {
+        let Some(Connection { purpose, output, .. }) = self.by_token.get(&token) else { return true };
+        let is_scarce = self.output_monitor.is_scarce();
+        match purpose {
+            Purpose::Connecting(_) | Purpose::Directory | Purpose::Closing => true,
+            Purpose::Link(_) | Purpose::Unidentified { .. } => !is_scarce,
+            Purpose::Line(_) | Purpose::Handshake(_) | Purpose::WebSocket { .. } | Purpose::Admin(_) => {
+                output.waiting() <= output.limit() && (output.waiting() == 0 || !is_scarce)
+            }
+        }
+    }
+
+    /// Leaves a connection unread until [`Connections::may_read`] allows it.
+    pub fn pause_reads(&mut self, token: Token) {
+        self.paused_reads.insert(token);
+    }
+
+    /// Lets the event loop read connections that were paused and may be read from again.
+    pub fn resume_reads(&mut self) {
+        let paused = std::mem::take(&mut self.paused_reads);
+        let (resumed, paused) = paused.into_iter().partition(|token| self.may_read(*token));
+        self.paused_reads = paused;
+        let resumed: BTreeSet<_> = resumed;
+        resumed.into_iter().for_each(|token| self.report_readable_again(token));
+    }
+
+    /// Registers a connection anew, so that what it has to read is reported again.
+    pub fn report_readable_again(&mut self, token: Token) {
+        let Some(connection) = self.by_token.get_mut(&token) else { return };
+        let interest = match connection.write_state {
+            WriteState::Idle => Interest::READABLE,
+            WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
+        };
+        if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
+            self.close(Some(token), &error.to_string());
+        }
+    }
+
+    /// Removes a closed connection.
+    pub fn remove(&mut self, token: Token) -> Option<Connection> {
+        let mut connection = self.by_token.remove(&token)?;
+        // Fails if the stream is closed already, which does no harm.
+        let _ = self.poll.registry().deregister(&mut connection.stream);
+        self.unidentified.remove(token);
+        self.clients.remove(token);
+        self.output_monitor.remove(token);
+        self.paused_reads.remove(&token);
+        Some(connection)
+    }
 }
 
-/// Logs what tells a peer that does not read from output that it had no chance to read.
-fn log_overrun(token: Token, output: &OutputBuffer, write_state: WriteState) {
+/// Logs a close, with what tells a peer that does not read from one that had no chance to.
+fn log_stalled(connection: &Connection, peer: &StalledPeer<Token>) {
     warn!(
         target: LOG_TARGET,
-        connection = token.0,
-        waiting = output.waiting(),
-        unattempted = output.unattempted(),
-        socket_full = write_state == WriteState::Blocked,
+        connection = peer.connection.0,
+        waiting = peer.waiting,
+        taken = peer.taken,
+        stalled_ms = peer.stalled_for.as_millis() as u64,
+        unattempted = connection.output.unattempted(),
+        socket_full = connection.write_state == WriteState::Blocked,
         "closed with unread output"
     );
 }
@@ -291,3 +408,6 @@
         info!(target: "mintstall::mode", "{line}");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/output_buffer.rs
+++ b/crates/daemon/src/output_buffer.rs
@@ -70,11 +70,6 @@
         self.unattempted
     }
 
-    /// Whether more octets wait than the limit.
-    pub fn overrun(&self) -> bool {
-        self.ending == Ending::No && self.waiting() > self.limit
-    }
-
     /// Whether [`OutputBuffer::push_last`] was called.
     pub fn last_pushed(&self) -> bool {
         self.ending == Ending::LastPushed
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -22,7 +22,9 @@
 use tracing::{debug, info, warn};
 
 use crate::config::{Config, ConfigError, read_tokens};
-use crate::connections::{CLOCK_START, ConnectTarget, Connections, LOG_TARGET, Purpose, WriteState};
+use crate::connections::{
+    CLOCK_START, ConnectTarget, Connections, LOG_TARGET, MAX_ADMIN_MESSAGE_OCTETS, Purpose,
+};
 use crate::exchange::{Exchange, LineOpenError, MAX_MESSAGE_OCTETS};
 
 #[derive(Debug, Error)]
@@ -51,7 +53,6 @@
 /// delay and the whole.
 const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(100);
 const MAX_RECONNECT_DELAY: Duration = Duration::from_secs(5);
-const MAX_ADMIN_MESSAGE_OCTETS: usize = 4096;
 
 const SIGNALS: Token = Token(0);
 const LINK_LISTENER: Token = Token(1);
@@ -253,6 +254,7 @@
             self.start_due_connects();
             self.check_connection_timeouts(now);
             self.flush_and_close();
+            self.connections.resume_reads();
             if self.is_stop_complete() {
                 return Ok(());
             }
@@ -264,7 +266,11 @@
         let exchange = self.exchange.next_timer().map(|at| at.saturating_sub(now));
         let connect = self.reconnects.values().filter_map(|reconnect| reconnect.due).min();
         let connect = connect.map(|due| due.saturating_duration_since(Instant::now()));
-        let monitors = [self.connections.unidentified.next_timer(), self.connections.clients.next_timer()];
+        let monitors = [
+            self.connections.unidentified.next_timer(),
+            self.connections.clients.next_timer(),
+            self.connections.next_stall_check(),
+        ];
         let monitor = monitors.into_iter().flatten().min().map(|at| at.saturating_sub(now));
         let stopping = self.stopping_since.map(|_| Duration::from_millis(20));
         let accepting = (!self.accepting.is_empty()).then_some(Duration::ZERO);
@@ -276,6 +282,7 @@
     /// Flushes and closes connections until there is nothing left to flush or close: closing one may add output to others.
     fn flush_and_close(&mut self) {
         self.connections.flush_all();
+        self.connections.close_stalled();
         while let Some((token, why)) = self.connections.to_close.pop_front() {
             self.on_closed(token, &why);
             self.connections.flush_all();
@@ -508,14 +515,18 @@
     fn read(&mut self, token: Token) {
         // At most 8 reads, so that a connection that always has data does not keep the others waiting.
         for _ in 0..8 {
+            if !self.connections.may_read(token) {
+                return self.connections.pause_reads(token);
+            }
             let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
             let mut buffer = std::mem::take(&mut self.buffer);
-            let more = match connection.stream.read(&mut buffer) {
+            let max_octets = connection.purpose.max_read_octets().min(buffer.len());
+            let more = match connection.stream.read(&mut buffer[..max_octets]) {
                 Ok(0) => Err("closed by the far end".to_string()),
                 Ok(count) => {
                     self.on_octets(token, &buffer[..count]);
                     // The buffer was not filled: nothing more is there now, and mio reports new data.
-                    Ok(count == buffer.len())
+                    Ok(count == max_octets)
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(true),
@@ -528,19 +539,8 @@
                 Err(why) => return self.connections.close(Some(token), &why),
             }
         }
-        // More may wait: registering again makes mio report it again.
-        if let Some(connection) = self.connections.by_token.get_mut(&token) {
-            let interest = match connection.write_state {
-                WriteState::Idle => Interest::READABLE,
-                WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
-            };
-            let registered =
-                self.connections.poll.registry().reregister(&mut connection.stream, token, interest);
-            registered
-                .err()
-                .into_iter()
-                .for_each(|error| self.connections.close(Some(token), &error.to_string()));
-        }
+        // More may wait.
+        self.connections.report_readable_again(token);
     }
 
     fn on_octets(&mut self, token: Token, octets: &[u8]) {
@@ -676,11 +676,8 @@
 
     /// Removes a closed connection: notifies the exchange, and schedules the reconnect of an outgoing connection.
     fn on_closed(&mut self, token: Token, why: &str) {
-        let Some(mut connection) = self.connections.by_token.remove(&token) else { return };
-        let _ = self.connections.poll.registry().deregister(&mut connection.stream);
+        let Some(connection) = self.connections.remove(token) else { return };
         let now = self.now();
-        self.connections.unidentified.remove(token);
-        self.connections.clients.remove(token);
         match connection.purpose {
             Purpose::Connecting(target) => self.schedule_reconnect(target),
             Purpose::Link(to) => {
