Node: a caller that is not read from is always judged by what it takes

Callers saw: a caller with 64 to 128 KiB waiting that did not read was neither read from nor ever closed: its requests lay unread for as long as its connection stood. Cause: two limits for one thing: reading paused at 64 KiB, judgement began at 128 KiB. Change: both begin above 128 KiB.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -14,10 +14,8 @@
 use tracing::{debug, info, warn};
 
 const FIRST_CONNECTION_TOKEN: usize = 2;
-/// Octets that may wait for a connection without its peer being judged by what it takes.
+/// A peer for which more octets wait is judged by what it takes, and a caller is not read from meanwhile.
 const SLOW_READER_OCTETS: usize = 128 << 10;
-/// A caller is not read from while as much waits for it.
-const READ_PAUSE_OCTETS: usize = 64 << 10;
 /// Output is written at the end of a turn, or as soon as this much waits.
 const EAGER_WRITE_OCTETS: usize = 64 << 10;
 /// How long a connection is still read from after its last message. Closing at once would reset the connection if the
@@ -248,13 +246,11 @@
     /// output while too much waits. The event bus causes none.
     pub fn may_read(&self, token: Token) -> bool {
         let Some(connection) = self.by_token.get(&token) else { return true };
-        let waiting = connection.output.waiting();
+        let (waiting, limit) = (connection.output.waiting(), connection.output.limit());
         match (connection.purpose, connection.phase) {
             (_, Phase::WriteFailed(_)) | (Purpose::Bus | Purpose::ClosingCaller, _) => true,
             (Purpose::Link(_), _) => !self.output_monitor.is_scarce(),
-            (Purpose::Caller(_), _) => {
-                waiting < READ_PAUSE_OCTETS && (waiting == 0 || !self.output_monitor.is_scarce())
-            }
+            (Purpose::Caller(_), _) => waiting <= limit && (waiting == 0 || !self.output_monitor.is_scarce()),
         }
     }
 
--- a/crates/node/src/connections/tests.rs
+++ b/crates/node/src/connections/tests.rs
@@ -145,6 +145,20 @@
     other_peer.read_exact(&mut vec![0; MESSAGE.len()]).unwrap();
 }
 
+// Guards against: a caller with little waiting is left unread for good, and its requests with it.
+#[test]
+fn a_caller_is_either_read_from_or_closed_in_time() {
+    for waiting in (20..160).step_by(20).map(|kib| kib << 10) {
+        let mut peers = Peers::new(PLENTY);
+        let (silent, _silent_peer) = peers.open_caller();
+        peers.fill(silent, waiting);
+        let is_read = peers.connections.may_read(silent);
+        peers.connections.now += STALL_TIMEOUT;
+        peers.end_turn();
+        assert_eq!(peers.closed().is_empty(), is_read, "{waiting} octets wait");
+    }
+}
+
 #[test]
 fn a_caller_that_reads_again_in_time_keeps_its_connection() {
     let mut peers = Peers::new(PLENTY);
