Count the time of an incomplete message from its own start

Callers saw: a connection on which much arrives over a while (a crowd of requests or answers over a slow path) was closed as "incomplete_message" after 2.2 s, a link to an exchange after 0.7 s, though message after message was completed. Set-ups on such a link ended as cut. Cause: `partial_since` kept the time at which any message was first incomplete at the end of a read, and was cleared only by a read that ends between two messages. A long burst has none. Change: a completed message starts the time anew. A peer that stops within a message is closed as soon as before.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -218,3 +218,15 @@
         }
     }
 }
+
+/// Since when the message at the end of what was received has been incomplete. `has_completed`: another message was
+/// completed by the octets received at `now`.
+fn partial_since(
+    before: Option<Duration>,
+    now: Duration,
+    has_completed: bool,
+    has_partial: bool,
+) -> Option<Duration> {
+    let since = before.filter(|_| !has_completed).unwrap_or(now);
+    has_partial.then_some(since)
+}
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -6,7 +6,7 @@
 use mintstall_sip::{self as sip, Message, StartLine};
 
 use super::shutdown::Shutdown;
-use super::{Core, MAX_HELD_OCTETS, MAX_OPEN_SET_UPS, MAX_STANDING_CALLS};
+use super::{Core, MAX_HELD_OCTETS, MAX_OPEN_SET_UPS, MAX_STANDING_CALLS, partial_since};
 use crate::exchange_protocol::WireCallId;
 use crate::invite::{self, Invite, SetUp};
 use crate::reasons::{CallEnd, CallerClose};
@@ -31,9 +31,13 @@
         caller.last_received = now;
         let mut decoder = std::mem::take(&mut caller.decoder);
         decoder.push(octets);
+        let mut has_completed = false;
         loop {
             match decoder.next_message() {
-                Ok(Some(message)) => self.handle_message(transport, connection, &message),
+                Ok(Some(message)) => {
+                    has_completed = true;
+                    self.handle_message(transport, connection, &message);
+                }
                 Ok(None) => break,
                 Err(error) => {
                     transport.log_debug(format_args!("caller {}: {error}", connection.0));
@@ -53,7 +57,7 @@
         }
         if let Some(caller) = self.state.callers.get_mut(&connection) {
             caller.partial_since =
-                if decoder.has_partial() { caller.partial_since.or(Some(now)) } else { None };
+                partial_since(caller.partial_since, now, has_completed, decoder.has_partial());
             caller.decoder = decoder;
         }
         self.report_ended_seizures(transport);
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -5,7 +5,7 @@
 use mintstall::interface::{CapacityReport, Cause, ExchangeId, SeizureAnswered};
 use mintstall::liveness::{self, Renewal};
 
-use super::{Core, Disconnect};
+use super::{Core, Disconnect, partial_since};
 use crate::exchange_protocol::{self, MessageType, WireCallId};
 use crate::reasons::{CallEnd, LinkLoss};
 use crate::state::{AnswerState, LinkState, NORMAL_CLEARING, StandingCall, TEMPORARY_FAILURE};
@@ -76,9 +76,11 @@
         let exchange = link.exchange;
         let mut decoder = std::mem::take(&mut link.decoder);
         decoder.push(octets);
+        let mut has_completed = false;
         loop {
             match decoder.next_message() {
                 Ok(Some(message)) => {
+                    has_completed = true;
                     let remote = self.state.exchanges.get_mut(&exchange);
                     if remote.is_some_and(|remote| remote.lease.renew(now) == Renewal::AfterSuspicion) {
                         self.state.plan_release_connection(exchange);
@@ -95,7 +97,7 @@
             self.report_ended_seizures(transport);
         }
         if let Some(link) = self.state.links.get_mut(&link_id) {
-            link.partial_since = if decoder.has_partial() { link.partial_since.or(Some(now)) } else { None };
+            link.partial_since = partial_since(link.partial_since, now, has_completed, decoder.has_partial());
             link.decoder = decoder;
         }
         self.report_ended_seizures(transport);
--- /dev/null
+++ b/crates/platform/tests/bursts.rs
@@ -0,0 +1,55 @@
+//! Tests of the core under bursts, in virtual time: peers that send or are due much at once are not taken for failed ones.
+
+mod common;
+
+use common::*;
+use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
+
+/// Octets of a message that arrive with the end of the message before.
+const SPLIT_AT: usize = 9;
+
+/// Splits a stream of equal messages so that each part ends within a message, and completes one.
+fn parts_that_end_within_a_message(message: &[u8], count: usize) -> Vec<Vec<u8>> {
+    let (start, rest) = message.split_at(SPLIT_AT);
+    let next = [rest, start].concat();
+    std::iter::once(start.to_vec()).chain((1..count).map(|_| next.clone())).collect()
+}
+
+fn state_message() -> Vec<u8> {
+    let mut octets = Vec::new();
+    let report: &[(u8, &[u8])] = &[(parameter::REPORT, b"idle:10;circuits:20")];
+    exchange_protocol::encode(&mut octets, MessageType::State, WireCallId(0), report);
+    octets
+}
+
+// Guards against: a link on which messages arrive all the time is closed as incomplete, since every read ends within one.
+#[test]
+fn a_link_that_completes_messages_is_kept_although_each_read_ends_within_one() {
+    let mut platform = Platform::start();
+    let link = platform.links(1)[0];
+    for part in parts_that_end_within_a_message(&state_message(), 30) {
+        platform.core.link_data(platform.transport.now, &mut platform.transport, link, &part);
+        platform.advance(ms(100));
+        assert!(platform.transport.closed_links.is_empty(), "closed at {:?}", platform.transport.now - START);
+    }
+    platform.advance(ms(1000));
+    assert_eq!(platform.transport.closed_links, [link], "the rest of the last one never arrives");
+}
+
+// Guards against: a caller whose requests arrive all the time is closed as incomplete, since every read ends within one.
+#[test]
+fn a_caller_that_completes_messages_is_kept_although_each_read_ends_within_one() {
+    let mut platform = Platform::start();
+    platform.connect_caller(1);
+    for part in parts_that_end_within_a_message(request("OPTIONS", 0).as_bytes(), 60) {
+        platform.send_from_caller(1, std::str::from_utf8(&part).unwrap());
+        platform.advance(ms(100));
+        assert!(
+            platform.transport.closed_callers.is_empty(),
+            "closed at {:?}",
+            platform.transport.now - START
+        );
+    }
+    platform.advance(ms(2500));
+    assert_eq!(platform.transport.closed_callers.len(), 1, "the rest of the last one never arrives");
+}
