Node: don't close a peer for an incomplete message whose rest is left unread here

Cause: the core did not know that the loop reads less. Change: the transport tells which connections are paused; the time of an incomplete message begins anew while one is. Tests: a_message_whose_rest_is_left_unread_here_closes_nobody fails before and passes.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,6 +1,6 @@
 //! The sockets of the process: callers, links and the event bus, with the output that waits for each.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::{self, Arguments};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
@@ -86,7 +86,7 @@
     /// Connections, and the listener, that may have more input than the limit per turn.
     pub pending_reads: Vec<Token>,
     /// Connections that are not read from until less output waits.
-    paused_reads: Vec<Token>,
+    paused_reads: BTreeSet<Token>,
     /// Connections lost during a turn that have not been reported to the core yet.
     pub failed: Vec<(Purpose, Disconnect)>,
     /// Connections that linger, with the time when they are closed, in order.
@@ -108,7 +108,7 @@
             caller_count: 0,
             pending_writes: Vec::new(),
             pending_reads: Vec::new(),
-            paused_reads: Vec::new(),
+            paused_reads: BTreeSet::new(),
             failed: Vec::new(),
             closing: VecDeque::new(),
             next_token: FIRST_CONNECTION_TOKEN,
@@ -176,6 +176,7 @@
     pub fn remove(&mut self, token: Token) -> Option<Connection> {
         let mut connection = self.by_token.remove(&token)?;
         self.output_monitor.remove(token);
+        self.paused_reads.remove(&token);
         // Fails if the stream was never registered or is closed already. Neither needs to be handled.
         let _ = self.poll.registry().deregister(&mut connection.stream);
         match connection.purpose {
@@ -256,15 +257,14 @@
 
     /// Leaves a connection unread until [`Connections::may_read`] allows it.
     pub fn pause_reads(&mut self, token: Token) {
-        self.paused_reads.push(token);
+        self.paused_reads.insert(token);
     }
 
     /// Schedules the reads of connections that were paused and may be read from again.
     pub fn resume_reads(&mut self) {
-        let mut paused = std::mem::take(&mut self.paused_reads);
-        paused.sort_unstable();
-        paused.dedup();
-        let (resumed, paused): (Vec<_>, Vec<_>) = paused.into_iter().partition(|token| self.may_read(*token));
+        let paused = std::mem::take(&mut self.paused_reads);
+        let (resumed, paused): (BTreeSet<_>, BTreeSet<_>) =
+            paused.into_iter().partition(|token| self.may_read(*token));
         self.paused_reads = paused;
         self.pending_reads.extend(resumed);
     }
@@ -296,6 +296,10 @@
         self.push(Some(Token(caller.0 as usize)), octets);
     }
 
+    fn is_caller_read_paused(&self, caller: CallerConnectionId) -> bool {
+        self.paused_reads.contains(&Token(caller.0 as usize))
+    }
+
     fn close_caller_after_flush(&mut self, caller: CallerConnectionId) {
         let token = Token(caller.0 as usize);
         if let Some(connection) = self.by_token.get_mut(&token) {
@@ -322,6 +326,10 @@
             .is_none_or(|connection| matches!(connection.phase, Phase::WriteBlocked | Phase::WriteFailed(_)))
     }
 
+    fn is_link_read_paused(&self, link: LinkId) -> bool {
+        self.links.get(&link).is_some_and(|token| self.paused_reads.contains(token))
+    }
+
     fn shutdown_link_write(&mut self, link: LinkId) {
         let Some(token) = self.links.get(&link).copied() else { return };
         self.flush(token);
--- a/crates/node/src/connections/tests.rs
+++ b/crates/node/src/connections/tests.rs
@@ -92,6 +92,8 @@
         });
         (0..messages).for_each(|_| self.send(token, &MESSAGE));
         while self.connections.by_token.contains_key(&token) && self.waiting(token) > 0 {
+            // The event loop does this once the socket takes more.
+            self.connections.flush(token);
             self.end_turn();
             thread::sleep(Duration::from_millis(1));
         }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -182,10 +182,26 @@
         }
     }
 
+    /// Restarts the time of each incomplete message whose rest may have arrived, but is left unread here.
+    fn restart_partial_times(&mut self, transport: &dyn Transport) {
+        let now = self.state.now;
+        for (id, caller) in &mut self.state.callers {
+            if caller.partial_since.is_some() && transport.is_caller_read_paused(*id) {
+                caller.partial_since = Some(now);
+            }
+        }
+        for (id, link) in &mut self.state.links {
+            if link.partial_since.is_some() && transport.is_link_read_paused(*id) {
+                link.partial_since = Some(now);
+            }
+        }
+    }
+
     /// Looks for incomplete messages, callers that send nothing, drained links, quiet exchanges and a silent bus.
     fn sweep(&mut self, transport: &mut dyn Transport) {
         let now = self.state.now;
         self.state.set_timer(SWEEP_INTERVAL, Timer::Sweep);
+        self.restart_partial_times(transport);
         let late = |since: Option<Duration>, span| since.is_some_and(|since| since + span < now);
         let stuck = |caller: &Caller| {
             let timeout =
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -38,6 +38,8 @@
 /// The I/O that the core asks for, carried out in the order called.
 pub trait Transport {
     fn send_to_caller(&mut self, caller: CallerConnectionId, octets: &[u8]);
+    /// Whether what a caller sends is left unread for now, because too much output waits.
+    fn is_caller_read_paused(&self, caller: CallerConnectionId) -> bool;
     /// Closes a caller's connection once everything sent on it is written. The core gets no more events of it.
     fn close_caller_after_flush(&mut self, caller: CallerConnectionId);
     /// Opens a link. The core is told by [`Core::link_connected`] or [`Core::link_disconnected`].
@@ -45,6 +47,8 @@
     fn send_to_link(&mut self, link: LinkId, octets: &[u8]);
     /// Whether data sent on a link still waits to be written.
     fn is_write_blocked(&self, link: LinkId) -> bool;
+    /// Whether what arrives on a link is left unread for now, because too much output waits.
+    fn is_link_read_paused(&self, link: LinkId) -> bool;
     /// Closes an open link in the direction to the exchange and drops data that is not written yet. The core still gets
     /// the data that arrives; the end of the other direction counts as the link's end.
     fn shutdown_link_write(&mut self, link: LinkId);
--- a/crates/platform/tests/bursts.rs
+++ b/crates/platform/tests/bursts.rs
@@ -53,3 +53,25 @@
     platform.advance(ms(2500));
     assert_eq!(platform.transport.closed_callers.len(), 1, "the rest of the last one never arrives");
 }
+
+// Guards against: a peer is closed for an incomplete message whose rest is left unread here.
+#[test]
+fn a_message_whose_rest_is_left_unread_here_closes_nobody() {
+    let mut platform = Platform::start();
+    let link = platform.links(1)[0];
+    let (state, options) = (state_message(), request("OPTIONS", 0));
+    platform.connect_caller(1);
+    platform.core.link_data(START, &mut platform.transport, link, &state[..SPLIT_AT]);
+    platform.send_from_caller(1, &options[..SPLIT_AT]);
+    platform.transport.reads_are_paused = true;
+    platform.advance(ms(5000));
+    assert!(platform.transport.closed_links.is_empty() && platform.transport.closed_callers.is_empty());
+    platform.transport.reads_are_paused = false;
+    platform.advance(ms(600));
+    platform.core.link_data(platform.transport.now, &mut platform.transport, link, &state[SPLIT_AT..]);
+    platform.advance(ms(1400));
+    platform.send_from_caller(1, &options[SPLIT_AT..]);
+    platform.advance(ms(2000));
+    assert!(platform.transport.closed_links.is_empty() && platform.transport.closed_callers.is_empty());
+    assert_eq!(platform.messages_to_callers(), ["1: 200 OPTIONS"]);
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -79,6 +79,8 @@
     pub bus_steps: Vec<String>,
     pub log_lines: Vec<String>,
     pub rules: RuleChecker,
+    /// Whether nothing is read from callers and exchanges.
+    pub reads_are_paused: bool,
 }
 
 impl Transport for RecordingTransport {
@@ -150,6 +152,14 @@
         false
     }
 
+    fn is_caller_read_paused(&self, _caller: CallerConnectionId) -> bool {
+        self.reads_are_paused
+    }
+
+    fn is_link_read_paused(&self, _link: LinkId) -> bool {
+        self.reads_are_paused
+    }
+
     fn shutdown_link_write(&mut self, link: LinkId) {
         self.half_closed_links.push(link);
     }
