Keep the releases of all calls that may stand, not of the first 4,096

Callers saw: when more than 4,096 calls ended while no caller was connected, the oldest releases were dropped: their callers never learnt that the calls were over. Releases towards an exchange without a link were lost likewise, and it held the circuits. Cause: each list of releases that wait was bounded by 4,096, and 20,000 calls may stand.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -46,8 +46,6 @@
 const MAX_OPEN_SET_UPS: usize = 256;
 /// Octets of descriptions and headers in all open calls, so that a flood of long ones does not fill the memory.
 const MAX_HELD_OCTETS: usize = 4 << 20;
-/// Far more standing calls than the circuits of all groups carry.
-const MAX_STANDING_CALLS: usize = 20_000;
 
 /// How a link was lost, or an attempt to connect it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -6,11 +6,11 @@
 use mintstall_sip::{self as sip, Message, StartLine};
 
 use super::shutdown::Shutdown;
-use super::{Core, MAX_HELD_OCTETS, MAX_OPEN_SET_UPS, MAX_STANDING_CALLS, partial_since};
+use super::{Core, MAX_HELD_OCTETS, MAX_OPEN_SET_UPS, partial_since};
 use crate::exchange_protocol::WireCallId;
 use crate::invite::{self, Invite, SetUp};
 use crate::reasons::{CallEnd, CallerClose};
-use crate::state::{AnswerState, Call, StandingCall, TEMPORARY_FAILURE, Timer};
+use crate::state::{AnswerState, Call, MAX_STANDING_CALLS, StandingCall, TEMPORARY_FAILURE, Timer};
 use crate::{CallerConnectionId, Transport};
 
 impl Core {
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -40,9 +40,10 @@
 const RELEASE_REPEAT_WINDOW: Duration = Duration::from_secs(10);
 /// A release that was written to a caller is sent again if its connection closes within this time.
 const RELEASE_CONFIRM_WINDOW: Duration = Duration::from_secs(2);
-/// Limit for each list of releases that wait for a connection or a confirmation: all calls of a region over a few
-/// seconds.
-const MAX_PENDING_RELEASES: usize = 4096;
+/// Far more standing calls than the circuits of all groups carry.
+pub const MAX_STANDING_CALLS: usize = 20_000;
+/// Limit for each list of releases that wait for a connection or a confirmation. All standing calls can end at once.
+const MAX_PENDING_RELEASES: usize = MAX_STANDING_CALLS;
 /// A failed attempt to connect a link is repeated after a random delay from the upper half of this span, which doubles
 /// with each failure.
 const LINK_RECONNECT_DELAY: Duration = Duration::from_millis(50);
--- a/crates/platform/src/state/releases.rs
+++ b/crates/platform/src/state/releases.rs
@@ -1,5 +1,6 @@
 //! Releases of standing calls, towards callers and towards exchanges.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use mintstall::interface::{CallId, ExchangeId};
@@ -66,7 +67,7 @@
 
     pub fn release_confirmed(&mut self, caller: CallerConnectionId, id: WireCallId) {
         if let Some(caller) = self.callers.get_mut(&caller) {
-            caller.unconfirmed_releases.retain(|(_, known, _)| *known != id);
+            remove_confirmed(&mut caller.unconfirmed_releases, |(_, known, _)| *known == id);
         }
     }
 
@@ -113,7 +114,7 @@
 
     pub fn exchange_confirmed_release(&mut self, by: ExchangeId, id: WireCallId) {
         if let Some(remote) = self.exchanges.get_mut(&by) {
-            remote.unconfirmed_releases.retain(|(_, known)| *known != id);
+            remove_confirmed(&mut remote.unconfirmed_releases, |(_, known)| *known == id);
         }
     }
 
@@ -167,3 +168,10 @@
     );
     transport.send_to_link(link, &octets);
 }
+
+/// Removes a confirmed release. Confirmations mostly come in the order of the releases.
+fn remove_confirmed<T>(releases: &mut VecDeque<T>, is_confirmed: impl Fn(&T) -> bool) {
+    if releases.pop_front_if(|release| is_confirmed(release)).is_none() {
+        releases.retain(|release| !is_confirmed(release));
+    }
+}
--- a/crates/platform/tests/bursts.rs
+++ b/crates/platform/tests/bursts.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
+use mintstall_platform::{CallerConnectionId, Disconnect};
 
 /// Octets of a message that arrive with the end of the message before.
 const SPLIT_AT: usize = 9;
@@ -75,3 +76,40 @@
     assert!(platform.transport.closed_links.is_empty() && platform.transport.closed_callers.is_empty());
     assert_eq!(platform.messages_to_callers(), ["1: 200 OPTIONS"]);
 }
+
+// Guards against: releases of a crowd that wait for a caller to connect again are dropped, the oldest first.
+#[test]
+fn releases_of_a_crowd_of_calls_wait_for_their_caller_to_connect_again() {
+    const CALLS: u64 = 6000;
+    let mut platform = Platform::start();
+    let link = platform.links(1)[0];
+    platform.connect_caller(1);
+    (1..=CALLS).for_each(|id| platform.send_from_caller(1, &invite(id, "at:one", "1500", "hello")));
+    platform.messages_to_callers();
+    platform.core.caller_disconnected(platform.transport.now, &mut platform.transport, CallerConnectionId(1));
+    (1..=CALLS).for_each(|id| platform.release(link, id, 16));
+    platform.connect_caller(2);
+    platform.send_from_caller(2, &request("OPTIONS", 0));
+    let releases = platform.messages_to_callers();
+    let releases = releases.iter().filter(|message| message.starts_with("2: BYE")).count();
+    assert_eq!(releases as u64, CALLS);
+}
+
+// Guards against: releases of a crowd that wait for a link to their exchange are dropped, the oldest first.
+#[test]
+fn releases_of_a_crowd_of_calls_wait_for_a_link_to_their_exchange() {
+    const CALLS: u64 = 6000;
+    let mut platform = Platform::start();
+    platform.connect_caller(1);
+    (1..=CALLS).for_each(|id| platform.send_from_caller(1, &invite(id, "at:one", "1500", "hello")));
+    for link in platform.links(1) {
+        let now = platform.transport.now;
+        platform.core.link_disconnected(now, &mut platform.transport, link, Disconnect::Lost);
+    }
+    (1..=CALLS).for_each(|id| platform.send_from_caller(1, &request("BYE", id)));
+    platform.transport.link_messages.clear();
+    platform.connect_links();
+    let sent = platform.transport.link_messages.iter();
+    let releases = sent.filter(|(_, kind, ..)| *kind == MessageType::Release).count();
+    assert_eq!(releases as u64, CALLS);
+}
