Soak: bursts of answers near the message limit, to controllers with less than a core

Change: a seventh theme. Exchanges pause in answering, then give all answers at once, with descriptions of 11,000 to 15,500 octets, whose padding callers check; controllers run in slices (SIGSTOP and SIGCONT, 20 to 40 ms of 60 to 120).

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -5,8 +5,8 @@
 use mintstall_soak::plan::Plan;
 use mintstall_soak::run::{Programs, run, save_records};
 
-/// One seed of each theme: shutdowns, event bus, bad peers, network, fragments, high load.
-const SEEDS: [u64; 6] = [0, 1, 2, 3, 4, 5];
+/// One seed of each theme: shutdowns, event bus, bad peers, network, fragments, high load, answer bursts.
+const SEEDS: [u64; 7] = [0, 1, 2, 3, 4, 5, 6];
 
 /// Carries out one plan and returns descriptions of the rule violations. If there are any, the records of the run are
 /// kept.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -13,7 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::controller::ControllerProcess;
-use crate::exchange::uid_of;
+use crate::exchange::{uid_of, without_padding};
 use crate::record::{CallId, ConnectionId, Event, Recorder, now};
 use crate::sync::lock;
 
@@ -241,7 +241,7 @@
     }
 
     fn on_final_answer(&self, connection: &Arc<Connection>, call: CallId, status: u16, body: &[u8]) {
-        let description = String::from_utf8_lossy(body).to_string();
+        let description = without_padding(&String::from_utf8_lossy(body)).to_string();
         let uid = uid_of(&description).to_string();
         let event = Event::FinalAnswer { call, connection: connection.id, status, description };
         self.recorder.add(event);
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,6 +20,13 @@
 
 /// The longest time that a call waits for its answer.
 pub const MAX_CALL_DEADLINE: Duration = Duration::from_millis(2500);
+/// How a process is scheduled on a machine with less than a core: it runs for a while, and pauses for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeSlices {
+    pub run: Duration,
+    pub pause: Duration,
+}
+
 /// SIGKILL follows SIGTERM at the earliest after [`MAX_CALL_DEADLINE`] and this time.
 pub const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Callers still open new connections for this time after SIGTERM.
@@ -230,6 +238,20 @@
         }
     }
 
+    /// Lets the process run for one slice of time after each pause, as a machine with less than a core does, until the
+    /// run ends.
+    pub fn run_in_slices(&self, slices: TimeSlices, stopped: &AtomicBool) {
+        while !stopped.load(Ordering::Relaxed) {
+            // A process that is not ready yet must not be late for that.
+            if self.phase() == Phase::Ready {
+                self.signal(Signal::SIGSTOP);
+                thread::sleep(slices.pause);
+            }
+            self.signal(Signal::SIGCONT);
+            thread::sleep(slices.run);
+        }
+    }
+
     /// Whether the process has exited by itself. Records its exit status.
     pub fn has_exited(&self) -> bool {
         let mut state = self.lock();
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -42,6 +42,17 @@
     /// Minimum and maximum time from the answer to the end of the call.
     pub hold_ms: (u64, u64),
     pub faults: AnswerFaults,
+    pub bursts: Option<AnswerBursts>,
+}
+
+/// The exchange takes set-ups all the time, but now and then answers none for a while, and then all at once.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct AnswerBursts {
+    /// Time from the beginning of one pause to the next.
+    pub interval: Duration,
+    pub pause: Duration,
+    /// Octets added to each description, up to the maximum of a message.
+    pub padding_octets: usize,
 }
 
 /// Shares of set-ups whose answers have a fault, each between 0 and 1.
@@ -93,6 +104,7 @@
 #[derive(Debug)]
 struct State {
     config: ExchangeConfig,
+    started: Instant,
     rng: Pcg64Mcg,
     calls: BTreeMap<CallId, Call>,
     links: BTreeMap<u64, Link>,
@@ -120,6 +132,7 @@
     let state = State {
         rng: Pcg64Mcg::seed_from_u64(config.seed),
         config,
+        started: Instant::now(),
         calls: BTreeMap::new(),
         links: BTreeMap::new(),
         next_link: 0,
@@ -316,8 +329,20 @@
         self.broadcast_state();
     }
 
+    /// The end of the current pause in answers.
+    fn end_of_pause(&self) -> Option<Instant> {
+        let bursts = self.config.bursts?;
+        let intervals = (self.started.elapsed().as_millis() / bursts.interval.as_millis().max(1)) as u32;
+        let end = self.started + bursts.interval * intervals + bursts.pause;
+        // None at the start, when there is nothing to hold back.
+        (intervals > 0 && Instant::now() < end).then_some(end)
+    }
+
     fn on_timer(&mut self, event: TimerEvent) {
         match event {
+            TimerEvent::Answer(_) if let Some(end) = self.end_of_pause() => {
+                self.timers.push(Reverse((end, event)))
+            }
             TimerEvent::Answer(call) => self.answer(call),
             TimerEvent::RepeatAnswer(call, link) => self.send_answer(link, call),
             TimerEvent::End(call) => self.end_call(call),
@@ -330,7 +355,9 @@
     }
 
     fn answer_octets(&self, call: CallId) -> Vec<u8> {
-        let (mut octets, description) = (Vec::new(), description(&self.config.uid, call));
+        let padding_octets = self.config.bursts.map_or(0, |bursts| bursts.padding_octets);
+        let description = with_padding(description(&self.config.uid, call), padding_octets);
+        let mut octets = Vec::new();
         encode(
             &mut octets,
             MessageType::Answer,
@@ -398,6 +425,26 @@
     format!("{uid}/{call:016x}\r\nc=IN IP4 10.4.7.9\r\n")
 }
 
+const PADDING_LINE: &str = "a=padding:";
+
+/// Adds a line with a number, and as many octets.
+fn with_padding(description: String, octets: usize) -> String {
+    if octets == 0 {
+        return description;
+    }
+    format!("{description}{PADDING_LINE}{octets}\r\n{}", "p".repeat(octets))
+}
+
+/// The description without its padding. One whose padding is not whole is returned as it is.
+pub fn without_padding(description: &str) -> &str {
+    let whole = description.split_once(PADDING_LINE).and_then(|(base, padding)| {
+        let (octets, padding) = padding.split_once("\r\n")?;
+        let is_whole = octets.parse() == Ok(padding.len()) && padding.bytes().all(|octet| octet == b'p');
+        is_whole.then_some(base)
+    });
+    whole.unwrap_or(description)
+}
+
 /// The uid of the exchange that a description names.
 pub fn uid_of(description: &str) -> &str {
     description.split('/').next().unwrap_or_default()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::callers::CallerBehavior;
-use crate::exchange::AnswerFaults;
+use crate::controller::TimeSlices;
+use crate::exchange::{AnswerBursts, AnswerFaults};
 use crate::proxy::ConnectionFaults;
 use crate::record::{BusFault, ControllerIndex};
 
@@ -95,7 +96,14 @@
     pub bad_callers: bool,
     /// Whether the controllers' settings allow them to probe exchanges.
     pub probes_enabled: bool,
+    /// Circuits of each exchange.
+    pub circuits: u32,
+    /// Minimum and maximum time from the answer to the end of a call.
+    pub hold_ms: (u64, u64),
     pub answer_faults: AnswerFaults,
+    pub answer_bursts: Option<AnswerBursts>,
+    /// How the controllers are scheduled, if they have less than a core.
+    pub time_slices: Option<TimeSlices>,
     pub connection_faults: ConnectionFaults,
 }
 
@@ -109,10 +117,25 @@
     Fragments,
     /// A high call rate and most kinds of faults.
     HighLoad,
+    /// Answers near the maximum length of a message that come together, to controllers that have less than a core.
+    AnswerBursts,
 }
 
-const THEMES: [Theme; 6] =
-    [Theme::Shutdowns, Theme::EventBus, Theme::BadPeers, Theme::Network, Theme::Fragments, Theme::HighLoad];
+const THEMES: [Theme; 7] = [
+    Theme::Shutdowns,
+    Theme::EventBus,
+    Theme::BadPeers,
+    Theme::Network,
+    Theme::Fragments,
+    Theme::HighLoad,
+    Theme::AnswerBursts,
+];
+
+const CIRCUITS: u32 = 150;
+const HOLD_MS: (u64, u64) = (500, 7000);
+/// With answer bursts, an exchange must take all set-ups of the callers while it answers none.
+const BURST_CIRCUITS: u32 = 900;
+const BURST_HOLD_MS: (u64, u64) = (100, 1500);
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -194,6 +217,19 @@
         }
     }
 
+    fn answer_bursts(&mut self) -> AnswerBursts {
+        AnswerBursts {
+            interval: self.draw_millis(2500, 4000),
+            pause: self.draw_millis(300, 1000),
+            padding_octets: self.rng.random_range(11_000..15_500),
+        }
+    }
+
+    /// About a third of a core.
+    fn time_slices(&mut self) -> TimeSlices {
+        TimeSlices { run: self.draw_millis(20, 40), pause: self.draw_millis(40, 80) }
+    }
+
     fn add_network_fault(&mut self) {
         let (at, destination, controller) = (self.fault_time(), self.destination(), self.controller());
         let fault = match self.rng.random_range(0..4) {
@@ -264,6 +300,7 @@
                     CallerBehavior::GivesUpEarly,
                 ]
             }
+            Theme::AnswerBursts => vec![CallerBehavior::Plain; 2],
             _ => vec![
                 CallerBehavior::Plain,
                 CallerBehavior::WritesSlowly,
@@ -271,7 +308,13 @@
                 CallerBehavior::RedialsAtOnce,
             ],
         };
-        let mean_set_up_interval = if is_high_load { millis(15) } else { millis(110) };
+        let mean_set_up_interval = match theme {
+            Theme::HighLoad => millis(15),
+            Theme::AnswerBursts => millis(8),
+            _ => millis(110),
+        };
+        let answer_bursts = (theme == Theme::AnswerBursts).then(|| draw.answer_bursts());
+        let time_slices = (theme == Theme::AnswerBursts).then(|| draw.time_slices());
         draw.faults.sort_by_key(|(at, _)| *at);
         Self {
             seed,
@@ -281,7 +324,11 @@
             mean_set_up_interval,
             probes_enabled: !(seed / THEMES.len() as u64).is_multiple_of(3),
             bad_callers: theme == Theme::BadPeers || is_high_load,
+            circuits: if answer_bursts.is_some() { BURST_CIRCUITS } else { CIRCUITS },
+            hold_ms: if answer_bursts.is_some() { BURST_HOLD_MS } else { HOLD_MS },
             answer_faults,
+            answer_bursts,
+            time_slices,
             connection_faults,
         }
     }
@@ -302,7 +349,11 @@
             mean_set_up_interval: millis(110),
             bad_callers: false,
             probes_enabled: true,
+            circuits: CIRCUITS,
+            hold_ms: HOLD_MS,
             answer_faults: AnswerFaults::default(),
+            answer_bursts: None,
+            time_slices: None,
             connection_faults: ConnectionFaults::default(),
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -28,7 +28,6 @@
 
 /// Number of event bus addresses of each controller, of which its configuration names one.
 const BUS_ADDRESSES: usize = 3;
-const CIRCUITS: u32 = 150;
 /// Time after which a controller that has stopped is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time in which callers announce the standing calls to a controller that has restarted.
@@ -189,10 +188,11 @@
             uid: format!("s-{destination}-{generation}"),
             listen: listen.clone(),
             seed: self.plan.seed ^ (destination as u64) << 8 ^ u64::from(generation) << 16,
-            circuits: CIRCUITS,
+            circuits: self.plan.circuits,
             answer_ms: (2, 60),
-            hold_ms: (500, 7000),
+            hold_ms: self.plan.hold_ms,
             faults: self.plan.answer_faults,
+            bursts: self.plan.answer_bursts,
         };
         let text = serde_json::to_string(&config).map_err(|error| RunError::Json {
             action: "can't encode the configuration of an exchange",
@@ -261,6 +261,10 @@
                 let seed = self.plan.seed ^ 0xbad;
                 threads.push(thread::spawn(move || bad_callers::run(&controller, &recorder, &stopped, seed)));
             }
+            if let Some(slices) = self.plan.time_slices {
+                let (controller, stopped) = (controller.clone(), Arc::clone(&self.stopped));
+                threads.push(thread::spawn(move || controller.run_in_slices(slices, &stopped)));
+            }
             let (controller, stopped) = (controller.clone(), Arc::clone(&self.stopped));
             threads.push(thread::spawn(move || {
                 while !stopped.load(Ordering::Relaxed) {
