Soak: a released attempt's timer no longer ends the next attempt of its call

The record says "call over", never "attempt ended", so the attempt seemed open when the controller, told of its end, sent the call again. Ruled out: the controller.

The emulated exchange numbers attempts; a timer acts on its own attempt only.

Test: a_released_attempt_does_not_end_the_next_one_of_its_call; before the change the second attempt was held for 20 ms instead of 100.

--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -80,8 +80,16 @@
     Standing,
 }
 
+/// One attempt of a call. A call may come again under its id after a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Attempt {
+    call: CallId,
+    number: u64,
+}
+
 #[derive(Debug)]
 struct Call {
+    attempt: Attempt,
     state: CallState,
     controller: ControllerIndex,
     link: u64,
@@ -95,10 +103,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum TimerEvent {
-    Answer(CallId),
+    Answer(Attempt),
     /// The second copy of an answer, on the given link.
     RepeatAnswer(CallId, u64),
-    End(CallId),
+    End(Attempt),
 }
 
 #[derive(Debug)]
@@ -109,6 +117,7 @@
     calls: BTreeMap<CallId, Call>,
     links: BTreeMap<u64, Link>,
     next_link: u64,
+    attempt_count: u64,
     timers: BinaryHeap<Reverse<(Instant, TimerEvent)>>,
     /// Calls ended by the exchange, whose releases are repeated on the next connection of their controller.
     releases_to_repeat: BTreeMap<ControllerIndex, Vec<CallId>>,
@@ -136,6 +145,7 @@
         calls: BTreeMap::new(),
         links: BTreeMap::new(),
         next_link: 0,
+        attempt_count: 0,
         timers: BinaryHeap::new(),
         releases_to_repeat: BTreeMap::new(),
     };
@@ -310,11 +320,13 @@
             ];
             return self.send(link, MessageType::Release, call, parameters);
         }
-        self.calls.insert(call, Call { state: CallState::Waiting, controller, link });
+        self.attempt_count += 1;
+        let attempt = Attempt { call, number: self.attempt_count };
+        self.calls.insert(call, Call { attempt, state: CallState::Waiting, controller, link });
         if self.rng.random_bool(faults.reset) {
             return self.close_link(link, CloseMode::Reset);
         }
-        self.start_timer(self.config.answer_ms, TimerEvent::Answer(call));
+        self.start_timer(self.config.answer_ms, TimerEvent::Answer(attempt));
         self.broadcast_state();
     }
 
@@ -343,12 +355,18 @@
             TimerEvent::Answer(_) if let Some(end) = self.end_of_pause() => {
                 self.timers.push(Reverse((end, event)))
             }
-            TimerEvent::Answer(call) => self.answer(call),
+            TimerEvent::Answer(attempt) if self.is_present(attempt) => self.answer(attempt),
             TimerEvent::RepeatAnswer(call, link) => self.send_answer(link, call),
-            TimerEvent::End(call) => self.end_call(call),
+            TimerEvent::End(attempt) if self.is_present(attempt) => self.end_call(attempt.call),
+            TimerEvent::Answer(_) | TimerEvent::End(_) => {}
         }
     }
 
+    /// Whether the attempt has not ended. A later one of the same call is another.
+    fn is_present(&self, attempt: Attempt) -> bool {
+        self.calls.get(&attempt.call).is_some_and(|call| call.attempt == attempt)
+    }
+
     fn send_answer(&mut self, link: u64, call: CallId) {
         let octets = self.answer_octets(call);
         self.send_raw(link, &octets);
@@ -367,7 +385,8 @@
         octets
     }
 
-    fn answer(&mut self, call: CallId) {
+    fn answer(&mut self, attempt: Attempt) {
+        let call = attempt.call;
         let faults = self.config.faults;
         let Some(waiting_call) = self.calls.get_mut(&call).filter(|call| call.state == CallState::Waiting)
         else {
@@ -390,7 +409,7 @@
         if self.rng.random_bool(faults.doubled) {
             self.start_timer((1, 20), TimerEvent::RepeatAnswer(call, link));
         }
-        self.start_timer(self.config.hold_ms, TimerEvent::End(call));
+        self.start_timer(self.config.hold_ms, TimerEvent::End(attempt));
     }
 
     /// Ends the call with an answer that can't be decoded: noise, or half of the answer and then a close.
