Soak: the proxy records a message when it arrives, and each close

Cause: one thread read and forwarded a direction. While it forwarded it read nothing, and when the other direction met the close first it ended without reading it.

Each direction now has a thread that reads and records, and one that forwards. Messages to the controller are recorded as they are forwarded, as before.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,9 +3,9 @@
 //! The proxy records the messages between the two, since it sees those of the controller first.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -21,6 +21,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Octets that are buffered in each direction while the network is partitioned.
 const MAX_BUFFERED_OCTETS: usize = 1 << 20;
+const READ_OCTETS: usize = 8192;
+/// Size of a piece, and the time between two, on a connection that is forwarded in pieces.
+const PIECE_OCTETS: usize = 7;
+const PIECE_INTERVAL: Duration = Duration::from_micros(300);
 
 /// The state of the network between the controller and the exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +65,7 @@
     uid: String,
     /// Tells the threads of both directions to reset the link.
     reset: AtomicBool,
-    /// Set when the thread of one direction ends, so that the other ends too.
+    /// Set when one direction can't be forwarded any more, so that the other ends too.
     closed: AtomicBool,
     in_pieces: bool,
 }
@@ -181,12 +185,12 @@
     links.retain(|link| Arc::strong_count(link) > 1);
     links.push(Arc::clone(&link));
     drop(links);
-    let (Ok(from), Ok(to)) = (stream.try_clone(), exchange.try_clone()) else { return };
     for (direction, from, to) in
-        [(Direction::ToExchange, from, to), (Direction::ToController, exchange, stream)]
+        [(Direction::ToExchange, &stream, &exchange), (Direction::ToController, &exchange, &stream)]
     {
-        let (shared, link) = (Arc::clone(shared), Arc::clone(&link));
-        thread::spawn(move || forward_direction(&shared, &link, direction, from, to));
+        if start_direction(shared, &link, direction, from, to).is_err() {
+            link.closed.store(true, Ordering::Relaxed);
+        }
     }
 }
 
@@ -196,74 +200,155 @@
     ToController,
 }
 
-/// Forwards one direction until either side closes the connection, or the link is reset.
-fn forward_direction(
-    shared: &Shared,
-    link: &Link,
+/// What was received from one side and waits to be forwarded to the other.
+#[derive(Debug, Default)]
+struct Received {
+    octets: Vec<u8>,
+    source_closed: bool,
+}
+
+/// Hands over octets from the thread that reads one side to the thread that writes to the other, so that messages are
+/// recorded when they arrive, however slowly they are forwarded.
+#[derive(Debug, Default)]
+struct Pipe {
+    received: Mutex<Received>,
+    changed: Condvar,
+}
+
+impl Pipe {
+    fn push(&self, octets: &[u8]) {
+        lock(&self.received).octets.extend_from_slice(octets);
+        self.changed.notify_one();
+    }
+
+    fn close(&self) {
+        lock(&self.received).source_closed = true;
+        self.changed.notify_one();
+    }
+
+    fn is_full(&self) -> bool {
+        lock(&self.received).octets.len() >= MAX_BUFFERED_OCTETS
+    }
+
+    /// Takes all that has been received, after at most [`POLL_INTERVAL`].
+    fn take(&self) -> Received {
+        let received = lock(&self.received);
+        let idle = |received: &mut Received| received.octets.is_empty() && !received.source_closed;
+        let wait_result = self.changed.wait_timeout_while(received, POLL_INTERVAL, idle);
+        let mut received = wait_result.unwrap_or_else(PoisonError::into_inner).0;
+        Received { octets: std::mem::take(&mut received.octets), source_closed: received.source_closed }
+    }
+}
+
+fn start_direction(
+    shared: &Arc<Shared>,
+    link: &Arc<Link>,
     direction: Direction,
-    mut from: TcpStream,
-    mut to: TcpStream,
-) {
+    from: &TcpStream,
+    to: &TcpStream,
+) -> std::io::Result<()> {
+    from.set_nonblocking(false)?;
     // Without a read timeout the thread would notice a requested reset late.
-    let _ = from.set_nonblocking(false).and_then(|()| from.set_read_timeout(Some(POLL_INTERVAL)));
-    let _ = to.set_nodelay(true);
-    let (mut decoder, mut buffer, mut buffered) = (Decoder::default(), [0; 8192], Vec::new());
-    let mut source_closed = false;
+    from.set_read_timeout(Some(POLL_INTERVAL))?;
+    to.set_nodelay(true)?;
+    let pipe = Arc::new(Pipe::default());
+    let (reader_shared, reader_link, reader_pipe) = (Arc::clone(shared), Arc::clone(link), Arc::clone(&pipe));
+    let (source, from, to) = (from.try_clone()?, from.try_clone()?, to.try_clone()?);
+    thread::spawn(move || read_direction(&reader_shared, &reader_link, direction, source, &reader_pipe));
+    let (shared, link) = (Arc::clone(shared), Arc::clone(link));
+    thread::spawn(move || forward_direction(&shared, &link, direction, &from, to, &pipe));
+    Ok(())
+}
+
+/// Reads one side until it closes the connection, or the link is reset. Records the messages of the controller, and
+/// the close after all messages before it.
+fn read_direction(shared: &Shared, link: &Link, direction: Direction, mut from: TcpStream, pipe: &Pipe) {
+    let (mut decoder, mut buffer) = (Decoder::default(), [0; READ_OCTETS]);
     while !shared.stopped.load(Ordering::Relaxed) && !link.reset.load(Ordering::Relaxed) {
-        if !source_closed && buffered.len() < MAX_BUFFERED_OCTETS {
-            match from.read(&mut buffer) {
-                Ok(0) => source_closed = true,
-                Ok(count) => {
+        if pipe.is_full() {
+            thread::sleep(POLL_INTERVAL);
+            continue;
+        }
+        match from.read(&mut buffer) {
+            Ok(count @ 1..) => {
+                if direction == Direction::ToExchange {
                     record_messages(shared, link, direction, &mut decoder, &buffer[..count]);
-                    buffered.extend_from_slice(&buffer[..count]);
                 }
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-                Err(_) => source_closed = true,
+                pipe.push(&buffer[..count]);
             }
-            if source_closed {
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Ok(0) | Err(_) => {
                 let (link, controller) = (link.id, shared.controller);
                 shared.recorder.add(match direction {
                     Direction::ToExchange => Event::LinkClosed { link, controller },
                     Direction::ToController => Event::LinkReset { link, controller },
                 });
+                return pipe.close();
             }
-        } else {
-            thread::sleep(POLL_INTERVAL);
         }
+    }
+}
+
+/// Forwards one direction until either side closes the connection, or the link is reset. Records the messages to the
+/// controller.
+fn forward_direction(
+    shared: &Shared,
+    link: &Link,
+    direction: Direction,
+    from: &TcpStream,
+    mut to: TcpStream,
+    pipe: &Pipe,
+) {
+    let mut decoder = Decoder::default();
+    while !shared.stopped.load(Ordering::Relaxed) && !link.reset.load(Ordering::Relaxed) {
         if get(&shared.network) == NetworkState::Partitioned {
+            thread::sleep(POLL_INTERVAL);
             continue;
         }
-        let forwarded = forward(link, &buffered, &mut to);
-        buffered.clear();
-        if source_closed && forwarded.is_ok() && direction == Direction::ToExchange {
+        let received = pipe.take();
+        let forwarded = forward(link, &received.octets, &mut to, |octets| {
+            if direction == Direction::ToController {
+                record_messages(shared, link, direction, &mut decoder, octets);
+            }
+        });
+        if received.source_closed && forwarded.is_ok() && direction == Direction::ToExchange {
             // Half-closes the connection. The exchange closes the other direction after it has sent what remains.
-            let _ = to.shutdown(std::net::Shutdown::Write);
+            let _ = to.shutdown(Shutdown::Write);
             return;
         }
-        if source_closed || forwarded.is_err() || link.closed.load(Ordering::Relaxed) {
+        if received.source_closed || forwarded.is_err() || link.closed.load(Ordering::Relaxed) {
             link.closed.store(true, Ordering::Relaxed);
+            // Wakes the threads that read. They record a close of the other side that has not been read yet.
+            let _ = from.shutdown(Shutdown::Both);
+            let _ = to.shutdown(Shutdown::Both);
             return;
         }
     }
     if direction == Direction::ToController {
         shared.recorder.add(Event::LinkReset { link: link.id, controller: shared.controller });
     }
-    reset(&from);
+    reset(from);
     reset(&to);
 }
 
-fn forward(link: &Link, octets: &[u8], to: &mut TcpStream) -> std::io::Result<()> {
-    if !link.in_pieces {
-        return to.write_all(octets);
-    }
-    for piece in octets.chunks(7) {
-        to.write_all(piece)?;
-        thread::sleep(Duration::from_micros(300));
+/// Writes the octets, in pieces if the link has that fault. Calls `before_write` with each part.
+fn forward(
+    link: &Link,
+    octets: &[u8],
+    to: &mut TcpStream,
+    mut before_write: impl FnMut(&[u8]),
+) -> std::io::Result<()> {
+    let (part_octets, pause) =
+        if link.in_pieces { (PIECE_OCTETS, PIECE_INTERVAL) } else { (READ_OCTETS, Duration::ZERO) };
+    for part in octets.chunks(part_octets) {
+        before_write(part);
+        to.write_all(part)?;
+        thread::sleep(pause);
     }
     Ok(())
 }
 
-/// Decodes the octets of one direction as they are read and records the set-ups and releases in them.
+/// Decodes the octets of one direction and records the set-ups and releases in them.
 fn record_messages(shared: &Shared, link: &Link, direction: Direction, decoder: &mut Decoder, octets: &[u8]) {
     decoder.push(octets);
     let controller = shared.controller;
