Platform: log the first report on each link to an exchange

Seen with it: the machine returns after 5 s and "first report idle:30; circuits:30, 6 calls stand from before, 3 other links open" follows at 6.5 s. One draining link of the former process is still open, so the report is not looked at, and each message of the new process renews the lease on the six calls. They end at 14 s, when the list tells of the new start. Ruled out: that no connection comes up, and that the report comes late.

--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -73,6 +73,7 @@
         self.state.now = now;
         let Some(link) = self.state.links.get_mut(&link_id) else { return };
         link.last_received = now;
+        link.first_received.get_or_insert(now);
         let exchange = link.exchange;
         let mut decoder = std::mem::take(&mut link.decoder);
         decoder.push(octets);
@@ -110,6 +111,9 @@
         exchange: ExchangeId,
         message: &exchange_protocol::Message,
     ) {
+        if message.kind == MessageType::State {
+            self.log_first_report(transport, link_id, exchange, message);
+        }
         match message.kind {
             MessageType::Answer => self.handle_answer(transport, link_id, exchange, message),
             MessageType::Release => self.handle_release(transport, link_id, exchange, message),
@@ -126,6 +130,30 @@
         }
     }
 
+    /// Logs the first report on a link, and what of it can show that another process listens at the address.
+    fn log_first_report(
+        &mut self,
+        transport: &mut dyn Transport,
+        link_id: LinkId,
+        exchange: ExchangeId,
+        message: &exchange_protocol::Message,
+    ) {
+        let Some(link) = self.state.links.get_mut(&link_id) else { return };
+        if std::mem::replace(&mut link.has_reported, true) {
+            return;
+        }
+        let opened_at = link.opened_at;
+        let report = message.report.unwrap_or("nothing");
+        let standing = self.state.standing_before(exchange, opened_at);
+        let others =
+            self.state.links.iter().filter(|(id, other)| **id != link_id && other.exchange == exchange);
+        let open_links = others.filter(|(_, other)| other.state != LinkState::Connecting).count();
+        transport.log_debug(format_args!(
+            "link {} to exchange {}: first report {report:?}, {standing} calls stand from before, {open_links} other links open",
+            link_id.0, exchange.0
+        ));
+    }
+
     pub(super) fn handle_report(
         &mut self,
         transport: &mut dyn Transport,
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -176,6 +176,11 @@
     pub exchange: ExchangeId,
     pub state: LinkState,
     pub decoder: exchange_protocol::Decoder,
+    /// When the attempt to connect it began.
+    pub opened_at: Duration,
+    pub first_received: Option<Duration>,
+    /// Whether a report of the group's state has come on it.
+    pub has_reported: bool,
     pub last_received: Duration,
     pub partial_since: Option<Duration>,
     /// Set-ups sent on it whose seizure has not ended.
--- a/crates/platform/src/state/releases.rs
+++ b/crates/platform/src/state/releases.rs
@@ -145,6 +145,12 @@
         self.unmatched_releases.iter().rev().find(|(_, known, _)| *known == id).map(|(.., cause)| *cause)
     }
 
+    /// The number of calls that stand at an exchange and were answered before some time.
+    pub fn standing_before(&self, exchange: ExchangeId, time: Duration) -> usize {
+        let is_before = |call: &&StandingCall| call.exchange == exchange && call.answered_at < time;
+        self.standing.values().filter(is_before).count()
+    }
+
     /// Removes and returns the calls at an exchange that were answered before some time.
     pub fn take_standing_calls(
         &mut self,
