Platform: recognise another process of an exchange though old links are open

Cause: a connection was taken for the process at its other end. The report of the new process was compared with the calls only after the last link had been lost as "disconnected", any message from the address renewed the lease on the calls, and its reports waited behind a dead link. Ruled out: no connection or no report (it came at 6.5 s).

A process holds each call that it has answered, so the first report on a new link has to show as many busy circuits as calls stand that were answered before the link was opened. If calls are still missing after 0.5 s, their process is gone: its calls end, its links are closed. Meanwhile what comes on the new link renews no lease. A process heard on an older link lives; then only calls that it cannot hold end.

The existing tests pass unchanged.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -1,11 +1,12 @@
 //! The core: handles the events of callers, links, the event bus and timers, and passes them to the controller.
 //!
-//! `callers` and `exchanges` handle the messages and connections of each side, `discovery` the event bus, `leases` the
-//! failure detection, `shutdown` the end of the process; timers are handled here. State is kept in `crate::state`.
+//! `callers` and `exchanges` handle the messages and connections of each side, `discovery` the event bus, `leases` and
+//! `incarnations` the failure detection, `shutdown` the end of the process; timers are handled here. State is kept in `crate::state`.
 
 mod callers;
 mod discovery;
 mod exchanges;
+mod incarnations;
 mod leases;
 mod shutdown;
 
@@ -219,6 +220,7 @@
         for id in self.state.expire_links(transport) {
             self.remove_link(transport, id, LinkLoss::DrainExpired);
         }
+        self.check_incarnations(transport);
         self.check_leases(transport);
         let timeout = match self.bus_state {
             BusState::Connecting => {
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -142,7 +142,7 @@
                 queued_set_ups: Default::default(),
                 unconfirmed_releases: Default::default(),
                 lease: Lease::new(self.state.now),
-                all_links_lost_at: None,
+                first_report: None,
                 release_connection_planned: false,
             };
             let remote = self.state.exchanges.entry(entry.id).or_insert(new_remote);
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use mintstall::interface::{CapacityReport, Cause, ExchangeId, SeizureAnswered};
-use mintstall::liveness::{self, Renewal};
+use mintstall::interface::{Cause, ExchangeId, SeizureAnswered};
 
 use super::{Core, Disconnect, partial_since};
 use crate::exchange_protocol::{self, MessageType, WireCallId};
@@ -82,9 +81,11 @@
             match decoder.next_message() {
                 Ok(Some(message)) => {
                     has_completed = true;
-                    let remote = self.state.exchanges.get_mut(&exchange);
-                    if remote.is_some_and(|remote| remote.lease.renew(now) == Renewal::AfterSuspicion) {
-                        self.state.plan_release_connection(exchange);
+                    if message.kind == MessageType::State {
+                        self.note_first_report(transport, link_id, exchange, message.report);
+                    }
+                    if !self.is_in_doubt(link_id, exchange) {
+                        self.renew_lease(exchange, now);
                     }
                     self.handle_link_message(transport, link_id, exchange, &message);
                 }
@@ -101,6 +102,12 @@
             link.partial_since = partial_since(link.partial_since, now, has_completed, decoder.has_partial());
             link.decoder = decoder;
         }
+        if self.is_in_doubt(link_id, exchange) {
+            self.check_incarnation(transport, exchange);
+            if !self.is_in_doubt(link_id, exchange) {
+                self.renew_lease(exchange, now);
+            }
+        }
         self.report_ended_seizures(transport);
     }
 
@@ -111,9 +118,6 @@
         exchange: ExchangeId,
         message: &exchange_protocol::Message,
     ) {
-        if message.kind == MessageType::State {
-            self.log_first_report(transport, link_id, exchange, message);
-        }
         match message.kind {
             MessageType::Answer => self.handle_answer(transport, link_id, exchange, message),
             MessageType::Release => self.handle_release(transport, link_id, exchange, message),
@@ -130,30 +134,6 @@
         }
     }
 
-    /// Logs the first report on a link, and what of it can show that another process listens at the address.
-    fn log_first_report(
-        &mut self,
-        transport: &mut dyn Transport,
-        link_id: LinkId,
-        exchange: ExchangeId,
-        message: &exchange_protocol::Message,
-    ) {
-        let Some(link) = self.state.links.get_mut(&link_id) else { return };
-        if std::mem::replace(&mut link.has_reported, true) {
-            return;
-        }
-        let opened_at = link.opened_at;
-        let report = message.report.unwrap_or("nothing");
-        let standing = self.state.standing_before(exchange, opened_at);
-        let others =
-            self.state.links.iter().filter(|(id, other)| **id != link_id && other.exchange == exchange);
-        let open_links = others.filter(|(_, other)| other.state != LinkState::Connecting).count();
-        transport.log_debug(format_args!(
-            "link {} to exchange {}: first report {report:?}, {standing} calls stand from before, {open_links} other links open",
-            link_id.0, exchange.0
-        ));
-    }
-
     pub(super) fn handle_report(
         &mut self,
         transport: &mut dyn Transport,
@@ -163,28 +143,12 @@
         let report = text.and_then(|text| self.settings.reports.parse_named(text));
         transport.log_debug(format_args!("exchange {} reports {text:?}", exchange.0));
         if let Some(report) = report {
-            self.end_calls_of_former_process(transport, exchange, &report);
             self.with_controller(transport, |controller, now, context| {
                 controller.on_capacity_report(now, context, exchange, &report)
             });
         }
     }
 
-    /// Checks the first report after all links were lost: a process with all its circuits free holds none of the
-    /// standing calls, so it is not the one with which they were set up.
-    fn end_calls_of_former_process(
-        &mut self,
-        transport: &mut dyn Transport,
-        exchange: ExchangeId,
-        report: &CapacityReport,
-    ) {
-        let remote = self.state.exchanges.get_mut(&exchange);
-        let Some(lost_at) = remote.and_then(|remote| remote.all_links_lost_at.take()) else { return };
-        if liveness::holds_no_calls(report) {
-            self.end_and_release_calls(transport, exchange, lost_at, CallEnd::ExchangeRestarted);
-        }
-    }
-
     pub(super) fn handle_answer(
         &mut self,
         transport: &mut dyn Transport,
--- a/crates/platform/src/core/leases.rs
+++ b/crates/platform/src/core/leases.rs
@@ -9,6 +9,7 @@
 use super::Core;
 use crate::Transport;
 use crate::reasons::CallEnd;
+use crate::state::RemoteExchange;
 
 impl Core {
     /// Checks the lease of each exchange that has standing calls.
@@ -46,12 +47,23 @@
                 LeaseAction::Expired => {
                     transport
                         .log_info(&format!("exchange {} quiet for {quiet:?}: lease expired", exchange.0));
-                    self.end_and_release_calls(transport, exchange, Duration::MAX, CallEnd::LeaseExpired);
+                    self.expire_lease(transport, exchange);
                 }
             }
         }
     }
 
+    /// Ends the calls at an exchange whose lease has expired. If another process may listen at its address by now, calls
+    /// answered since then are not over.
+    fn expire_lease(&mut self, transport: &mut dyn Transport, exchange: ExchangeId) {
+        match self.state.exchanges.get(&exchange).and_then(RemoteExchange::opened_in_doubt) {
+            Some(opened_at) => {
+                self.end_former_incarnation(transport, exchange, opened_at, CallEnd::LeaseExpired)
+            }
+            None => self.end_and_release_calls(transport, exchange, Duration::MAX, CallEnd::LeaseExpired),
+        }
+    }
+
     /// Opens a new connection, which shows whether the exchange or the old connection has failed.
     fn replace_connection(&mut self, transport: &mut dyn Transport, exchange: ExchangeId) {
         match self.state.oldest_open_link(exchange) {
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -21,6 +21,8 @@
     AddressChanged,
     /// The event bus reported the exchange gone.
     ExchangeGone,
+    /// Another process of the exchange listens at its address.
+    FormerIncarnation,
     /// This process ends.
     Shutdown,
 }
@@ -36,6 +38,7 @@
             Self::DrainExpired => "drain_expired",
             Self::AddressChanged => "address_changed",
             Self::ExchangeGone => "exchange_gone",
+            Self::FormerIncarnation => "former_incarnation",
             Self::Shutdown => "shutdown",
         }
     }
@@ -54,6 +57,8 @@
     ExchangeGone,
     /// The event bus or the exchange's first report showed that the exchange has restarted.
     ExchangeRestarted,
+    /// The exchange's first report showed that it holds none of the calls, though it has not restarted.
+    NotHeld,
     /// The exchange's address refuses connections, and no link is open.
     ExchangeRefused,
     /// Nothing was received from the exchange until its lease expired.
@@ -70,6 +75,7 @@
             Self::ReleasedByCaller => "released_by_caller",
             Self::ExchangeGone => "exchange_gone",
             Self::ExchangeRestarted => "exchange_restarted",
+            Self::NotHeld => "not_held",
             Self::ExchangeRefused => "exchange_refused",
             Self::LeaseExpired => "lease_expired",
             Self::ExchangeUnknown => "exchange_unknown",
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mintstall::incarnation::FirstReport;
 use mintstall::interface::{
     CallId, CapacityReport, ExchangeId, ExchangeStatus, SeizureEnded, SeizureNumber, TimerId,
 };
@@ -189,6 +190,13 @@
     pub last_report: Option<CapacityReport>,
 }
 
+impl Link {
+    /// Whether something had been received on it when another link was opened.
+    pub fn is_older(&self, opened_at: Duration) -> bool {
+        self.first_received.is_some_and(|at| at < opened_at)
+    }
+}
+
 /// One exchange. Removed when the event bus reports it gone.
 #[derive(Debug)]
 pub struct RemoteExchange {
@@ -208,12 +216,19 @@
     pub unconfirmed_releases: VecDeque<(Duration, WireCallId)>,
     /// How long the exchange is assumed to hold its standing calls.
     pub lease: Lease,
-    /// When the other side closed its last open link: the next process at the address may be a new one.
-    pub all_links_lost_at: Option<Duration>,
+    /// The first report on the newest link. Standing calls are checked against it.
+    pub first_report: Option<FirstReport>,
     /// Whether [`Timer::ConnectForReleases`] is set.
     pub release_connection_planned: bool,
 }
 
+impl RemoteExchange {
+    /// If calls are missing in the first report on the newest link: when that link was opened.
+    pub fn opened_in_doubt(&self) -> Option<Duration> {
+        self.first_report.filter(FirstReport::is_in_doubt).map(|first_report| first_report.opened_at())
+    }
+}
+
 pub struct PlatformState {
     pub now: Duration,
     pub calls: BTreeMap<CallId, Call>,
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -4,7 +4,7 @@
 use mintstall_sip as sip;
 
 use super::releases::release_on;
-use super::{AnswerState, Call, LinkState, PlatformState, RemoteExchange};
+use super::{AnswerState, Call, Link, LinkState, PlatformState, RemoteExchange};
 use crate::exchange_protocol::{self, MessageType, parameter};
 use crate::{LinkId, Transport};
 
@@ -63,7 +63,8 @@
         }
     }
 
-    /// The link for a set-up: of those that are free for this call, the one with the fewest open set-ups.
+    /// The link for a set-up: of those that are free for this call, the one with the fewest open set-ups. While another
+    /// process may listen at the address, links on which it has not answered come last.
     pub(super) fn pick_link(
         &self,
         transport: &dyn Transport,
@@ -78,7 +79,8 @@
                 && !call.abandoned_links.contains(link_id)
                 && !transport.is_write_blocked(**link_id)
         });
-        free.min_by_key(|(_, link)| link.open_set_ups.len()).map(|(link_id, _)| *link_id)
+        let is_doubtful = |link: &Link| remote.opened_in_doubt().is_some_and(|at| link.is_older(at));
+        free.min_by_key(|(_, link)| (is_doubtful(link), link.open_set_ups.len())).map(|(link_id, _)| *link_id)
     }
 
     /// Sends the set-up of a seizure that has no link yet. False if it has to wait for a free link.
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -240,13 +240,6 @@
         if let Some(remote) = self.exchanges.get_mut(&to) {
             remote.links.retain(|known| *known != link_id);
             remote.draining.retain(|known| *known != link_id);
-            let open = |link_id: &LinkId| {
-                self.links.get(link_id).is_some_and(|link| link.state != LinkState::Connecting)
-            };
-            let none_open = !remote.links.iter().chain(&remote.draining).any(open);
-            if none_open && was_open && reason == LinkLoss::Disconnected {
-                remote.all_links_lost_at = Some(self.now);
-            }
         }
         if !was_open {
             self.schedule_reconnect(to);
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -8,8 +8,6 @@
 
 use std::time::Duration;
 
-use crate::interface::CapacityReport;
-
 /// If an exchange can't report the end of a call, the caller must learn of it within this time (the platform's
 /// protocol).
 const MAX_END_DELAY: Duration = Duration::from_secs(8);
@@ -34,14 +32,6 @@
 /// was cut off while this process started, and has sent its messages to the former process.
 const MAX_FIRST_MESSAGE_DELAY: Duration = Duration::from_millis(250);
 
-/// Whether an exchange with this report holds no calls at all.
-pub fn holds_no_calls(report: &CapacityReport) -> bool {
-    match (report.free, report.size) {
-        (Some(free), Some(size)) => size > 0.0 && free >= size,
-        _ => false,
-    }
-}
-
 /// What to do about an exchange at which calls stand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -98,6 +88,11 @@
         if suspected { Renewal::AfterSuspicion } else { Renewal::Usual }
     }
 
+    /// Whether a message has come since the exchange was listed.
+    pub fn is_contact_made(&self) -> bool {
+        self.contact == Contact::Made
+    }
+
     pub fn last_heard(&self) -> Duration {
         self.last_heard
     }
