Platform: log why a connection to the event bus was given up

The counter bus_dropped has the reason too.

Ruled out: refused connections, connect time-outs, unreadable lines.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -20,7 +20,7 @@
 
 use self::shutdown::Shutdown;
 use crate::event_bus::EventDecoder;
-use crate::reasons::{CallerClose, LinkLoss};
+use crate::reasons::{BusLoss, CallerClose, LinkLoss};
 use crate::state::{AnswerState, Caller, EventContext, LinkState, PlatformState, Timer, exponential_backoff};
 use crate::{Config, Transport};
 
@@ -59,7 +59,9 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum BusState {
     Connecting,
-    Up,
+    /// It is up, and nothing has arrived on it yet.
+    Waiting,
+    Served,
     /// Waits for its reconnect timer.
     Down,
 }
@@ -229,8 +231,14 @@
             _ => BUS_SILENCE_TIMEOUT,
         };
         if self.bus_state != BusState::Down && self.bus_since + timeout < now {
-            let reason = if self.bus_state == BusState::Connecting { "connect timeout" } else { "silent" };
-            self.drop_bus(transport, reason);
+            self.drop_bus(
+                transport,
+                match self.bus_state {
+                    BusState::Connecting => BusLoss::ConnectTimeout,
+                    BusState::Waiting => BusLoss::NotServed,
+                    _ => BusLoss::Silent,
+                },
+            );
         }
     }
 }
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -7,7 +7,7 @@
 
 use super::{BUS_RECONNECT_DELAY, BusState, Core, MAX_BUS_RECONNECT_DELAY};
 use crate::event_bus::{self, Event, Topology};
-use crate::reasons::{CallEnd, LinkLoss};
+use crate::reasons::{BusLoss, CallEnd, LinkLoss};
 use crate::state::{RemoteExchange, Timer, exponential_backoff};
 use crate::{Config, Transport};
 
@@ -19,21 +19,21 @@
 
     pub fn bus_connected(&mut self, now: Duration, transport: &mut dyn Transport) {
         self.state.now = now;
-        (self.bus_state, self.bus_since) = (BusState::Up, now);
+        (self.bus_state, self.bus_since) = (BusState::Waiting, now);
         transport.send_to_bus(&self.bus_decoder.resume_request());
     }
 
     pub fn bus_disconnected(&mut self, now: Duration, transport: &mut dyn Transport) {
         self.state.now = now;
-        self.drop_bus(transport, "connection lost or refused");
+        self.drop_bus(transport, BusLoss::Disconnected);
     }
 
-    pub(super) fn drop_bus(&mut self, transport: &mut dyn Transport, reason: &str) {
+    pub(super) fn drop_bus(&mut self, transport: &mut dyn Transport, reason: BusLoss) {
         let elapsed = self.state.now.saturating_sub(self.bus_since);
         transport.log_debug(format_args!(
             "event bus connection closed: {reason}, {elapsed:?} after the last data or connection attempt"
         ));
-        metrics::counter!("bus_dropped").increment(1);
+        metrics::counter!("bus_dropped", "reason" => reason.label()).increment(1);
         transport.close_bus();
         (self.bus_state, self.bus_since) = (BusState::Down, self.state.now);
         let delay = self.state.jittered(exponential_backoff(
@@ -47,7 +47,7 @@
 
     pub fn bus_data(&mut self, now: Duration, transport: &mut dyn Transport, octets: &[u8]) {
         self.state.now = now;
-        (self.bus_since, self.bus_failures) = (now, 0);
+        (self.bus_state, self.bus_since, self.bus_failures) = (BusState::Served, now, 0);
         let mut events = Vec::new();
         let result = self.bus_decoder.decode(octets, |event| events.push(event));
         events.iter().for_each(|event| self.apply_event(transport, event));
@@ -56,7 +56,7 @@
                 "event bus: {error}; will resume from event {}",
                 self.bus_decoder.last_offset()
             ));
-            self.drop_bus(transport, "unreadable line or gap");
+            self.drop_bus(transport, BusLoss::Malformed);
         }
         self.report_ended_seizures(transport);
     }
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -88,6 +88,33 @@
     }
 }
 
+/// Why a connection to the event bus was lost or closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BusLoss {
+    /// It did not come up in time.
+    ConnectTimeout,
+    /// It came up, but nothing arrived on it in time.
+    NotServed,
+    /// It was served, and then nothing arrived for too long.
+    Silent,
+    /// It was refused, or the bus closed or reset it.
+    Disconnected,
+    /// A line could not be read, or events were missing.
+    Malformed,
+}
+
+impl BusLoss {
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::ConnectTimeout => "connect_timeout",
+            Self::NotServed => "not_served",
+            Self::Silent => "silent",
+            Self::Disconnected => "disconnected",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
 /// Why a caller's connection is closed here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallerClose {
@@ -119,4 +146,4 @@
     )*};
 }
 
-display_by_label!(LinkLoss, CallEnd, CallerClose);
+display_by_label!(LinkLoss, CallEnd, BusLoss, CallerClose);
