Platform: keep the place in the queue of a slow event bus

Cause: the time-out for the line of each second, 2.3 s, also ended the wait for the first line on a new connection. A bus that serves a connection after 3 s was never heard: each attempt began anew at the end of its queue. Evidence: bus_dropped/not_served, three times, 2.38 to 2.48 s after the connection came up. Ruled out: refusals, connect time-outs, unreadable lines.

Change: crates/platform/src/bus_connector.rs decides, without I/O. The connection that has waited longest is kept for up to 60 s; another is opened beside it after 2.3 s, and replaced after 2.3, 4.6, up to 20 s. The first on which something arrives is served, the other is closed. A bus silent after a line is left after 2.3 s as before. The transport names bus connections.

The existing tests keep their checks; calls to the core name the connection.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -8,7 +8,7 @@
 
 use mintstall_daemon::output_buffer::OutputBuffer;
 use mintstall_limits::{OutputMonitor, StalledPeer};
-use mintstall_platform::{CallerConnectionId, Disconnect, LinkId, Transport};
+use mintstall_platform::{BusConnectionId, CallerConnectionId, Disconnect, LinkId, Transport};
 use mio::net::TcpStream;
 use mio::{Interest, Poll, Token};
 use tracing::{debug, info, warn};
@@ -25,7 +25,7 @@
 /// What a connection is for.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Purpose {
-    Bus,
+    Bus(BusConnectionId),
     Link(LinkId),
     Caller(CallerConnectionId),
     /// A caller that has been sent its last message. Further input is discarded until the connection is closed.
@@ -36,7 +36,7 @@
     /// The kind of peer, as a metric label.
     const fn label(self) -> &'static str {
         match self {
-            Self::Bus => "bus",
+            Self::Bus(_) => "bus",
             Self::Link(_) => "link",
             Self::Caller(_) | Self::ClosingCaller => "caller",
         }
@@ -46,7 +46,8 @@
 impl fmt::Display for Purpose {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Self::Bus | Self::ClosingCaller => f.write_str(self.label()),
+            Self::ClosingCaller => f.write_str(self.label()),
+            Self::Bus(connection) => write!(f, "{} {}", self.label(), connection.0),
             Self::Link(link) => write!(f, "{} {}", self.label(), link.0),
             Self::Caller(caller) => write!(f, "{} {}", self.label(), caller.0),
         }
@@ -79,7 +80,7 @@
     pub poll: Poll,
     pub by_token: BTreeMap<Token, Connection>,
     links: BTreeMap<LinkId, Token>,
-    bus: Option<Token>,
+    bus: BTreeMap<BusConnectionId, Token>,
     pub caller_count: usize,
     /// Connections with output to write.
     pending_writes: Vec<Token>,
@@ -104,7 +105,7 @@
             poll,
             by_token: BTreeMap::new(),
             links: BTreeMap::new(),
-            bus: None,
+            bus: BTreeMap::new(),
             caller_count: 0,
             pending_writes: Vec::new(),
             pending_reads: Vec::new(),
@@ -180,7 +181,7 @@
         // Fails if the stream was never registered or is closed already. Neither needs to be handled.
         let _ = self.poll.registry().deregister(&mut connection.stream);
         match connection.purpose {
-            Purpose::Bus => self.bus = None,
+            Purpose::Bus(connection) => drop(self.bus.remove(&connection)),
             Purpose::Link(link) => drop(self.links.remove(&link)),
             Purpose::Caller(_) | Purpose::ClosingCaller => self.caller_count -= 1,
         }
@@ -249,7 +250,7 @@
         let Some(connection) = self.by_token.get(&token) else { return true };
         let (waiting, limit) = (connection.output.waiting(), connection.output.limit());
         match (connection.purpose, connection.phase) {
-            (_, Phase::WriteFailed(_)) | (Purpose::Bus | Purpose::ClosingCaller, _) => true,
+            (_, Phase::WriteFailed(_)) | (Purpose::Bus(_) | Purpose::ClosingCaller, _) => true,
             (Purpose::Link(_), _) => !self.output_monitor.is_scarce(),
             (Purpose::Caller(_), _) => waiting <= limit && (waiting == 0 || !self.output_monitor.is_scarce()),
         }
@@ -350,17 +351,18 @@
         }
     }
 
-    fn connect_bus(&mut self, to: SocketAddr) {
-        self.close_bus();
-        self.bus = self.connect(to, Purpose::Bus);
+    fn connect_bus(&mut self, connection: BusConnectionId, to: SocketAddr) {
+        if let Some(token) = self.connect(to, Purpose::Bus(connection)) {
+            self.bus.insert(connection, token);
+        }
     }
 
-    fn send_to_bus(&mut self, text: &str) {
-        self.push(self.bus, text.as_bytes());
+    fn send_to_bus(&mut self, connection: BusConnectionId, text: &str) {
+        self.push(self.bus.get(&connection).copied(), text.as_bytes());
     }
 
-    fn close_bus(&mut self) {
-        if let Some(token) = self.bus {
+    fn close_bus(&mut self, connection: BusConnectionId) {
+        if let Some(token) = self.bus.get(&connection).copied() {
             self.remove(token);
         }
     }
--- a/crates/node/src/connections/tests.rs
+++ b/crates/node/src/connections/tests.rs
@@ -32,7 +32,7 @@
         let token = self.connections.add(TcpStream::from_std(ours), purpose, Phase::Open).unwrap();
         match purpose {
             Purpose::Link(link) => drop(self.connections.links.insert(link, token)),
-            Purpose::Bus => self.connections.bus = Some(token),
+            Purpose::Bus(connection) => drop(self.connections.bus.insert(connection, token)),
             Purpose::Caller(_) | Purpose::ClosingCaller => self.connections.caller_count += 1,
         }
         (token, self.listener.accept().unwrap().0)
@@ -201,7 +201,7 @@
     let (silent, _silent_peer) = peers.open_caller();
     let (caller, _caller_peer) = peers.open_caller();
     let (link, _link_peer) = peers.open_link();
-    let (bus, _bus_peer) = peers.open(|_| Purpose::Bus);
+    let (bus, _bus_peer) = peers.open(|_| Purpose::Bus(BusConnectionId(1)));
     peers.fill(silent, MAX_OUTPUT_OCTETS / 2);
     let read: Vec<_> =
         [silent, caller, link, bus].iter().map(|token| peers.connections.may_read(*token)).collect();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -194,7 +194,9 @@
         while let Some((purpose, reason)) = self.connections.failed.pop() {
             let now = self.now();
             match purpose {
-                Purpose::Bus => self.core.bus_disconnected(now, &mut self.connections),
+                Purpose::Bus(connection) => {
+                    self.core.bus_disconnected(now, &mut self.connections, connection)
+                }
                 Purpose::Link(link) => self.core.link_disconnected(now, &mut self.connections, link, reason),
                 Purpose::Caller(caller) => self.core.caller_disconnected(now, &mut self.connections, caller),
                 Purpose::ClosingCaller => {}
@@ -305,7 +307,10 @@
                 let (purpose, now) = (connection.purpose, self.now());
                 match purpose {
                     Purpose::Link(link) => self.core.link_connected(now, &mut self.connections, link),
-                    _ => self.core.bus_connected(now, &mut self.connections),
+                    Purpose::Bus(connection) => {
+                        self.core.bus_connected(now, &mut self.connections, connection)
+                    }
+                    Purpose::Caller(_) | Purpose::ClosingCaller => {}
                 }
                 true
             }
@@ -329,7 +334,9 @@
                 Ok(count) => {
                     let (now, octets) = (self.started_unix + self.started.elapsed(), &self.buffer[..count]);
                     match purpose {
-                        Purpose::Bus => self.core.bus_data(now, &mut self.connections, octets),
+                        Purpose::Bus(connection) => {
+                            self.core.bus_data(now, &mut self.connections, connection, octets)
+                        }
                         Purpose::Link(link) => self.core.link_data(now, &mut self.connections, link, octets),
                         Purpose::Caller(caller) => {
                             self.core.caller_data(now, &mut self.connections, caller, octets)
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -19,9 +19,10 @@
 use mintstall_settings::Settings;
 
 use self::shutdown::Shutdown;
+use crate::bus_connector::{self, BusConnector};
 use crate::event_bus::EventDecoder;
-use crate::reasons::{BusLoss, CallerClose, LinkLoss};
-use crate::state::{AnswerState, Caller, EventContext, LinkState, PlatformState, Timer, exponential_backoff};
+use crate::reasons::{CallerClose, LinkLoss};
+use crate::state::{AnswerState, Caller, EventContext, LinkState, PlatformState, Timer};
 use crate::{Config, Transport};
 
 /// Interval at which connections and leases are checked for time-outs.
@@ -32,17 +33,6 @@
 const PROVEN_CALLER_PARTIAL_TIMEOUT: Duration = Duration::from_secs(6);
 /// A link is closed when a message on it has been incomplete for this long.
 const LINK_PARTIAL_TIMEOUT: Duration = Duration::from_millis(700);
-/// The bus sends something each second. Its connection is closed after this long without anything.
-const BUS_SILENCE_TIMEOUT: Duration = Duration::from_millis(2300);
-/// Time for a connection to the bus to come up. It doubles with each failure, up to the maximum, since a crowded bus
-/// accepts late. Links have this time too where the settings give none.
-const BUS_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const MAX_BUS_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// A lost connection to the bus is opened again after a random delay from the upper half of this span, which doubles
-/// with each failure up to the maximum: all controllers lose the bus at the same time. Events count as known 6 s after
-/// the bus can be reached, so the connect time-out and the delay together have to stay well below that.
-const BUS_RECONNECT_DELAY: Duration = Duration::from_millis(200);
-const MAX_BUS_RECONNECT_DELAY: Duration = Duration::from_millis(1000);
 /// Open set-ups on one connection; more are refused, so that a flood from one caller leaves room for others.
 const MAX_OPEN_SET_UPS: usize = 256;
 /// Octets of descriptions and headers in all open calls, so that a flood of long ones does not fill the memory.
@@ -56,27 +46,13 @@
     Lost,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum BusState {
-    Connecting,
-    /// It is up, and nothing has arrived on it yet.
-    Waiting,
-    Served,
-    /// Waits for its reconnect timer.
-    Down,
-}
-
 pub struct Core {
     controller: Controller,
     state: PlatformState,
     settings: Settings,
     bus_decoder: EventDecoder,
     bus_address: SocketAddr,
-    bus_state: BusState,
-    /// When the bus entered that state or last sent something.
-    bus_since: Duration,
-    /// Connections lost in a row on which nothing was received.
-    bus_failures: u32,
+    bus: BusConnector,
     /// Ids of the exchanges by their uid on the bus. Exchanges that are gone are removed.
     uids: BTreeMap<Box<str>, ExchangeId>,
     last_exchange: u32,
@@ -87,17 +63,18 @@
     /// Connects to the bus and to every exchange. `now` is the time since the Unix epoch.
     pub fn new(config: &Config, now: Duration, transport: &mut dyn Transport) -> Self {
         let settings = config.settings.clone();
-        let link_connect_timeout =
-            if settings.connect_timeout.is_zero() { BUS_CONNECT_TIMEOUT } else { settings.connect_timeout };
+        let link_connect_timeout = if settings.connect_timeout.is_zero() {
+            bus_connector::CONNECT_TIMEOUT
+        } else {
+            settings.connect_timeout
+        };
         let mut core = Self {
             controller: Controller::new(&settings.controller, config.seed),
             state: PlatformState::new(now, config.seed, config.sockets / 4, link_connect_timeout),
             settings,
             bus_decoder: EventDecoder::new(config.last_offset),
             bus_address: config.bus,
-            bus_state: BusState::Down,
-            bus_since: now,
-            bus_failures: 0,
+            bus: BusConnector::default(),
             uids: BTreeMap::new(),
             last_exchange: 0,
             shutdown: Shutdown::NotRequested,
@@ -161,8 +138,7 @@
             }
             Timer::ConnectForReleases(exchange) => self.state.connect_for_releases(transport, exchange),
             Timer::MaintainPool(exchange) => self.state.maintain_pool(transport, exchange),
-            Timer::ReconnectBus if self.bus_state == BusState::Down => self.connect_to_bus(transport),
-            Timer::ReconnectBus => {}
+            Timer::ReconnectBus => self.connect_to_bus(transport),
             Timer::Sweep => self.sweep(transport),
             Timer::ShutdownDeadline => {
                 let unanswered: Vec<_> = self.state.unanswered.values().copied().collect();
@@ -224,22 +200,7 @@
         }
         self.check_incarnations(transport);
         self.check_leases(transport);
-        let timeout = match self.bus_state {
-            BusState::Connecting => {
-                exponential_backoff(BUS_CONNECT_TIMEOUT, self.bus_failures, MAX_BUS_CONNECT_TIMEOUT)
-            }
-            _ => BUS_SILENCE_TIMEOUT,
-        };
-        if self.bus_state != BusState::Down && self.bus_since + timeout < now {
-            self.drop_bus(
-                transport,
-                match self.bus_state {
-                    BusState::Connecting => BusLoss::ConnectTimeout,
-                    BusState::Waiting => BusLoss::NotServed,
-                    _ => BusLoss::Silent,
-                },
-            );
-        }
+        self.check_bus(transport);
     }
 }
 
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -5,49 +5,72 @@
 use mintstall::interface::{ExchangeEntry, ExchangeId, ExchangeNumber, ExchangeStatus, Zone};
 use mintstall::liveness::Lease;
 
-use super::{BUS_RECONNECT_DELAY, BusState, Core, MAX_BUS_RECONNECT_DELAY};
+use super::Core;
 use crate::event_bus::{self, Event, Topology};
 use crate::reasons::{BusLoss, CallEnd, LinkLoss};
-use crate::state::{RemoteExchange, Timer, exponential_backoff};
-use crate::{Config, Transport};
+use crate::state::{RemoteExchange, Timer};
+use crate::{BusConnectionId, Config, Transport};
 
 impl Core {
+    /// Opens a connection to the event bus if one is needed.
     pub(super) fn connect_to_bus(&mut self, transport: &mut dyn Transport) {
-        (self.bus_state, self.bus_since) = (BusState::Connecting, self.state.now);
-        transport.connect_bus(self.bus_address);
+        if let Some(connection) = self.bus.next_connection(self.state.now) {
+            transport.connect_bus(connection, self.bus_address);
+        }
     }
 
-    pub fn bus_connected(&mut self, now: Duration, transport: &mut dyn Transport) {
+    pub fn bus_connected(
+        &mut self,
+        now: Duration,
+        transport: &mut dyn Transport,
+        connection: BusConnectionId,
+    ) {
         self.state.now = now;
-        (self.bus_state, self.bus_since) = (BusState::Waiting, now);
-        transport.send_to_bus(&self.bus_decoder.resume_request());
+        if self.bus.connected(now, connection) {
+            transport.send_to_bus(connection, &self.bus_decoder.resume_request());
+        }
     }
 
-    pub fn bus_disconnected(&mut self, now: Duration, transport: &mut dyn Transport) {
+    pub fn bus_disconnected(
+        &mut self,
+        now: Duration,
+        transport: &mut dyn Transport,
+        connection: BusConnectionId,
+    ) {
         self.state.now = now;
-        self.drop_bus(transport, BusLoss::Disconnected);
+        self.drop_bus(transport, connection, BusLoss::Disconnected);
     }
 
-    pub(super) fn drop_bus(&mut self, transport: &mut dyn Transport, reason: BusLoss) {
-        let elapsed = self.state.now.saturating_sub(self.bus_since);
+    /// Gives up overdue connections, and opens one beside a connection that is not served.
+    pub(super) fn check_bus(&mut self, transport: &mut dyn Transport) {
+        for (connection, reason) in self.bus.overdue(self.state.now) {
+            self.drop_bus(transport, connection, reason);
+        }
+        self.connect_to_bus(transport);
+    }
+
+    fn drop_bus(&mut self, transport: &mut dyn Transport, connection: BusConnectionId, reason: BusLoss) {
+        let jitter = self.state.jitter();
+        let Some((waited, delay)) = self.bus.lost(self.state.now, connection, jitter) else { return };
         transport.log_debug(format_args!(
-            "event bus connection closed: {reason}, {elapsed:?} after the last data or connection attempt"
+            "event bus connection {} closed: {reason}, {waited:?} after the last data or since it came up",
+            connection.0
         ));
         metrics::counter!("bus_dropped", "reason" => reason.label()).increment(1);
-        transport.close_bus();
-        (self.bus_state, self.bus_since) = (BusState::Down, self.state.now);
-        let delay = self.state.jittered(exponential_backoff(
-            BUS_RECONNECT_DELAY,
-            self.bus_failures,
-            MAX_BUS_RECONNECT_DELAY,
-        ));
-        self.bus_failures = self.bus_failures.saturating_add(1);
+        transport.close_bus(connection);
         self.state.set_timer(delay, Timer::ReconnectBus);
     }
 
-    pub fn bus_data(&mut self, now: Duration, transport: &mut dyn Transport, octets: &[u8]) {
+    pub fn bus_data(
+        &mut self,
+        now: Duration,
+        transport: &mut dyn Transport,
+        connection: BusConnectionId,
+        octets: &[u8],
+    ) {
         self.state.now = now;
-        (self.bus_state, self.bus_since, self.bus_failures) = (BusState::Served, now, 0);
+        let Some(others) = self.bus.received(now, connection) else { return };
+        others.into_iter().for_each(|other| transport.close_bus(other));
         let mut events = Vec::new();
         let result = self.bus_decoder.decode(octets, |event| events.push(event));
         events.iter().for_each(|event| self.apply_event(transport, event));
@@ -56,7 +79,7 @@
                 "event bus: {error}; will resume from event {}",
                 self.bus_decoder.last_offset()
             ));
-            self.drop_bus(transport, BusLoss::Malformed);
+            self.drop_bus(transport, connection, BusLoss::Malformed);
         }
         self.report_ended_seizures(transport);
     }
@@ -66,7 +89,8 @@
         self.state.now = now;
         if config.bus != self.bus_address {
             transport.log_info(&format!("event bus moved to {} from {}", config.bus, self.bus_address));
-            (self.bus_address, self.bus_failures) = (config.bus, 0);
+            self.bus_address = config.bus;
+            self.bus.reset().into_iter().for_each(|former| transport.close_bus(former));
             self.connect_to_bus(transport);
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,7 +13,8 @@
 //! [`Core`] is given the time and each event, and acts through [`Transport`]. All decisions about calls and routes are
 //! made by [`mintstall::Controller`], which gets the same events as from the simulator's adapter.
 
-pub mod config;
+pub mod bus_connector;
+mod config;
 mod core;
 pub mod event_bus;
 pub mod exchange_protocol;
@@ -35,6 +36,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
 
+/// One connection to the event bus, connecting or open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BusConnectionId(pub u64);
+
 /// The I/O that the core asks for, carried out in the order called.
 pub trait Transport {
     fn send_to_caller(&mut self, caller: CallerConnectionId, octets: &[u8]);
@@ -54,10 +59,11 @@
     fn shutdown_link_write(&mut self, link: LinkId);
     /// Closes a link, connecting or open. The core gets no more events of it.
     fn close_link(&mut self, link: LinkId);
-    /// Opens the connection to the event bus and closes a former one.
-    fn connect_bus(&mut self, to: SocketAddr);
-    fn send_to_bus(&mut self, text: &str);
-    fn close_bus(&mut self);
+    /// Opens a connection to the event bus. The core is told by [`Core::bus_connected`] or [`Core::bus_disconnected`].
+    fn connect_bus(&mut self, connection: BusConnectionId, to: SocketAddr);
+    fn send_to_bus(&mut self, connection: BusConnectionId, text: &str);
+    /// Closes a connection to the event bus. The core gets no more events of it.
+    fn close_bus(&mut self, connection: BusConnectionId);
     /// Writes a log line at level info, about a change of mode or state.
     fn log_info(&mut self, line: &str);
     /// Writes a log line at level debug, about a step of a call or a connection.
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -292,10 +292,15 @@
         self.timers.push(Reverse((self.now + after, order, timer)));
     }
 
-    /// A random duration from the upper half of a span, so that controllers that lose a connection at the same time
-    /// don't reconnect at the same time.
+    /// A random number from 0.5 to 1, so that controllers that lose a connection at the same time don't reconnect at the
+    /// same time.
+    pub fn jitter(&mut self) -> f64 {
+        0.5 + 0.5 * self.random.next_f64()
+    }
+
+    /// A random duration from the upper half of a span.
     pub fn jittered(&mut self, span: Duration) -> Duration {
-        span.mul_f64(0.5 + 0.5 * self.random.next_f64())
+        span.mul_f64(self.jitter())
     }
 
     // Callers.
@@ -313,9 +318,3 @@
         self.callers.insert(caller, new_caller);
     }
 }
-
-/// A delay that doubles with each failure, limited to `max`.
-pub fn exponential_backoff(initial: Duration, failures: u32, max: Duration) -> Duration {
-    const MAX_DOUBLINGS: u32 = 8;
-    max.min(initial * 2u32.pow(failures.min(MAX_DOUBLINGS)))
-}
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -8,8 +8,9 @@
 
 use super::{
     DRAIN_PERIOD, HALF_CLOSE_TIMEOUT, LINK_RECONNECT_DELAY, Link, LinkState, MAX_LINK_RECONNECT_DELAY,
-    MAX_LINKS, PlatformState, RemoteExchange, Timer, exponential_backoff,
+    MAX_LINKS, PlatformState, RemoteExchange, Timer,
 };
+use crate::bus_connector::exponential_backoff;
 use crate::exchange_protocol::{self, MessageType, WireCallId, parameter};
 use crate::reasons::LinkLoss;
 use crate::{LinkId, Transport};
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
-use mintstall_platform::{CallerConnectionId, Config, Core, LinkId, Transport};
+use mintstall_platform::{BusConnectionId, CallerConnectionId, Config, Core, LinkId, Transport};
 use mintstall_sip as sip;
 use serde_json::json;
 
@@ -77,6 +77,8 @@
     pub half_closed_links: Vec<LinkId>,
     pub addresses: BTreeMap<LinkId, SocketAddr>,
     pub bus_steps: Vec<String>,
+    /// The connections to the event bus that are not closed, oldest first.
+    pub bus_connections: Vec<BusConnectionId>,
     pub log_lines: Vec<String>,
     pub rules: RuleChecker,
     /// Whether nothing is read from callers and exchanges.
@@ -169,15 +171,17 @@
         self.closed_links.push(link);
     }
 
-    fn connect_bus(&mut self, to: SocketAddr) {
+    fn connect_bus(&mut self, connection: BusConnectionId, to: SocketAddr) {
+        self.bus_connections.push(connection);
         self.bus_steps.push(format!("connect {to}"));
     }
 
-    fn send_to_bus(&mut self, text: &str) {
+    fn send_to_bus(&mut self, _connection: BusConnectionId, text: &str) {
         self.bus_steps.push(text.to_string());
     }
 
-    fn close_bus(&mut self) {
+    fn close_bus(&mut self, connection: BusConnectionId) {
+        self.close_bus_connection(connection);
         self.bus_steps.push("close".into());
     }
 
@@ -188,6 +192,12 @@
     fn log_debug(&mut self, _step: Arguments) {}
 }
 
+impl RecordingTransport {
+    pub fn close_bus_connection(&mut self, connection: BusConnectionId) {
+        self.bus_connections.retain(|open| *open != connection);
+    }
+}
+
 pub struct Platform {
     pub core: Core,
     pub transport: RecordingTransport,
@@ -204,7 +214,7 @@
     /// The core with all links up, each of which has reported 10 free circuits.
     pub fn start() -> Self {
         let mut platform = Self::without_links(&config());
-        platform.core.bus_connected(START, &mut platform.transport);
+        platform.connect_bus();
         platform.connect_links();
         platform
     }
@@ -312,7 +322,18 @@
     }
 
     pub fn bus_line(&mut self, line: &str) {
-        self.core.bus_data(self.transport.now, &mut self.transport, line.as_bytes());
+        let connection = self.newest_bus_connection();
+        self.core.bus_data(self.transport.now, &mut self.transport, connection, line.as_bytes());
+    }
+
+    pub fn newest_bus_connection(&self) -> BusConnectionId {
+        *self.transport.bus_connections.last().expect("no connection to the event bus is open")
+    }
+
+    /// The bus accepts the newest connection.
+    pub fn connect_bus(&mut self) {
+        let connection = self.newest_bus_connection();
+        self.core.bus_connected(self.transport.now, &mut self.transport, connection);
     }
 }
 
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -354,7 +354,7 @@
     platform.bus_event(2, false, &[target("two", 2, "terminating", 0)]);
     platform.bus_line("{\"offset\":3,\"topo\n");
     platform.advance(ms(300));
-    platform.core.bus_connected(platform.transport.now, &mut platform.transport);
+    platform.connect_bus();
     assert_eq!(platform.transport.bus_steps.last().unwrap(), "from 2\n");
     for _ in 0..5 {
         platform.advance(ms(1000));
@@ -380,7 +380,7 @@
     let moved = config_with(|config| config["bus"] = json!("127.0.0.1:4999")).unwrap();
     platform.core.reconfigure(platform.transport.now, &mut platform.transport, &moved);
     assert_eq!(platform.transport.bus_steps.last().unwrap(), "connect 127.0.0.1:4999");
-    platform.core.bus_connected(platform.transport.now, &mut platform.transport);
+    platform.connect_bus();
     assert_eq!(platform.transport.bus_steps.last().unwrap(), "from 2\n");
 }
 
@@ -541,7 +541,8 @@
 #[test]
 fn an_unreachable_bus_is_reconnected_with_jitter_and_growing_timeouts() {
     let mut platform = Platform::start();
-    platform.core.bus_disconnected(platform.transport.now, &mut platform.transport);
+    let connection = platform.newest_bus_connection();
+    platform.core.bus_disconnected(platform.transport.now, &mut platform.transport, connection);
     let connection_attempts = |platform: &mut Platform, span: u64| {
         platform.transport.bus_steps.clear();
         platform.advance(ms(span));
@@ -554,7 +555,7 @@
         (4..=6).contains(&later),
         "{later} in the next 12 s: each lasts at most 2 s, and each delay at most 1 s"
     );
-    platform.core.bus_connected(platform.transport.now, &mut platform.transport);
+    platform.connect_bus();
     assert_eq!(platform.transport.bus_steps.last().unwrap(), "from 1\n");
 }
 
