Clients: give a slow opening handshake more time at each attempt

A server that takes longer from the connection to the handshake, as one that serves a crowd in turn, was never reached.

Change: the time doubles with each handshake that was not completed in time, up to 60 s, and starts anew once one is.

--- a/clients/typescript/src/client.ts
+++ b/clients/typescript/src/client.ts
@@ -13,6 +13,9 @@
   type Welcome,
 } from "./messages.js";
 
+/** The longest time for an attempt to connect, in milliseconds, unless `openWithin` is longer. */
+const maxOpenWithin = 60_000;
+
 export interface ClientOptions {
   /** `ws://host:port/calls`. */
   url: string;
@@ -23,7 +26,10 @@
   comeBack?: ComeBackPlan;
   /** By default the one of the platform. Node before 22 has none without a flag. */
   WebSocket?: new (url: string, protocols: string) => WebSocket;
-  /** Milliseconds that the handshake and the hello may take together. */
+  /**
+   * Milliseconds that the handshake and the hello may take together. The time doubles, up to a minute, with each attempt
+   * that was not completed in it.
+   */
   openWithin?: number;
 }
 
@@ -106,6 +112,9 @@
   /** For the next connection attempt, or for the handshake and the hello. */
   #timer: ReturnType<typeof setTimeout> | undefined;
 
+  /** Attempts in a row that were not completed in time. */
+  #lateOpenings = 0;
+
   /** Connects at once. */
   constructor(options: ClientOptions) {
     this.#options = options;
@@ -243,8 +252,14 @@
     if (!Socket) throw new Error("this platform has no WebSocket: pass one in the options");
     const socket = new Socket(this.#options.url, subprotocol);
     this.#socket = socket;
-    const onTimeout = () => this.#onConnectionLost(socket, "the server has not opened in time");
-    this.#timer = setTimeout(onTimeout, this.#options.openWithin ?? 10_000);
+    const onTimeout = () => {
+      this.#lateOpenings++;
+      this.#onConnectionLost(socket, "the server has not opened in time");
+    };
+    // A crowded server serves connections in turn, and would never be reached by attempts that are all too short.
+    const openWithin = this.#options.openWithin ?? 10_000;
+    const longest = Math.max(openWithin, maxOpenWithin);
+    this.#timer = setTimeout(onTimeout, Math.min(openWithin * 2 ** this.#lateOpenings, longest));
     socket.onopen = () => this.#sendHello();
     socket.onmessage = ({ data }) => {
       if (this.#socket === socket) this.#onText(String(data));
@@ -307,6 +322,7 @@
   #onWelcome(welcome: Welcome): void {
     clearTimeout(this.#timer);
     this.#state = "open";
+    this.#lateOpenings = 0;
     this.#backoff.opened(Date.now());
     const takenUp = this.#sessionKey !== undefined && welcome.session === this.#sessionKey;
     this.#sessionKey = welcome.session ?? undefined;
--- a/clients/typescript/test/client.test.mjs
+++ b/clients/typescript/test/client.test.mjs
@@ -174,3 +174,35 @@
   redial.firstOffer();
   assert.equal(redial.again(5000, 1), 125);
 });
+
+// Guards against: attempts that are all given up after the same time, so that a server that serves later is never reached.
+test("a server that opens late is given more time each time", async () => {
+  const openedAfter = 250;
+  let attempts = 0;
+  class LateSocket {
+    readyState = 0;
+    constructor() {
+      attempts++;
+      setTimeout(() => this.#open(), openedAfter);
+    }
+    #open() {
+      if (this.readyState === 3) return;
+      this.readyState = 1;
+      this.onopen?.();
+    }
+    send(text) {
+      const { id } = JSON.parse(text);
+      const result = { exchange: 1, limits: { kept_ms: 0 } };
+      this.onmessage?.({ data: JSON.stringify({ jsonrpc: "2.0", id, result }) });
+    }
+    close() {
+      this.readyState = 3;
+    }
+  }
+  const comeBack = { first: 1, last: 10, steady: 1000 };
+  const client = new Client({ url: "ws://late/calls", name: "late", WebSocket: LateSocket, openWithin: 50, comeBack });
+  const opened = await Promise.race([client.opened().then(() => true), sleep(3000).then(() => false)]);
+  client.close();
+  assert.ok(opened, `not opened in ${attempts} attempts`);
+  assert.ok(attempts <= 4, `${attempts} attempts`);
+});
--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -11,7 +11,7 @@
 };
 use mintstall_limits::{
     CallNumberInUse, CallTable, ConnectionMonitor, ConnectionTimeouts, MonitorAction, ReconciledCalls,
-    ReconnectBackoff, ReconnectPolicy, ServerCallState,
+    ReconnectBackoff, ReconnectPolicy, ServerCallState, TimeoutCause,
 };
 use mintstall_websocket::{
     ClientHandshake, ClientHandshakeState, WebSocketConnection, WebSocketEvent, close,
@@ -19,6 +19,9 @@
 use serde_json::{Value, json};
 use thiserror::Error;
 
+const MAX_HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_HANDSHAKE_DOUBLINGS: u32 = 8;
+
 /// Settings of a session.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SessionConfig {
@@ -133,6 +136,8 @@
     backoff: ReconnectBackoff,
     calls: CallTable<Offer>,
     monitor: ConnectionMonitor<()>,
+    /// Opening handshakes in a row that were not completed in time.
+    late_handshakes: u32,
     /// The key that resumes the session at the server.
     session_key: Option<String>,
     /// How long the server keeps the session after a disconnection.
@@ -170,6 +175,7 @@
             backoff: ReconnectBackoff::new(config.reconnect, seed),
             calls: CallTable::new(config.max_calls, config.grace),
             monitor: ConnectionMonitor::new(ConnectionTimeouts { max_handshakes: 1, ..config.timeouts }),
+            late_handshakes: 0,
             config,
             session_key: None,
             session_kept: Duration::ZERO,
@@ -204,12 +210,20 @@
                 self.output.extend_from_slice(&request);
                 self.connection = ConnectionState::Handshake(handshake);
                 // Can't fail: no other connection is in the handshake.
-                let _ = self.monitor.add(now, ());
+                let _ = self.monitor.add_with_timeout(now, (), self.handshake_timeout());
             }
             Err(why) => self.on_connection_lost(now, &why.to_string()),
         }
     }
 
+    /// The time for the opening handshake. It doubles with each handshake that was not completed in time: a crowded server
+    /// serves connections in turn, and would never be reached by attempts that are all too short.
+    fn handshake_timeout(&self) -> Duration {
+        let initial = self.config.timeouts.handshake_timeout;
+        let doublings = self.late_handshakes.min(MAX_HANDSHAKE_DOUBLINGS);
+        initial.saturating_mul(1 << doublings).min(MAX_HANDSHAKE_TIMEOUT.max(initial))
+    }
+
     /// The octets to send. The owner takes them out.
     pub fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
@@ -273,6 +287,9 @@
                     }
                 }
                 MonitorAction::Drop((), cause) => {
+                    if cause == TimeoutCause::Handshake {
+                        self.late_handshakes = self.late_handshakes.saturating_add(1);
+                    }
                     self.on_connection_lost(now, &format!("the server {cause}"))
                 }
             }
@@ -318,6 +335,7 @@
                 ClientHandshakeState::Open(mut websocket) => {
                     websocket.on_octets(&[], &mut |event| received.push(event));
                     self.monitor.on_open(now, ());
+                    self.late_handshakes = 0;
                     self.connection = ConnectionState::HelloSent(websocket);
                     self.send_hello();
                 }
--- a/crates/limits/src/connection_monitor.rs
+++ b/crates/limits/src/connection_monitor.rs
@@ -105,11 +105,21 @@
 
     /// Starts the timeout of the opening handshake of a new connection.
     pub fn add(&mut self, now: Duration, key: K) -> Result<(), TooManyHandshakes> {
+        self.add_with_timeout(now, key, self.timeouts.handshake_timeout)
+    }
+
+    /// As [`ConnectionMonitor::add`], with another timeout than the configured one.
+    pub fn add_with_timeout(
+        &mut self,
+        now: Duration,
+        key: K,
+        handshake_timeout: Duration,
+    ) -> Result<(), TooManyHandshakes> {
         if self.handshakes >= self.timeouts.max_handshakes {
             return Err(TooManyHandshakes(self.handshakes));
         }
         self.remove(key);
-        self.set(key, State::Opening, now + self.timeouts.handshake_timeout);
+        self.set(key, State::Opening, now + handshake_timeout);
         Ok(())
     }
 
