Platform: judge calls named after a restart by heartbeat and first report

Callers saw: calls that they named after a restart were cut 242 ms later, though they stood at a healthy exchange that had had nothing to tell for 7.2 s; and calls that were over, as their exchange had started anew while the controller was down, were never released.

Cause: the lease counted silence from before any call stood; a named call counted as answered when it was named, after the new start and the first report that would have ended it.

Change: a heartbeat before each verdict: at once where the first call stands after a silence, and at least 1 s before an exchange is given up, also if this process had been stopped. Named calls count as answered before the start.

--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mintstall::interface::{CallId, CallOffer, Cause, SeizureEnded, SeizureNumber};
+use mintstall::interface::{CallId, CallOffer, Cause, ExchangeId, SeizureEnded, SeizureNumber};
 use mintstall_sip::{self as sip, Message, StartLine};
 
 use super::shutdown::Shutdown;
@@ -254,28 +254,48 @@
                 .log_debug(format_args!("{id} ended: its exchange released it before its caller named it"));
             return self.state.notify_release(transport, Some(connection), id, cause, now);
         }
-        match self.uids.get(exchange_uid) {
-            Some(exchange) => {
-                let call = CallId(self.state.next_number());
-                let (seizure, exchange) = (SeizureNumber(0), *exchange);
-                let standing = StandingCall {
-                    call,
-                    seizure,
-                    exchange,
-                    caller: connection,
-                    seized_at: now,
-                    answered_at: now,
-                };
-                self.state.standing.insert(id, standing);
-            }
-            // The exchange is no longer listed, so the call has ended with it.
-            None => {
-                let reason = CallEnd::ExchangeUnknown;
-                transport.log_debug(format_args!("{id} ended: {reason} ({exchange_uid})"));
-                reason.count(1);
-                self.state.notify_release(transport, Some(connection), id, TEMPORARY_FAILURE, now);
-            }
+        // The call stood before this process started. If its exchange is no longer listed, or has started since, the call
+        // has ended with it.
+        let exchange = self.uids.get(exchange_uid).copied();
+        let remote = exchange.and_then(|exchange| self.state.exchanges.get(&exchange));
+        let reason = match (exchange, remote) {
+            (None, _) => CallEnd::ExchangeUnknown,
+            (_, Some(remote)) if remote.started > self.state.started_at => CallEnd::ExchangeRestarted,
+            (Some(exchange), _) => return self.add_named_call(transport, connection, id, exchange),
+        };
+        transport.log_debug(format_args!("{id} ended: {reason} ({exchange_uid})"));
+        reason.count(1);
+        self.state.notify_release(transport, Some(connection), id, TEMPORARY_FAILURE, now);
+    }
+
+    /// Adds a standing call that its caller has named.
+    fn add_named_call(
+        &mut self,
+        transport: &mut dyn Transport,
+        connection: CallerConnectionId,
+        id: WireCallId,
+        exchange: ExchangeId,
+    ) {
+        let now = self.state.now;
+        let is_first = self.state.standing.values().all(|call| call.exchange != exchange);
+        if is_first && let Some(remote) = self.state.exchanges.get_mut(&exchange) {
+            transport.log_debug(format_args!(
+                "{id} named at exchange {}, quiet for {:?}",
+                exchange.0,
+                now.saturating_sub(remote.lease.last_heard())
+            ));
+            remote.lease.resume(now);
         }
+        let standing = StandingCall {
+            call: CallId(self.state.next_number()),
+            seizure: SeizureNumber(0),
+            exchange,
+            caller: connection,
+            seized_at: now,
+            // Before any link of this process was opened.
+            answered_at: self.state.started_at.saturating_sub(Duration::from_nanos(1)),
+        };
+        self.state.standing.insert(id, standing);
     }
 
     pub(super) fn handle_cancel(
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -131,6 +131,7 @@
     pub exchange: ExchangeId,
     pub caller: CallerConnectionId,
     pub seized_at: Duration,
+    /// For a call that its caller named, a time before the start of this process.
     pub answered_at: Duration,
 }
 
@@ -231,6 +232,8 @@
 
 pub struct PlatformState {
     pub now: Duration,
+    /// When this process started.
+    pub started_at: Duration,
     pub calls: BTreeMap<CallId, Call>,
     /// Calls without a final answer.
     pub unanswered: BTreeMap<WireCallId, CallId>,
@@ -261,6 +264,7 @@
     pub fn new(now: Duration, seed: u64, max_links: usize, connect_timeout: Duration) -> Self {
         Self {
             now,
+            started_at: now,
             calls: BTreeMap::new(),
             unanswered: BTreeMap::new(),
             standing: BTreeMap::new(),
--- a/src/liveness.rs
+++ b/src/liveness.rs
@@ -28,6 +28,9 @@
 /// If a heartbeat is not answered for this time, the connection or the exchange has failed.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// An exchange is not given up before it has had this time to answer a heartbeat.
+const MIN_HEARTBEAT_WAIT: Duration = Duration::from_secs(1);
+
 /// An exchange sends its first message as soon as it is connected. If that takes longer than this, the exchange hung or
 /// was cut off while this process started, and has sent its messages to the former process.
 const MAX_FIRST_MESSAGE_DELAY: Duration = Duration::from_millis(250);
@@ -73,21 +76,31 @@
     contact: Contact,
     last_heard: Duration,
     heartbeat_sent: Option<Duration>,
+    /// When the first heartbeat since the last message was sent.
+    suspected_since: Option<Duration>,
 }
 
 impl Lease {
     pub fn new(now: Duration) -> Self {
-        Self { contact: Contact::Awaited, last_heard: now, heartbeat_sent: None }
+        Self { contact: Contact::Awaited, last_heard: now, heartbeat_sent: None, suspected_since: None }
     }
 
     /// A message has come from the exchange.
     pub fn renew(&mut self, now: Duration) -> Renewal {
         let late = self.contact == Contact::Awaited && now >= self.last_heard + MAX_FIRST_MESSAGE_DELAY;
         let suspected = late || self.is_suspected();
-        *self = Self { contact: Contact::Made, last_heard: now, heartbeat_sent: None };
+        *self = Self { contact: Contact::Made, last_heard: now, heartbeat_sent: None, suspected_since: None };
         if suspected { Renewal::AfterSuspicion } else { Renewal::Usual }
     }
 
+    /// The first call stands at the exchange again. While none did, its silence meant nothing: a heartbeat is due at once,
+    /// and the rest of the lease is for the answer.
+    pub fn resume(&mut self, now: Duration) {
+        if self.contact == Contact::Made {
+            self.last_heard = self.last_heard.max(now.saturating_sub(HEARTBEAT_AFTER));
+        }
+    }
+
     /// Whether a message has come since the exchange was listed.
     pub fn is_contact_made(&self) -> bool {
         self.contact == Contact::Made
@@ -110,12 +123,14 @@
             (Contact::Made, ProcessPhase::Running) => LEASE,
             (Contact::Made, ProcessPhase::Terminating) => HANDOVER_LEASE,
         };
-        if quiet >= duration {
+        // No verdict without a heartbeat: this process may have been stopped while the exchange was quiet.
+        let was_asked = self.suspected_since.is_some_and(|since| now >= since + MIN_HEARTBEAT_WAIT);
+        if quiet >= duration && (was_asked || self.contact == Contact::Awaited) {
             return LeaseAction::Expired;
         }
         match self.heartbeat_sent {
             None if quiet >= HEARTBEAT_AFTER => {
-                self.heartbeat_sent = Some(now);
+                (self.heartbeat_sent, self.suspected_since) = (Some(now), Some(now));
                 LeaseAction::SendHeartbeat
             }
             Some(sent) if now >= sent + HEARTBEAT_TIMEOUT => {
