Platform: refuse a set-up that comes again within its release wait

Callers and exchanges saw: a set-up that came again under its id 3 ms after its first caller's connection was reset went out at once: set-up, release and the same set-up within 8 ms (rule 5; wait 200 ms). Where set-ups can't be cancelled, two seizures of the call were out at once (rule 2).

Cause: the release wait was kept with the call, and the call was forgotten with its caller.

Change: the ids of such seizures are kept until their wait is over; a set-up under one is refused with 503 and the time left in P-Back-Off.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -70,7 +70,13 @@
         };
         let mut core = Self {
             controller: Controller::new(&settings.controller, config.seed),
-            state: PlatformState::new(now, config.seed, config.sockets / 4, link_connect_timeout),
+            state: PlatformState::new(
+                now,
+                config.seed,
+                config.sockets / 4,
+                link_connect_timeout,
+                settings.controller.release_wait,
+            ),
             settings,
             bus_decoder: EventDecoder::new(config.last_offset),
             bus_address: config.bus,
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -179,6 +179,10 @@
                     metrics::counter!("set_ups_refused", "reason" => "shutdown").increment(1);
                     return reply(transport, connection, message, 503, "this controller shuts down");
                 }
+                if let Some(wait) = self.state.release_waits.remaining(self.state.now, set_up.id) {
+                    metrics::counter!("set_ups_refused", "reason" => "release_wait").increment(1);
+                    return refuse_for(transport, connection, message, wait);
+                }
                 let caller = self.state.callers.get(&connection);
                 let full = caller.is_none_or(|caller| caller.open_calls.len() >= MAX_OPEN_SET_UPS)
                     || self.state.standing.len() >= MAX_STANDING_CALLS
@@ -350,6 +354,18 @@
     }
 }
 
+/// Refuses a set-up whose id is not free yet, and tells the caller how long to wait.
+fn refuse_for(
+    transport: &mut dyn Transport,
+    connection: CallerConnectionId,
+    message: &Message,
+    wait: Duration,
+) {
+    let wait_ms = wait.as_millis().max(1).to_string();
+    let headers = [("Warning", "the call is still being released"), ("P-Back-Off", &*wait_ms)];
+    reply_with(transport, connection, message, 503, &headers);
+}
+
 /// Answers a request that opens no call.
 fn reply(
     transport: &mut dyn Transport,
@@ -357,12 +373,22 @@
     message: &Message,
     status: u16,
     warning: &str,
+) {
+    let headers = [("Warning", warning)];
+    let headers = if warning.is_empty() { &headers[..0] } else { &headers[..] };
+    reply_with(transport, connection, message, status, headers);
+}
+
+fn reply_with(
+    transport: &mut dyn Transport,
+    connection: CallerConnectionId,
+    message: &Message,
+    status: u16,
+    extra_headers: &[(&str, &str)],
 ) {
     let names = ["Via", "Call-ID", "CSeq"];
     let mut headers: Vec<_> = names.iter().filter_map(|name| Some((*name, message.header(name)?))).collect();
-    if !warning.is_empty() {
-        headers.push(("Warning", warning));
-    }
+    headers.extend_from_slice(extra_headers);
     let mut octets = Vec::new();
     sip::encode_response(&mut octets, status, &headers, b"");
     transport.send_to_caller(connection, &octets);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -2,11 +2,12 @@
 //! that the controller asks for.
 //!
 //! `calls` holds the calls without a final answer, `links` the pools of connections to exchanges, `releases` the
-//! releases of standing calls, and `actions` the [`mintstall::interface::ControllerActions`] of this platform.
+//! releases of standing calls, `release_waits` the ids that must wait, and `actions` the [`mintstall::interface::ControllerActions`] of this platform.
 
 mod actions;
 mod calls;
 mod links;
+mod release_waits;
 mod releases;
 
 use std::cmp::Reverse;
@@ -26,6 +27,7 @@
 use crate::{CallerConnectionId, LinkId};
 
 pub use self::actions::EventContext;
+use self::release_waits::ReleaseWaits;
 
 /// Q.850 cause: normal call clearing.
 pub const NORMAL_CLEARING: u8 = 16;
@@ -248,6 +250,8 @@
     pending_releases: VecDeque<(Duration, WireCallId, u8)>,
     /// Releases by exchanges of calls that are not known here, oldest first.
     unmatched_releases: VecDeque<(Duration, WireCallId, u8)>,
+    /// Ids under which no set-up may be sent yet.
+    pub release_waits: ReleaseWaits,
     /// Octets of all descriptions and Via headers in `calls`.
     pub held_octets: usize,
     pub links_per_exchange: usize,
@@ -261,7 +265,13 @@
 }
 
 impl PlatformState {
-    pub fn new(now: Duration, seed: u64, max_links: usize, connect_timeout: Duration) -> Self {
+    pub fn new(
+        now: Duration,
+        seed: u64,
+        max_links: usize,
+        connect_timeout: Duration,
+        release_wait: Duration,
+    ) -> Self {
         Self {
             now,
             started_at: now,
@@ -275,6 +285,7 @@
             ended_seizures: VecDeque::new(),
             pending_releases: VecDeque::new(),
             unmatched_releases: VecDeque::new(),
+            release_waits: ReleaseWaits::new(release_wait),
             held_octets: 0,
             links_per_exchange: 1,
             links_closed: false,
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -41,8 +41,9 @@
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.open_calls.remove(&id);
         }
-        if call.open_seizure.is_none() {
-            self.remove_call(id);
+        match call.open_seizure {
+            None => self.remove_call(id),
+            Some(_) => self.release_waits.seizure_is_out(call.id),
         }
         transport.send_to_caller(caller, &octets);
         metrics::counter!("final_answers", "status" => status.to_string()).increment(1);
@@ -58,8 +59,9 @@
                 caller.open_calls.remove(&id);
             }
         }
-        if call.open_seizure.is_none() {
-            self.remove_call(id);
+        match call.open_seizure {
+            None => self.remove_call(id),
+            Some(_) => self.release_waits.seizure_is_out(call.id),
         }
     }
 
@@ -126,6 +128,8 @@
         {
             remote.queued_set_ups.retain(|queued| *queued != id);
         }
+        let released = matches!(cause, Cause::TimedOut | Cause::Cut | Cause::Cancelled);
+        self.release_waits.seizure_ended(self.now, call.id, released && seizure.link.is_some());
         let elapsed = self.now.saturating_sub(seizure.seized_at);
         metrics::counter!("attempts_ended", "cause" => cause_label(cause)).increment(1);
         self.ended_seizures.push_back(SeizureEnded {
