Platform: pass on answers that fill a SIP message, release those that can't fit

Callers saw (by reading, shown in a test): an answer of an exchange near 16 KiB, or a shorter one to a set-up with a long Via, became a SIP message of more than 16 KiB, which its caller cannot read.

Cause: the description was checked against the length of a message of an exchange only; the headers of the answer come on top.

Change: Via and Content-Type, which the protocol leaves free, are left out of such an answer.

--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -165,6 +165,15 @@
         transport.log_debug(format_args!("{} answered by exchange {}", message.call, exchange.0));
         let now = self.state.now;
         let Some(call) = self.state.calls.get_mut(&id) else { return };
+        if !call.can_be_answered_with(description) {
+            transport.log_info(&format!(
+                "{}: the answer of exchange {} is too long to be passed on: a description of {} octets",
+                message.call,
+                exchange.0,
+                description.len()
+            ));
+            return self.state.give_up_seizure(transport, id, Cause::Cut);
+        }
         let Some(seizure) = call.open_seizure.take() else { return };
         let (caller, answer_state) = (call.caller, call.answer_state);
         if answer_state == AnswerState::Settled {
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -8,6 +8,9 @@
 use crate::exchange_protocol::{self, MessageType, parameter};
 use crate::{LinkId, Transport};
 
+/// More than the start line and the required headers of any final answer.
+const MAX_REQUIRED_OCTETS: usize = 256;
+
 impl PlatformState {
     pub fn add_call(&mut self, id: CallId, call: Call) {
         self.held_octets += call.octets();
@@ -32,11 +35,8 @@
             return;
         };
         call.answer_state = AnswerState::Settled;
-        let (cseq, wire_id) = (format!("{} INVITE", call.cseq), call.id.to_string());
-        let mut headers = vec![("Via", &*call.via), ("Call-ID", &wire_id), ("CSeq", &cseq)];
-        headers.extend_from_slice(extra_headers);
-        let (mut octets, caller) = (Vec::new(), call.caller);
-        sip::encode_response(&mut octets, status, &headers, body);
+        let (octets, caller, wire_id) =
+            (encode_answer(call, status, extra_headers, body), call.caller, call.id);
         self.unanswered.remove(&call.id);
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.open_calls.remove(&id);
@@ -177,6 +177,30 @@
     }
 }
 
+/// A final answer. Headers that the protocol leaves free are left out if the message would be too long with them.
+fn encode_answer(call: &Call, status: u16, extra_headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let (cseq, id) = (format!("{} INVITE", call.cseq), call.id.to_string());
+    let required = [("Call-ID", &*id), ("CSeq", &*cseq)];
+    let mut headers = vec![("Via", &*call.via)];
+    headers.extend_from_slice(&required);
+    headers.extend_from_slice(extra_headers);
+    let mut octets = Vec::new();
+    sip::encode_response(&mut octets, status, &headers, body);
+    if octets.len() > sip::MAX_MESSAGE_OCTETS {
+        octets.clear();
+        sip::encode_response(&mut octets, status, &required, body);
+    }
+    octets
+}
+
+impl Call {
+    /// Whether an answer with this description can be passed on to the caller.
+    pub fn can_be_answered_with(&self, description: &[u8]) -> bool {
+        description.len() + MAX_REQUIRED_OCTETS <= sip::MAX_MESSAGE_OCTETS
+            || encode_answer(self, 200, &[], description).len() <= sip::MAX_MESSAGE_OCTETS
+    }
+}
+
 /// The metric label of the cause of an ended seizure.
 const fn cause_label(cause: Cause) -> &'static str {
     match cause {
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -70,6 +70,8 @@
 pub struct RecordingTransport {
     pub now: Duration,
     pub caller_messages: Vec<(CallerConnectionId, String, Vec<u8>)>,
+    /// Lengths of the messages to callers.
+    pub caller_octets: Vec<usize>,
     pub closed_callers: Vec<CallerConnectionId>,
     pub connecting: Vec<(LinkId, SocketAddr)>,
     pub link_messages: Vec<(LinkId, MessageType, WireCallId, Option<u8>)>,
@@ -88,6 +90,7 @@
 impl Transport for RecordingTransport {
     fn send_to_caller(&mut self, caller: CallerConnectionId, octets: &[u8]) {
         assert!(!self.closed_callers.contains(&caller), "sent on a closed connection");
+        self.caller_octets.push(octets.len());
         let mut decoder = sip::Decoder::default();
         decoder.push(octets);
         while let Some(message) = decoder.next_message().unwrap() {
