Platform: repeat releases to exchanges that are cut off for longer than 10 s

Change: a release that is not confirmed is repeated within 60 s, on up to three new links that come up at least 1 s apart (four come up together). An exchange need not confirm, so the number is limited.

--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -39,8 +39,12 @@
 /// A release of a call that is not known here is kept this long, until the caller names the call: exchanges repeat
 /// releases as soon as a connection is up, callers connect only once the process passes a test.
 const UNMATCHED_RELEASE_TTL: Duration = Duration::from_secs(30);
-/// A release towards an exchange is repeated on the next connection within this time.
-const RELEASE_REPEAT_WINDOW: Duration = Duration::from_secs(10);
+/// A release towards an exchange is repeated on new connections within this time: longer than a region is cut off.
+const RELEASE_REPEAT_WINDOW: Duration = Duration::from_secs(60);
+/// A repeated release is not repeated again on the other links that come up at the same time.
+const RELEASE_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// How often a release is repeated. An exchange need not confirm releases.
+const MAX_RELEASE_REPEATS: u32 = 3;
 /// A release that was written to a caller is sent again if its connection closes within this time.
 const RELEASE_CONFIRM_WINDOW: Duration = Duration::from_secs(2);
 /// Far more standing calls than the circuits of all groups carry.
@@ -193,6 +197,15 @@
     pub last_report: Option<CapacityReport>,
 }
 
+/// A release that an exchange has not confirmed.
+#[derive(Clone, Copy, Debug)]
+pub struct UnconfirmedRelease {
+    pub id: WireCallId,
+    pub since: Duration,
+    pub repeated_at: Option<Duration>,
+    pub repeats: u32,
+}
+
 impl Link {
     /// Whether something had been received on it when another link was opened.
     pub fn is_older(&self, opened_at: Duration) -> bool {
@@ -215,8 +228,8 @@
     pub next_connect: Duration,
     /// Set-ups that wait for a link.
     pub queued_set_ups: VecDeque<CallId>,
-    /// Releases that wait for a link or that the exchange has not confirmed, with the time of each.
-    pub unconfirmed_releases: VecDeque<(Duration, WireCallId)>,
+    /// Releases that wait for a link or that the exchange has not confirmed, oldest first.
+    pub unconfirmed_releases: VecDeque<UnconfirmedRelease>,
     /// How long the exchange is assumed to hold its standing calls.
     pub lease: Lease,
     /// The first report on the newest link. Standing calls are checked against it.
--- a/crates/platform/src/state/releases.rs
+++ b/crates/platform/src/state/releases.rs
@@ -7,8 +7,9 @@
 use mintstall_sip as sip;
 
 use super::{
-    MAX_PENDING_RELEASES, NORMAL_CLEARING, PENDING_RELEASE_TTL, PlatformState, RELEASE_CONFIRM_WINDOW,
-    RELEASE_REPEAT_WINDOW, StandingCall, UNMATCHED_RELEASE_TTL,
+    MAX_PENDING_RELEASES, MAX_RELEASE_REPEATS, NORMAL_CLEARING, PENDING_RELEASE_TTL, PlatformState,
+    RELEASE_CONFIRM_WINDOW, RELEASE_REPEAT_INTERVAL, RELEASE_REPEAT_WINDOW, StandingCall,
+    UNMATCHED_RELEASE_TTL, UnconfirmedRelease,
 };
 use crate::exchange_protocol::{self, MessageType, WireCallId, parameter};
 use crate::{CallerConnectionId, LinkId, Transport};
@@ -104,28 +105,40 @@
         }
         let now = self.now;
         let Some(remote) = self.exchanges.get_mut(&to) else { return };
-        let expired = |(at, _): &mut (Duration, WireCallId)| *at + RELEASE_REPEAT_WINDOW < now;
+        let expired = |release: &mut UnconfirmedRelease| release.since + RELEASE_REPEAT_WINDOW < now;
         while remote.unconfirmed_releases.pop_front_if(expired).is_some() {}
         if remote.unconfirmed_releases.len() == MAX_PENDING_RELEASES {
             remote.unconfirmed_releases.pop_front();
         }
-        remote.unconfirmed_releases.push_back((now, id));
+        remote.unconfirmed_releases.push_back(UnconfirmedRelease {
+            id,
+            since: now,
+            repeated_at: None,
+            repeats: 0,
+        });
     }
 
     pub fn exchange_confirmed_release(&mut self, by: ExchangeId, id: WireCallId) {
         if let Some(remote) = self.exchanges.get_mut(&by) {
-            remove_confirmed(&mut remote.unconfirmed_releases, |(_, known)| *known == id);
+            remove_confirmed(&mut remote.unconfirmed_releases, |release| release.id == id);
         }
     }
 
-    /// Sends the releases that wait for a link, or were not confirmed, on one that has come up.
+    /// Sends the releases that wait for a link, or were not confirmed, on one that has come up. They are kept, since
+    /// this link may be lost too.
     pub(super) fn repeat_releases(&mut self, transport: &mut dyn Transport, to: ExchangeId, link: LinkId) {
         let now = self.now;
         let Some(remote) = self.exchanges.get_mut(&to) else { return };
-        for (at, id) in std::mem::take(&mut remote.unconfirmed_releases) {
-            if at + RELEASE_REPEAT_WINDOW >= now {
-                release_on(transport, link, id);
-            }
+        remote.unconfirmed_releases.retain(|release| {
+            release.since + RELEASE_REPEAT_WINDOW >= now && release.repeats < MAX_RELEASE_REPEATS
+        });
+        let is_due = |release: &&mut UnconfirmedRelease| {
+            release.repeated_at.is_none_or(|at| at + RELEASE_REPEAT_INTERVAL <= now)
+        };
+        for release in remote.unconfirmed_releases.iter_mut().filter(is_due) {
+            release.repeated_at = Some(now);
+            release.repeats += 1;
+            release_on(transport, link, release.id);
         }
     }
 
