Platform: do not send a queued set-up whose caller has given it up

Seen by reading, shown in a test: where cancelling is not allowed, a set-up that waited for a link was sent when the link came up, after its caller had given it up.

Cause: the controller may not cancel what is out, so the call stayed in the queue of the link, where its state was not looked at. It was not out.

Change: such a seizure ends unsent as unreachable when a link comes up.

Test: a_set_up_that_was_given_up_while_it_waited_for_a_link_is_not_sent; fails before the change where cancelling is not allowed.

--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -85,12 +85,17 @@
         free.min_by_key(|(_, link)| (is_doubtful(link), link.open_set_ups.len())).map(|(link_id, _)| *link_id)
     }
 
-    /// Sends the set-up of a seizure that has no link yet. False if it has to wait for a free link.
+    /// Sends the set-up of a seizure that has no link yet. False if it has to wait for a free link. If its caller no longer
+    /// waits, nothing is sent, and the seizure ends.
     pub(super) fn send_set_up(&mut self, transport: &mut dyn Transport, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else { return true };
         let Some(seizure) = call.open_seizure.as_ref().filter(|seizure| seizure.link.is_none()) else {
             return true;
         };
+        if call.answer_state == AnswerState::Settled {
+            self.end_seizure(id, Cause::Unreachable);
+            return true;
+        }
         let Some(remote) = self.exchanges.get(&seizure.exchange) else { return false };
         let Some(link_id) = self.pick_link(transport, remote, call) else { return false };
         let remaining = seizure.timeout.saturating_sub(self.now.saturating_sub(seizure.seized_at));
--- /dev/null
+++ b/crates/platform/tests/queued_set_ups.rs
@@ -0,0 +1,44 @@
+//! Set-ups that wait for a link, in virtual time.
+
+mod common;
+
+use common::{Platform, config_with, invite, ms, request};
+use mintstall_platform::CallerConnectionId;
+use serde_json::json;
+
+/// The set-up of call 7 waits for a link to its exchange.
+fn with_queued_set_up(may_cancel: bool) -> Platform {
+    let config =
+        config_with(|config| config["settings"]["limits"]["cancelling"] = json!(may_cancel)).unwrap();
+    let mut platform = Platform::without_links(&config);
+    platform.connect_caller(1);
+    platform.send_from_caller(1, &invite(7, "dest:1;width:1;via:-1", "1500", "hello"));
+    assert!(platform.set_ups_sent().is_empty(), "no link is up");
+    platform
+}
+
+// Guards against: a set-up sent to an exchange after its caller has given it up, because it waited for a link.
+#[test]
+fn a_set_up_that_was_given_up_while_it_waited_for_a_link_is_not_sent() {
+    for may_cancel in [true, false] {
+        let mut cancelled = with_queued_set_up(may_cancel);
+        cancelled.send_from_caller(1, &request("CANCEL", 7));
+        cancelled.connect_links();
+        assert!(cancelled.set_ups_sent().is_empty(), "cancelled; cancelling allowed: {may_cancel}");
+
+        let mut disconnected = with_queued_set_up(may_cancel);
+        let now = disconnected.transport.now;
+        disconnected.core.caller_disconnected(now, &mut disconnected.transport, CallerConnectionId(1));
+        disconnected.connect_links();
+        assert!(disconnected.set_ups_sent().is_empty(), "disconnected; cancelling allowed: {may_cancel}");
+        disconnected.advance(ms(3000));
+        assert!(disconnected.messages_to_callers().is_empty());
+    }
+}
+
+#[test]
+fn a_set_up_whose_caller_waits_is_sent_when_the_link_comes_up() {
+    let mut platform = with_queued_set_up(false);
+    platform.connect_links();
+    assert_eq!(platform.set_ups_sent().len(), 1);
+}
