Platform: close the links to a terminating exchange after its last call

Seen: three or four links stayed open to an exchange that terminates, after its last call was over, until the exchange itself closed them.

Cause: the pool keeps one link to a draining exchange, and never closes those that it has.

Change: once a draining exchange has had no standing call, no set-up out and none queued for 1 s, its links are closed (links_lost/drained) and none is opened. A call that is named there, or a return to service, opens them again.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -204,6 +204,9 @@
         for id in self.state.expire_links(transport) {
             self.remove_link(transport, id, LinkLoss::DrainExpired);
         }
+        for id in self.state.drained_links() {
+            self.remove_link(transport, id, LinkLoss::Drained);
+        }
         self.check_incarnations(transport);
         self.check_leases(transport);
         self.check_bus(transport);
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -300,6 +300,9 @@
             answered_at: self.state.started_at.saturating_sub(Duration::from_nanos(1)),
         };
         self.state.standing.insert(id, standing);
+        // A draining exchange without calls may have no link.
+        self.state.exchanges.entry(exchange).and_modify(|remote| remote.drained_since = None);
+        self.state.maintain_pool(transport, exchange);
     }
 
     pub(super) fn handle_cancel(
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -168,6 +168,7 @@
                 lease: Lease::new(self.state.now),
                 first_report: None,
                 release_connection_planned: false,
+                drained_since: None,
             };
             let remote = self.state.exchanges.entry(entry.id).or_insert(new_remote);
             remote.status = entry.status;
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -17,6 +17,8 @@
     IncompleteMessage,
     /// It was draining, and the time for that is over.
     DrainExpired,
+    /// The exchange terminates, and its last call is over.
+    Drained,
     /// The event bus reported another address of the exchange.
     AddressChanged,
     /// The event bus reported the exchange gone.
@@ -36,6 +38,7 @@
             Self::Malformed => "malformed",
             Self::IncompleteMessage => "incomplete_message",
             Self::DrainExpired => "drain_expired",
+            Self::Drained => "drained",
             Self::AddressChanged => "address_changed",
             Self::ExchangeGone => "exchange_gone",
             Self::FormerIncarnation => "former_incarnation",
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -62,6 +62,8 @@
 const MAX_EXTRA_LINKS: usize = 2;
 /// A draining link is still read for this long: longer than a set-up may be open.
 const DRAIN_PERIOD: Duration = Duration::from_secs(4);
+/// The links to a draining exchange are closed when it has had no call for this time.
+const DRAINED_LINGER: Duration = Duration::from_secs(1);
 /// Time for the other side to close a link that has been closed in the direction to the exchange.
 const HALF_CLOSE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -236,9 +238,17 @@
     pub first_report: Option<FirstReport>,
     /// Whether [`Timer::ConnectForReleases`] is set.
     pub release_connection_planned: bool,
+    /// Since when it is draining, and no call stands there and no set-up is out.
+    pub drained_since: Option<Duration>,
 }
 
 impl RemoteExchange {
+    /// Whether it is draining, and has had no call for so long that it needs no link.
+    fn is_drained(&self, now: Duration) -> bool {
+        self.status == ExchangeStatus::Draining
+            && self.drained_since.is_some_and(|since| since + DRAINED_LINGER <= now)
+    }
+
     /// If calls are missing in the first report on the newest link: when that link was opened.
     pub fn opened_in_doubt(&self) -> Option<Duration> {
         self.first_report.filter(FirstReport::is_in_doubt).map(|first_report| first_report.opened_at())
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -1,6 +1,6 @@
 //! The pool of connections to each exchange.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,6 +41,21 @@
         expired
     }
 
+    /// Notes which draining exchanges have no call left. Returns the links to those that have had none for a while.
+    pub fn drained_links(&mut self) -> Vec<LinkId> {
+        let now = self.now;
+        let mut in_use: BTreeSet<_> = self.standing.values().map(|call| call.exchange).collect();
+        let with_set_ups = self.links.values().filter(|link| !link.open_set_ups.is_empty());
+        in_use.extend(with_set_ups.map(|link| link.exchange));
+        for (id, remote) in &mut self.exchanges {
+            let has_calls = in_use.contains(id) || !remote.queued_set_ups.is_empty();
+            let drained = remote.status == ExchangeStatus::Draining && !has_calls;
+            remote.drained_since = drained.then(|| remote.drained_since.unwrap_or(now));
+        }
+        let drained = self.exchanges.values().filter(|remote| remote.is_drained(now));
+        drained.flat_map(|remote| remote.links.iter().chain(&remote.draining)).copied().collect()
+    }
+
     /// Sends no more set-ups on a link, keeps reading it for a while, and opens another in its place.
     pub fn drain_link(&mut self, transport: &mut dyn Transport, link_id: LinkId) {
         let Some(link) = self.links.get_mut(&link_id) else { return };
@@ -144,6 +159,7 @@
         let Some(remote) = self.exchanges.get(&to) else { return };
         let wanted = match remote.status {
             ExchangeStatus::Ready => self.links_per_exchange,
+            ExchangeStatus::Draining if remote.is_drained(self.now) => 0,
             ExchangeStatus::Draining => 1,
             ExchangeStatus::Gone => 0,
         };
