--- a/crates/cli/tests/node_bursts.rs
+++ b/crates/cli/tests/node_bursts.rs
@@ -22,6 +22,8 @@
 const LONG_DESCRIPTION: [u8; LONG_DESCRIPTION_OCTETS] = [b'd'; LONG_DESCRIPTION_OCTETS];
 /// The controller refuses more open set-ups on one connection.
 const MAX_OPEN_SET_UPS: u64 = 256;
+/// Circuits of the exchange's group.
+const CIRCUITS: usize = 9000;
 const STANDING_CALLS: u64 = 10 * MAX_OPEN_SET_UPS;
 
 /// What an exchange shares with the threads that read its links.
@@ -124,8 +126,10 @@
 }
 
 fn serve_link(mut link: TcpStream, shared: &Shared) {
-    let report: &[(u8, &[u8])] = &[(parameter::REPORT, b"idle:9000;circuits:9000")];
-    link.write_all(&message(MessageType::State, WireCallId(0), report)).unwrap();
+    let busy = shared.standing.lock().unwrap().len() + shared.waiting.lock().unwrap().len();
+    let report = format!("idle:{};circuits:{CIRCUITS}", CIRCUITS.saturating_sub(busy));
+    let parameters: &[(u8, &[u8])] = &[(parameter::REPORT, report.as_bytes())];
+    link.write_all(&message(MessageType::State, WireCallId(0), parameters)).unwrap();
     let (mut decoder, mut buffer) = (exchange_protocol::Decoder::default(), [0; 16384]);
     while let Ok(count @ 1..) = link.read(&mut buffer) {
         decoder.push(&buffer[..count]);
