Soak: draw machines that return empty, and an event bus that is slow

A new, eighth theme: two machines are lost for 0.3 to 6.5 s and return at their addresses, every second of their former connections reset and the others unknown to them, and are listed 5 to 12 s later; the bus breaks off and then serves each connection after 3.2 s, while the third exchange drains for 6.5 to 9 s. An exchange can end more than once.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -5,8 +5,9 @@
 use mintstall_soak::plan::Plan;
 use mintstall_soak::run::{Programs, run, save_records};
 
-/// One seed of each theme: shutdowns, event bus, bad peers, network, fragments, high load, answer bursts.
-const SEEDS: [u64; 7] = [0, 1, 2, 3, 4, 5, 6];
+/// One seed of each theme: shutdowns, event bus, bad peers, network, fragments, high load, answer bursts, machines that
+/// return.
+const SEEDS: [u64; 8] = [0, 1, 2, 3, 4, 5, 6, 7];
 
 /// Carries out one plan and returns descriptions of the rule violations. If there are any, the records of the run are
 /// kept.
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -20,13 +20,6 @@
 
 /// The longest time that a call waits for its answer.
 pub const MAX_CALL_DEADLINE: Duration = Duration::from_millis(2500);
-/// How a process is scheduled on a machine with less than a core: it runs for a while, and pauses for a while.
-#[derive(Clone, Copy, Debug)]
-pub struct TimeSlices {
-    pub run: Duration,
-    pub pause: Duration,
-}
-
 /// SIGKILL follows SIGTERM at the earliest after [`MAX_CALL_DEADLINE`] and this time.
 pub const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Callers still open new connections for this time after SIGTERM.
@@ -40,6 +33,13 @@
 const MAX_SOCKETS: usize = 256;
 const MAX_MEMORY_KIB: u64 = 64 << 10;
 
+/// How a process is scheduled on a machine with less than a core: it runs for a while, and pauses for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeSlices {
+    pub run: Duration,
+    pub pause: Duration,
+}
+
 /// The state of a controller as the load balancer in front of it knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/soak/src/event_bus.rs
+++ b/crates/soak/src/event_bus.rs
@@ -19,6 +19,9 @@
 /// Once a controller has been told to use another address, connections at the old one are closed after this time.
 const CLOSE_AFTER_MOVE: Duration = Duration::from_millis(1500);
 
+/// Time from the connection to the first line during [`BusFault::Slow`]. Changes count as told 4 s after the break.
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(3200);
+
 /// One exchange in the list.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -43,6 +46,8 @@
 struct State {
     events: Vec<Target>,
     down: bool,
+    /// Whether new connections are served only after [`SLOW_SERVICE_TIME`].
+    slow: bool,
     /// Connections opened before this time send nothing.
     silent_before: Option<Instant>,
     /// Connections opened before this time are closed in the middle of a line.
@@ -96,6 +101,7 @@
         match fault {
             BusFault::Break => state.broken_before = now,
             BusFault::Silent => state.silent_before = now,
+            BusFault::Slow => (state.broken_before, state.slow) = (now, true),
             BusFault::Down => state.down = true,
         }
         self.recorder.add(Event::BusFaultBegan { fault });
@@ -103,8 +109,10 @@
 
     pub fn end_fault(&self, fault: BusFault) {
         let mut state = self.lock();
-        if fault == BusFault::Down {
-            state.down = false;
+        match fault {
+            BusFault::Down => state.down = false,
+            BusFault::Slow => state.slow = false,
+            BusFault::Break | BusFault::Silent => {}
         }
         self.recorder.add(Event::BusFaultEnded { fault });
     }
@@ -162,6 +170,9 @@
     fn serve(&self, controller: ControllerIndex, addr: SocketAddr, mut stream: TcpStream) {
         let opened = Instant::now();
         let Some(mut sent_offset) = read_resume_offset(&stream) else { return };
+        if self.lock().slow {
+            thread::sleep(SLOW_SERVICE_TIME);
+        }
         let (mut last_offset_line, mut moved_at) = (Instant::now(), None);
         loop {
             let (lines, silent, broken) = {
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -36,6 +36,7 @@
     /// The address for each controller, by controller index.
     pub listen: Vec<SocketAddr>,
     pub seed: u64,
+    /// Circuits of the group to each controller.
     pub circuits: u32,
     /// Minimum and maximum time from set-up to answer.
     pub answer_ms: (u64, u64),
@@ -259,8 +260,16 @@
         self.links.get(&link).is_some_and(|link| !is_closed_by_peer(&link.stream).unwrap_or(true))
     }
 
-    fn load_report(&self) -> String {
-        let idle = (self.config.circuits as usize).saturating_sub(self.calls.len());
+    /// The calls on the group of one controller.
+    fn busy_circuits(&self, controller: ControllerIndex) -> usize {
+        self.calls.values().filter(|call| call.controller == controller).count()
+    }
+
+    /// The report on the group of the controller at the other end of a link.
+    fn load_report(&self, link: u64) -> String {
+        let controller = self.links.get(&link).map(|link| link.controller);
+        let busy = controller.map_or(0, |controller| self.busy_circuits(controller));
+        let idle = (self.config.circuits as usize).saturating_sub(busy);
         format!("idle:{idle};circuits:{}", self.config.circuits)
     }
 
@@ -278,7 +287,7 @@
     }
 
     fn send_state(&mut self, link: u64) {
-        let report = self.load_report();
+        let report = self.load_report(link);
         self.send(link, MessageType::State, 0, &[(parameter::REPORT, report.as_bytes())]);
     }
 
@@ -293,7 +302,7 @@
             MessageType::SetUp => self.on_set_up(link, call),
             MessageType::Release => self.on_release(link, call),
             MessageType::Test => {
-                let report = self.load_report();
+                let report = self.load_report(link);
                 let parameters: &[(u8, &[u8])] =
                     &[(parameter::CAUSE, &[1]), (parameter::REPORT, report.as_bytes())];
                 self.send(link, MessageType::TestResult, call, parameters);
@@ -307,10 +316,10 @@
         write_record(Event::SetUpReceived { uid: uid.clone(), call });
         let Some(controller) = self.links.get(&link).map(|link| link.controller) else { return };
         let faults = self.config.faults;
-        if self.calls.len() >= self.config.circuits as usize || self.rng.random_bool(faults.error) {
-            let full = self.calls.len() >= self.config.circuits as usize;
+        let full = self.busy_circuits(controller) >= self.config.circuits as usize;
+        if full || self.rng.random_bool(faults.error) {
             write_record(Event::AttemptEnded { uid, call, end: AttemptEnd::Refused });
-            let report = self.load_report();
+            let report = self.load_report(link);
             let (cause, note): (u8, &[u8]) =
                 if full { (NO_FREE_CIRCUIT, b"congestion") } else { (ERROR, b"") };
             let parameters: &[(u8, &[u8])] = &[
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -46,6 +46,14 @@
         destination: DestinationIndex,
         listed_after: Duration,
     },
+    /// The machine is lost and returns at its address with an empty process. Of its former connections half are reset
+    /// then, and half stay silent until something is sent on them. The event bus lists the new start `listed_after` the
+    /// loss.
+    MachineReturns {
+        destination: DestinationIndex,
+        lost_for: Duration,
+        listed_after: Duration,
+    },
     /// The process is killed and its connections are reset. The event bus lists a replacement after `listed_after`.
     ProcessCrash {
         destination: DestinationIndex,
@@ -62,6 +70,11 @@
         destination: DestinationIndex,
         same_address: bool,
     },
+    /// As [`Fault::Replace`] at another address, with this time from the drain to the end.
+    LongDrain {
+        destination: DestinationIndex,
+        duration: Duration,
+    },
     /// The network between an exchange and all controllers, or only one, is partitioned.
     Partition {
         destination: DestinationIndex,
@@ -96,7 +109,7 @@
     pub bad_callers: bool,
     /// Whether the controllers' settings allow them to probe exchanges.
     pub probes_enabled: bool,
-    /// Circuits of each exchange.
+    /// Circuits of the group between an exchange and each controller.
     pub circuits: u32,
     /// Minimum and maximum time from the answer to the end of a call.
     pub hold_ms: (u64, u64),
@@ -119,9 +132,11 @@
     HighLoad,
     /// Answers near the maximum length of a message that come together, to controllers that have less than a core.
     AnswerBursts,
+    /// Machines that are lost and return before the event bus tells of it, and an event bus that is slow meanwhile.
+    MachinesReturn,
 }
 
-const THEMES: [Theme; 7] = [
+const THEMES: [Theme; 8] = [
     Theme::Shutdowns,
     Theme::EventBus,
     Theme::BadPeers,
@@ -129,12 +144,13 @@
     Theme::Fragments,
     Theme::HighLoad,
     Theme::AnswerBursts,
+    Theme::MachinesReturn,
 ];
 
-const CIRCUITS: u32 = 150;
+const CIRCUITS: u32 = 50;
 const HOLD_MS: (u64, u64) = (500, 7000);
 /// With answer bursts, an exchange must take all set-ups of the callers while it answers none.
-const BURST_CIRCUITS: u32 = 900;
+const BURST_CIRCUITS: u32 = 300;
 const BURST_HOLD_MS: (u64, u64) = (100, 1500);
 
 fn millis(ms: u64) -> Duration {
@@ -230,6 +246,22 @@
         TimeSlices { run: self.draw_millis(20, 40), pause: self.draw_millis(40, 80) }
     }
 
+    /// Adds the loss and the return of two machines, and a slow event bus that tells of the third exchange's replacement.
+    fn add_returning_machines(&mut self) {
+        let first = self.destination();
+        for destination in [first, (first + 1) % DESTINATIONS] {
+            let (at, lost_for) = (self.fault_time(), self.draw_millis(300, 6500));
+            let listed_after = lost_for + self.draw_millis(5000, 12_000);
+            self.add(at, Fault::MachineReturns { destination, lost_for, listed_after });
+        }
+        let at = self.fault_time();
+        self.add(at, Fault::Bus { fault: BusFault::Slow, duration: millis(8000) });
+        let drains_at = at + self.draw_millis(300, 2000);
+        let destination = (first + 2) % DESTINATIONS;
+        let duration = self.draw_millis(6500, 9000);
+        self.add(drains_at, Fault::LongDrain { destination, duration });
+    }
+
     fn add_network_fault(&mut self) {
         let (at, destination, controller) = (self.fault_time(), self.destination(), self.controller());
         let fault = match self.rng.random_range(0..4) {
@@ -272,7 +304,9 @@
         if theme == Theme::Network || is_high_load {
             (0..4).for_each(|_| draw.add_network_fault());
         }
-        if draw.rng.random_bool(0.3) {
+        if theme == Theme::MachinesReturn {
+            draw.add_returning_machines();
+        } else if draw.rng.random_bool(0.3) {
             let (at, controller) = (draw.fault_time(), draw.controller());
             draw.add(at, Fault::Kill { controller });
         }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -68,6 +68,9 @@
     /// Set when one direction can't be forwarded any more, so that the other ends too.
     closed: AtomicBool,
     in_pieces: bool,
+    /// The machine at the other end has returned and does not know of the link: it is silent, and reset when something
+    /// is sent on it.
+    stale: AtomicBool,
 }
 
 fn get<T: Clone>(mutex: &Mutex<T>) -> T {
@@ -135,6 +138,14 @@
         }
     }
 
+    /// The machine of the exchange has returned: every second of its links is reset, the others are stale.
+    pub fn forget_links(&self) {
+        for (index, link) in get(&self.shared.links).iter().enumerate() {
+            let flag = if index % 2 == 0 { &link.stale } else { &link.reset };
+            flag.store(true, Ordering::Relaxed);
+        }
+    }
+
     pub fn stop(&self) {
         self.shared.stopped.store(true, Ordering::Relaxed);
     }
@@ -179,6 +190,7 @@
         reset: AtomicBool::new(false),
         closed: AtomicBool::new(false),
         in_pieces: rng.random_bool(faults.in_pieces),
+        stale: AtomicBool::new(false),
     });
     shared.recorder.add(Event::LinkOpened { link: link.id, controller: shared.controller });
     let mut links = lock(&shared.links);
@@ -305,7 +317,17 @@
             thread::sleep(POLL_INTERVAL);
             continue;
         }
+        let is_stale = link.stale.load(Ordering::Relaxed);
+        if is_stale && direction == Direction::ToController {
+            thread::sleep(POLL_INTERVAL);
+            continue;
+        }
         let received = pipe.take();
+        if is_stale {
+            let is_used = received.source_closed || !received.octets.is_empty();
+            link.reset.fetch_or(is_used, Ordering::Relaxed);
+            continue;
+        }
         let forwarded = forward(link, &received.octets, &mut to, |octets| {
             if direction == Direction::ToController {
                 record_messages(shared, link, direction, &mut decoder, octets);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -42,6 +42,8 @@
     Break,
     /// Open connections stay open but receive nothing; new ones work.
     Silent,
+    /// As `Break`, and each new connection is served only after some seconds.
+    Slow,
     /// Nothing listens, and open connections are closed.
     Down,
 }
--- a/crates/soak/src/rule_checker.rs
+++ b/crates/soak/src/rule_checker.rs
@@ -124,7 +124,8 @@
     links: BTreeMap<ConnectionId, Micros>,
     /// When each controller became ready.
     ready: BTreeMap<ControllerIndex, Vec<Micros>>,
-    exchange_ended: BTreeMap<String, Micros>,
+    /// When each exchange ended. A machine may return with the same uid.
+    exchange_ended: BTreeMap<String, Vec<Micros>>,
     /// When each controller was sent SIGTERM.
     terminating: BTreeMap<ControllerIndex, Vec<Micros>>,
     /// Each outage of a controller, from its exit or SIGKILL until it is ready again.
@@ -207,7 +208,7 @@
                 }
             }
             Event::ExchangeEnded { uid } => {
-                self.exchange_ended.entry(uid.clone()).or_insert(at);
+                self.exchange_ended.entry(uid.clone()).or_default().push(at);
             }
             Event::ListChanged { uid, state, .. } if state != "in_service" => {
                 self.drained.entry(uid.clone()).or_insert(at);
@@ -336,8 +337,8 @@
             let (Some((.., description)), Some(sent)) = (served, call.sent.last()) else { continue };
             let uid = uid_of(description);
             let Some(answered) = call.answered_by.get(uid) else { continue };
-            let exchange_ended =
-                self.exchange_ended.get(uid).copied().filter(|at| *at >= answered.answered_at);
+            let mut exchange_ends = self.exchange_ended.get(uid).into_iter().flatten().copied();
+            let exchange_ended = exchange_ends.find(|at| *at >= answered.answered_at);
             let (ended_at, by_controller) = match (answered.ended, exchange_ended) {
                 (Some(ended), Some(exchange_ended)) if ended.0 > exchange_ended => (exchange_ended, false),
                 (Some(ended), _) => ended,
@@ -398,7 +399,7 @@
             BusFault::Break if (*from..*from + DELIVERY_AFTER_BREAK).contains(&at) => {
                 Some(from + DELIVERY_AFTER_BREAK)
             }
-            BusFault::Silent if (*from..*from + DELIVERY_AFTER_SILENCE).contains(&at) => {
+            BusFault::Silent | BusFault::Slow if (*from..*from + DELIVERY_AFTER_SILENCE).contains(&at) => {
                 Some(from + DELIVERY_AFTER_SILENCE)
             }
             BusFault::Down if *from <= at && at < until.saturating_add(DELIVERY_AFTER_RETURN) => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -165,7 +165,7 @@
             stopped: Arc::default(),
         };
         for destination in 0..DESTINATIONS {
-            let exchange = soak_run.start_exchange(destination, 0)?;
+            let exchange = soak_run.start_exchange(destination, 0, exchange_uid(destination, 0))?;
             let proxies = soak_run.start_proxies(&exchange, destination);
             soak_run.publish(destination, &exchange.uid, &proxies, "in_service", 0);
             soak_run.destinations.push(Mutex::new(Destination {
@@ -182,10 +182,10 @@
         Ok(soak_run)
     }
 
-    fn start_exchange(&self, destination: usize, generation: u32) -> Result<Exchange, RunError> {
+    fn start_exchange(&self, destination: usize, generation: u32, uid: String) -> Result<Exchange, RunError> {
         let listen: Vec<_> = (0..CONTROLLERS).map(|_| allocate()).collect();
         let config = ExchangeConfig {
-            uid: format!("s-{destination}-{generation}"),
+            uid,
             listen: listen.clone(),
             seed: self.plan.seed ^ (destination as u64) << 8 ^ u64::from(generation) << 16,
             circuits: self.plan.circuits,
@@ -300,11 +300,17 @@
             }),
             Fault::Reconfigure { controller } => self.reconfigure(controller),
             Fault::MachineLost { destination, listed_after } => self.lose_machine(destination, listed_after),
+            Fault::MachineReturns { destination, lost_for, listed_after } => {
+                self.lose_and_return(destination, lost_for, listed_after)
+            }
             Fault::ProcessCrash { destination, listed_after } => {
                 self.crash_process(destination, listed_after)
             }
             Fault::Hang { destination, duration } => self.hang(destination, duration),
-            Fault::Replace { destination, same_address } => self.replace(destination, same_address),
+            Fault::Replace { destination, same_address } => {
+                self.replace(destination, same_address, DRAIN_GRACE + Duration::from_millis(500))
+            }
+            Fault::LongDrain { destination, duration } => self.replace(destination, false, duration),
             Fault::Partition { destination, only_controller, duration } => {
                 self.partition(destination, only_controller, duration)
             }
@@ -369,6 +375,39 @@
         self.replace_ended(destination, generation, false);
     }
 
+    fn lose_and_return(&self, destination: usize, lost_for: Duration, listed_after: Duration) {
+        let Some(generation) = self.end_exchange(destination, NetworkState::Partitioned) else { return };
+        self.wait_for(lost_for);
+        let boot_ms = now() / 1000;
+        if !self.return_empty(destination, generation) {
+            return;
+        }
+        self.wait_for(listed_after.saturating_sub(lost_for));
+        let current = lock(&self.destinations[destination]);
+        if current.generation == generation + 1 && !current.ended && !self.stopped.load(Ordering::Relaxed) {
+            self.publish(destination, &current.exchange.uid, &current.proxies, "in_service", boot_ms);
+        }
+    }
+
+    /// Starts a process without calls in place of an exchange whose machine was lost. It has the same uid and addresses,
+    /// and is not listed. Returns whether it was started.
+    fn return_empty(&self, destination: usize, generation: u32) -> bool {
+        let mut current = lock(&self.destinations[destination]);
+        if current.generation != generation || self.stopped.load(Ordering::Relaxed) {
+            return false;
+        }
+        let uid = current.exchange.uid.clone();
+        let Ok(returned) = self.start_exchange(destination, generation + 1, uid) else { return false };
+        for (proxy, upstream) in current.proxies.iter().zip(&returned.listen) {
+            proxy.forget_links();
+            proxy.set_upstream(*upstream, &returned.uid);
+            proxy.set_network_state(NetworkState::Up);
+        }
+        let proxies = current.proxies.clone();
+        *current = Destination { exchange: returned, proxies, generation: generation + 1, ended: false };
+        true
+    }
+
     fn crash_process(&self, destination: usize, listed_after: Duration) {
         let Some(generation) = self.end_exchange(destination, NetworkState::Refusing) else { return };
         self.wait_for(listed_after);
@@ -382,7 +421,8 @@
             return;
         }
         self.publish(destination, &current.exchange.uid, &current.proxies, "terminated", 0);
-        let Ok(replacement) = self.start_exchange(destination, generation + 1) else { return };
+        let uid = exchange_uid(destination, generation + 1);
+        let Ok(replacement) = self.start_exchange(destination, generation + 1, uid) else { return };
         let proxies = if same_address {
             for (proxy, upstream) in current.proxies.iter().zip(&replacement.listen) {
                 proxy.set_upstream(*upstream, &replacement.uid);
@@ -397,13 +437,13 @@
         *current = Destination { exchange: replacement, proxies, generation: generation + 1, ended: false };
     }
 
-    fn replace(&self, destination: usize, same_address: bool) {
+    fn replace(&self, destination: usize, same_address: bool, drain: Duration) {
         let generation = {
             let current = lock(&self.destinations[destination]);
             self.publish(destination, &current.exchange.uid, &current.proxies, "terminating", 0);
             current.generation
         };
-        self.wait_for(DRAIN_GRACE + Duration::from_millis(500));
+        self.wait_for(drain);
         if lock(&self.destinations[destination]).generation == generation {
             self.end_exchange(destination, NetworkState::Refusing);
             self.replace_ended(destination, generation, same_address);
@@ -461,6 +501,11 @@
     }
 }
 
+/// The uid of the exchange that replaces the `generation`-th of a destination.
+fn exchange_uid(destination: usize, generation: u32) -> String {
+    format!("s-{destination}-{generation}")
+}
+
 /// Writes all records of a run, one JSON object per line.
 pub fn save_records(records: &[Record], path: &Path) -> Result<(), RunError> {
     let mut text = String::new();
