Limits: one rule for reading requests, and no sorting of peers that take output

The rule for peers whose requests are answered on the same connection stood in node and daemon; OutputMonitor knows both what waits and the bound. Peers below the shortest time-out are left out before sorting. Behaviour unchanged; the tests of limits, node and the bursts pass unchanged.

--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -306,12 +306,11 @@
     /// output while too much waits.
     pub fn may_read(&self, token: Token) -> bool {
         let Some(Connection { purpose, output, .. }) = self.by_token.get(&token) else { return true };
-        let is_scarce = self.output_monitor.is_scarce();
         match purpose {
             Purpose::Connecting(_) | Purpose::Directory | Purpose::Closing => true,
-            Purpose::Link(_) | Purpose::Unidentified { .. } => !is_scarce,
+            Purpose::Link(_) | Purpose::Unidentified { .. } => !self.output_monitor.is_scarce(),
             Purpose::Line(_) | Purpose::Handshake(_) | Purpose::WebSocket { .. } | Purpose::Admin(_) => {
-                output.waiting() <= output.limit() && (output.waiting() == 0 || !is_scarce)
+                self.output_monitor.accepts_requests(output.waiting(), output.limit())
             }
         }
     }
--- a/crates/limits/src/output_monitor.rs
+++ b/crates/limits/src/output_monitor.rs
@@ -85,7 +85,17 @@
 
     /// Whether so much waits that input that causes more output is to be left unread.
     pub fn is_scarce(&self) -> bool {
-        self.total_octets >= self.max_total_octets / 2
+        self.is_scarce_with(self.total_octets)
+    }
+
+    fn is_scarce_with(&self, total_octets: usize) -> bool {
+        total_octets >= self.max_total_octets / 2
+    }
+
+    /// Whether requests may be read from a peer that gets its answers on the same connection. `waiting` and `limit` are
+    /// those of its output.
+    pub fn accepts_requests(&self, waiting: usize, limit: usize) -> bool {
+        waiting <= limit && (waiting == 0 || !self.is_scarce())
     }
 
     /// Whether [`OutputMonitor::stalled`] has to be called from time to time.
@@ -96,9 +106,13 @@
     /// The connections to be closed, those with most waiting first. To be called after a write was attempted on all
     /// connections.
     pub fn stalled(&self, now: Duration) -> Vec<StalledPeer<K>> {
+        let is_exhausted = self.total_octets > self.max_total_octets;
+        let may_be_stalled =
+            |output: &WaitingOutput| is_exhausted || output.since + SCARCE_STALL_TIMEOUT <= now;
         let mut peers: Vec<_> = self
             .by_connection
             .iter()
+            .filter(|(_, output)| may_be_stalled(output))
             .map(|(connection, output)| {
                 let stalled_for = now.saturating_sub(output.since);
                 let peer = StalledPeer {
@@ -114,7 +128,7 @@
         let mut remaining = self.total_octets;
         peers.retain(|(peer, limit)| {
             let over_limit = peer.waiting > *limit && peer.stalled_for >= STALL_TIMEOUT;
-            let scarce = remaining >= self.max_total_octets / 2 && peer.stalled_for >= SCARCE_STALL_TIMEOUT;
+            let scarce = self.is_scarce_with(remaining) && peer.stalled_for >= SCARCE_STALL_TIMEOUT;
             // Reading is paused long before, so only a fault in that gets here. The bound holds nevertheless.
             let exhausted = remaining > self.max_total_octets;
             let stalled = over_limit || scarce || exhausted;
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -252,7 +252,7 @@
         match (connection.purpose, connection.phase) {
             (_, Phase::WriteFailed(_)) | (Purpose::Bus(_) | Purpose::ClosingCaller, _) => true,
             (Purpose::Link(_), _) => !self.output_monitor.is_scarce(),
-            (Purpose::Caller(_), _) => waiting <= limit && (waiting == 0 || !self.output_monitor.is_scarce()),
+            (Purpose::Caller(_), _) => self.output_monitor.accepts_requests(waiting, limit),
         }
     }
 
