Daemon tests: fill the sockets before a peer is judged silent

Cause: the system enlarges a socket's buffers for a while, so the write at the end of the turn could still take over 16 KiB for a peer that does not read, which counts as progress. Ruled out: the monitor, which was told so.

The tests write until nothing is taken for 20 rounds before the time passes; what they expect is as it was.

--- a/crates/daemon/src/connections/tests.rs
+++ b/crates/daemon/src/connections/tests.rs
@@ -54,8 +54,24 @@
         self.connections.close_stalled();
     }
 
+    /// Writes until the sockets take no more. The system enlarges their buffers for a while, so that one to a peer that
+    /// does not read takes more than a message at a later attempt too.
+    fn fill_sockets(&mut self) {
+        const SETTLED_ROUNDS: u32 = 20;
+        let mut unchanged_rounds = 0;
+        while unchanged_rounds < SETTLED_ROUNDS {
+            let before = self.connections.output_monitor.total_octets();
+            let tokens: Vec<_> = self.connections.by_token.keys().copied().collect();
+            tokens.into_iter().for_each(|token| self.connections.flush(token));
+            let changed = self.connections.output_monitor.total_octets() != before;
+            unchanged_rounds = if changed { 0 } else { unchanged_rounds + 1 };
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// The time passes that a peer has to take something.
     fn pass_stall_timeout(&mut self) {
+        self.fill_sockets();
         self.connections.started -= STALL_TIMEOUT;
     }
 
