--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -252,14 +252,10 @@
             Ok(false) => WriteState::Blocked,
             Err(error) => return self.close(Some(token), &error.to_string()),
         };
-        if std::mem::replace(&mut connection.write_state, write_state) != write_state {
-            let interest = match write_state {
-                WriteState::Idle => Interest::READABLE,
-                WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
-            };
-            if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
-                return self.close(Some(token), &error.to_string());
-            }
+        if std::mem::replace(&mut connection.write_state, write_state) != write_state
+            && !self.register_again(token)
+        {
+            return;
         }
         self.report_output(token, taken);
     }
@@ -326,19 +322,24 @@
         let (resumed, paused) = paused.into_iter().partition(|token| self.may_read(*token));
         self.paused_reads = paused;
         let resumed: BTreeSet<_> = resumed;
-        resumed.into_iter().for_each(|token| self.report_readable_again(token));
+        for token in resumed {
+            self.register_again(token);
+        }
     }
 
-    /// Registers a connection anew, so that what it has to read is reported again.
-    pub fn report_readable_again(&mut self, token: Token) {
-        let Some(connection) = self.by_token.get_mut(&token) else { return };
+    /// Registers a connection anew, for reading, and for writing if output waits. What it has to read is reported again.
+    /// Returns whether it is still open.
+    pub fn register_again(&mut self, token: Token) -> bool {
+        let Some(connection) = self.by_token.get_mut(&token) else { return false };
         let interest = match connection.write_state {
             WriteState::Idle => Interest::READABLE,
             WriteState::Blocked => Interest::READABLE | Interest::WRITABLE,
         };
-        if let Err(error) = self.poll.registry().reregister(&mut connection.stream, token, interest) {
+        let registered = self.poll.registry().reregister(&mut connection.stream, token, interest);
+        if let Err(error) = &registered {
             self.close(Some(token), &error.to_string());
         }
+        registered.is_ok()
     }
 
     /// Removes a closed connection.
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -540,7 +540,7 @@
             }
         }
         // More may wait.
-        self.connections.report_readable_again(token);
+        self.connections.register_again(token);
     }
 
     fn on_octets(&mut self, token: Token, octets: &[u8]) {
