Soak: no second bus fault beside a slow bus

Ruled out: the controllers, whose log shows each connection refused or closed by the bus.

The theme of returning machines draws no second fault of the bus. The check is as it was.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -295,7 +295,9 @@
                 draw.add_exchange_fault(at);
             }
         }
-        if theme == Theme::EventBus || is_high_load || draw.rng.random_bool(0.2) {
+        // A slow bus that also goes down can't tell a drain in time, and when it counts as told is not defined.
+        let may_have_bus_fault = theme != Theme::MachinesReturn;
+        if theme == Theme::EventBus || is_high_load || may_have_bus_fault && draw.rng.random_bool(0.2) {
             draw.add_bus_fault();
         }
         if theme == Theme::EventBus || draw.rng.random_bool(0.2) {
