--- a/crates/platform/tests/bursts.rs
+++ b/crates/platform/tests/bursts.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
+use mintstall_platform::CallerConnectionId;
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
-use mintstall_platform::{CallerConnectionId, Disconnect};
 
 /// Octets of a message that arrive with the end of the message before.
 const SPLIT_AT: usize = 9;
@@ -102,10 +102,7 @@
     let mut platform = Platform::start();
     platform.connect_caller(1);
     (1..=CALLS).for_each(|id| platform.send_from_caller(1, &invite(id, "at:one", "1500", "hello")));
-    for link in platform.links(1) {
-        let now = platform.transport.now;
-        platform.core.link_disconnected(now, &mut platform.transport, link, Disconnect::Lost);
-    }
+    platform.lose_links(1);
     (1..=CALLS).for_each(|id| platform.send_from_caller(1, &request("BYE", id)));
     platform.transport.link_messages.clear();
     platform.connect_links();
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
-use mintstall_platform::{BusConnectionId, CallerConnectionId, Config, Core, LinkId, Transport};
+use mintstall_platform::{BusConnectionId, CallerConnectionId, Config, Core, Disconnect, LinkId, Transport};
 use mintstall_sip as sip;
 use serde_json::json;
 
@@ -240,6 +240,16 @@
         all.map(|(link, _)| *link).collect()
     }
 
+    /// The network loses a link.
+    pub fn lose_link(&mut self, link: LinkId) {
+        self.core.link_disconnected(self.transport.now, &mut self.transport, link, Disconnect::Lost);
+    }
+
+    /// The network loses all links to the exchange with this number.
+    pub fn lose_links(&mut self, number: u16) {
+        self.links(number).into_iter().for_each(|link| self.lose_link(link));
+    }
+
     pub fn advance(&mut self, span: Duration) {
         let end = self.transport.now + span;
         while let Some(due) = self.core.next_timer().filter(|due| *due <= end) {
--- a/crates/platform/tests/incarnations.rs
+++ b/crates/platform/tests/incarnations.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{Platform, ms};
+use mintstall_platform::LinkId;
 use mintstall_platform::exchange_protocol::{MessageType, parameter};
-use mintstall_platform::{Disconnect, LinkId};
 
 const CALLER: u64 = 1;
 const CUT: &str = "1: BYE Q.850;cause=41";
@@ -97,7 +97,7 @@
     let mut platform = Platform::start();
     platform.connect_caller(CALLER);
     let first = platform.links(1)[0];
-    platform.core.link_disconnected(platform.transport.now, &mut platform.transport, first, Disconnect::Lost);
+    platform.lose_link(first);
     let (link, _) = platform.transport.connecting.pop().unwrap();
     platform.core.link_connected(platform.transport.now, &mut platform.transport, link);
     platform.set_up_call(CALLER, 1);
@@ -136,14 +136,7 @@
 fn calls_stay_if_all_links_were_lost_and_the_first_reports_come_after_a_late_release() {
     let mut platform = with_calls(2);
     platform.advance(ms(100));
-    for link in platform.links(1) {
-        platform.core.link_disconnected(
-            platform.transport.now,
-            &mut platform.transport,
-            link,
-            Disconnect::Lost,
-        );
-    }
+    platform.lose_links(1);
     let link = open_link_after_silence(&mut platform, 60);
     platform.report_free(link, CIRCUITS - 1);
     platform.release(link, 1, 16);
--- a/crates/platform/tests/named_calls.rs
+++ b/crates/platform/tests/named_calls.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use common::{Platform, START, config, invite, ms, target};
-use mintstall_platform::Disconnect;
 use mintstall_platform::exchange_protocol::{MessageType, parameter};
 
 const CALLER: u64 = 1;
@@ -128,7 +127,7 @@
     let (link, _) = platform.set_ups_sent()[0];
     platform.answer(link, 8);
     assert_eq!(platform.messages_to_callers(), ["1: 200 INVITE"]);
-    platform.core.link_disconnected(platform.transport.now, &mut platform.transport, link, Disconnect::Lost);
+    platform.lose_link(link);
     connect_links(&mut platform, CIRCUITS - 2);
     answer_heartbeats(&mut platform, ms(3000));
     assert!(platform.messages_to_callers().is_empty());
--- a/crates/platform/tests/repeated_releases.rs
+++ b/crates/platform/tests/repeated_releases.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{Platform, ms, request};
-use mintstall_platform::Disconnect;
 use mintstall_platform::exchange_protocol::MessageType;
 
 const CALL: u64 = 6;
@@ -18,23 +17,12 @@
     let mut platform = Platform::start();
     platform.connect_caller(1);
     platform.set_up_call(1, CALL);
-    lose_links(&mut platform);
+    platform.lose_links(1);
     platform.send_from_caller(1, &request("BYE", CALL));
     assert_eq!(releases(&mut platform), 0, "no link is open");
     platform
 }
 
-fn lose_links(platform: &mut Platform) {
-    for link in platform.links(1) {
-        platform.core.link_disconnected(
-            platform.transport.now,
-            &mut platform.transport,
-            link,
-            Disconnect::Lost,
-        );
-    }
-}
-
 /// The links that are connecting come up.
 fn connect_links(platform: &mut Platform) {
     let closed = platform.transport.closed_links.clone();
@@ -59,14 +47,14 @@
         platform.advance(ms(1500));
         connect_links(&mut platform);
         assert_eq!(releases(&mut platform), 1);
-        lose_links(&mut platform);
+        platform.lose_links(1);
     }
     platform.advance(ms(1500));
     connect_links(&mut platform);
     let link = platform.links(1)[0];
     platform.send_on_link(link, MessageType::ReleaseComplete, CALL, &[]);
     releases(&mut platform);
-    lose_links(&mut platform);
+    platform.lose_links(1);
     platform.advance(ms(1500));
     connect_links(&mut platform);
     assert_eq!(releases(&mut platform), 0, "it was confirmed");
@@ -80,7 +68,7 @@
         platform.advance(ms(1500));
         connect_links(&mut platform);
         repeats += releases(&mut platform);
-        lose_links(&mut platform);
+        platform.lose_links(1);
     }
     assert_eq!(repeats, 3);
 }
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -277,14 +277,7 @@
 fn a_draining_exchange_gets_no_set_ups_not_even_queued_ones() {
     let mut platform = Platform::start();
     platform.connect_caller(1);
-    for link in platform.links(1) {
-        platform.core.link_disconnected(
-            platform.transport.now,
-            &mut platform.transport,
-            link,
-            Disconnect::Lost,
-        );
-    }
+    platform.lose_links(1);
     platform.send_invite(1, 7);
     assert_eq!(platform.set_ups_sent(), [], "no link is up");
     platform.bus_event(2, false, &[target("one", 1, "terminating", 0)]);
@@ -304,14 +297,7 @@
     let mut platform = Platform::start();
     platform.connect_caller(1);
     platform.set_up_call(1, 6);
-    for link in platform.links(1) {
-        platform.core.link_disconnected(
-            platform.transport.now,
-            &mut platform.transport,
-            link,
-            Disconnect::Lost,
-        );
-    }
+    platform.lose_links(1);
     assert!(platform.messages_to_callers().is_empty(), "lost links alone end no call");
     platform.send_invite(1, 7);
     for link in platform.links(1) {
@@ -490,14 +476,7 @@
     platform.connect_caller(1);
     platform.set_up_call(1, 6);
     platform.send_from_caller(1, &request("BYE", 6));
-    for link in platform.links(1) {
-        platform.core.link_disconnected(
-            platform.transport.now,
-            &mut platform.transport,
-            link,
-            Disconnect::Lost,
-        );
-    }
+    platform.lose_links(1);
     platform.transport.link_messages.clear();
     platform.connect_links();
     let released = |message: &&(LinkId, MessageType, WireCallId, Option<u8>)| {
@@ -511,7 +490,7 @@
     let link = platform.links(1)[0];
     platform.send_on_link(link, MessageType::ReleaseComplete, 7, &[]);
     platform.transport.link_messages.clear();
-    platform.core.link_disconnected(platform.transport.now, &mut platform.transport, link, Disconnect::Lost);
+    platform.lose_link(link);
     platform.connect_links();
     assert!(platform.transport.link_messages.is_empty(), "a confirmed release is not sent again");
 }
@@ -699,14 +678,7 @@
     platform.set_up_call(1, 6);
     platform.advance(ms(10));
     let lose_all = |platform: &mut Platform| {
-        for link in platform.links(1) {
-            platform.core.link_disconnected(
-                platform.transport.now,
-                &mut platform.transport,
-                link,
-                Disconnect::Lost,
-            );
-        }
+        platform.lose_links(1);
         while let Some((link, _)) = platform.transport.connecting.pop() {
             platform.core.link_connected(platform.transport.now, &mut platform.transport, link);
         }
