--- a/review/7/case.js
+++ b/review/7/case.js
@@ -2,7 +2,7 @@
 // Bad clients send requests with ids that nobody knows, again as soon as they are turned away. A call ends whose caller has
 // closed the connection of its set-up and has another one open. Is the caller told?
 const { run, CannotRun, SLACK_MS, sleep, newId } = require('../lib-2/harness');
-const { encodeSip } = require('../lib-2/wire');
+const { encodeSip, PARAM, TYPE, causeOf, encodeMessage } = require('../lib-2/wire');
 
 const LIMIT_MS = 1000 + SLACK_MS;
 
@@ -18,7 +18,6 @@
   // The caller's next connection, with a set-up that is refused as all lines of the number are busy.
   await sleep(300);
   const second = await test.caller('a, second connection');
-  const { PARAM, TYPE, causeOf, encodeMessage } = require('../lib-2/wire');
   test.exchanges[1].onSetUp = (link, message) => {
     link.send(encodeMessage(TYPE.RELEASE, message.call, [causeOf(17), [PARAM.NOTE, 'engaged']]));
     return true;
--- a/review/lib-2/harness.js
+++ b/review/lib-2/harness.js
@@ -1,6 +1,7 @@
 'use strict';
 // Runs one case: starts the controller with the `run` line of deploy/balancer.toml, hands the stand-ins to the case, and
-// writes record.txt. Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+// writes record.txt. Exit code 11: the rule was broken; 0: it held; anything else: the case could not run. run.sh turns these
+// into 1, 0 and 2, so that a script that fails to load is not taken for a broken rule.
 
 const fs = require('fs');
 const os = require('os');
@@ -13,6 +14,7 @@
 const MAX_RUN_MS = 110_000;
 /** Each time limit is 50 ms longer (PROTOCOL.md, 'The rules on sockets'). */
 const SLACK_MS = 50;
+const BROKEN = 11;
 
 class CannotRun extends Error {}
 
@@ -121,10 +123,12 @@
   }
 
   async finish(code) {
+    if (this.finishing) return;
+    this.finishing = true;
     for (const child of this.children) if (child.exitCode === null && child.signalCode === null) { child.kill('SIGKILL'); await child.exited; }
     if (this.exchanges) this.exchanges.forEach((exchange) => exchange.stop());
     if (this.bus) this.bus.stop();
-    this.record('case', code === 1 ? 'the rule was broken' : code === 0 ? 'the rule held' : 'the case could not run');
+    this.record('case', code === BROKEN ? 'the rule was broken' : code === 0 ? 'the rule held' : 'the case could not run');
     fs.writeFileSync(path.join(this.folder, 'record.txt'), `${this.lines.join('\n')}\n`);
     if (process.env.REVIEW_DEBUG) fs.copyFileSync(path.join(this.temporary, 'controller.log'), process.env.REVIEW_DEBUG);
     fs.rmSync(this.temporary, { recursive: true, force: true });
@@ -136,10 +140,13 @@
 /** Runs a case. `play` returns whether the rule held, or throws CannotRun. */
 async function run(folder, play) {
   const current = new Case(folder);
+  const failed = (error) => { current.record('case', String((error && error.stack) || error)); current.finish(2); };
+  process.on('uncaughtException', failed).on('unhandledRejection', failed);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => failed(signal));
   setTimeout(() => { current.record('case', 'took too long'); current.finish(2); }, MAX_RUN_MS);
   try {
     const held = await play(current);
-    await current.finish(held ? 0 : 1);
+    await current.finish(held ? 0 : BROKEN);
   } catch (error) {
     current.record('case', error instanceof CannotRun ? error.message : String(error.stack));
     await current.finish(2);
