Call control: the grace of a lost link is not prolonged by attempts that fail

Each connection that came up and was lost before the link opened set the timer anew (on_link_lost in signalling.rs), so the calls of an exchange that accepts and closes connections were kept for good.

Change: the timer that runs is kept; only an open link ends it.

Test: standing_calls_are_cut_after_the_grace_though_the_link_is_connected_again_and_never_opens, fails before (no call ended), passes now.

--- a/crates/callcontrol/src/signalling.rs
+++ b/crates/callcontrol/src/signalling.rs
@@ -476,8 +476,10 @@
         };
         (link.local_state, link.remote_state) = (LocalAspState::Down, RemoteAspState::Inactive);
         link.timer.take().into_iter().for_each(|timer| self.state.timers.cancel(timer));
-        let timer = self.state.timers.set(grace_end, Timer::LinkGrace(to));
-        link.grace_timer.replace(timer).into_iter().for_each(|timer| self.state.timers.cancel(timer));
+        // The grace runs from when the link was last usable: a connection that is lost while it opens does not prolong it.
+        if link.grace_timer.is_none() {
+            link.grace_timer = Some(self.state.timers.set(grace_end, Timer::LinkGrace(to)));
+        }
         self.actions.log_info(&format!("link to exchange {} is lost", to.0));
         self.drop_calls(controller, to, |usage| {
             matches!(usage, CircuitUse::SeizedOut(_) | CircuitUse::SeizedIn(_))
--- a/crates/callcontrol/tests/stories.rs
+++ b/crates/callcontrol/tests/stories.rs
@@ -336,6 +336,25 @@
     assert_eq!(network.exchanges[&1].1.closed, [(ExchangeNumber(2), "heartbeats not answered".to_string())]);
 }
 
+// Guards against: calls kept for good at an exchange that is connected again and again and never opens the link.
+#[test]
+fn standing_calls_are_cut_after_the_grace_though_the_link_is_connected_again_and_never_opens() {
+    let mut network = TestNetwork::new(2, 31);
+    let call = network.offer_call(1, 2, 5, 0);
+    network.deliver_all();
+    assert_eq!(network.answers(1), [(call, Answer::Stands)]);
+    network.break_link(1, 2);
+    for _ in 0..3 {
+        network.advance(ms(3000));
+        network.restore_link(1, 2);
+        network.advance(ms(100));
+        network.break_link(1, 2);
+    }
+    assert!(network.ended_calls(1).is_empty(), "the grace is 10 s");
+    network.advance(ms(1000));
+    assert_eq!(network.ended_calls(1), [(call, CallEnd::Cut)]);
+}
+
 #[test]
 fn a_tandem_is_used_only_with_spare_circuits_and_releases_both_sides() {
     let mut network = TestNetwork::new(3, 2);
