Call control: close a link on which the far end never answers

A connection that fell silent while it opened got ASP Up or ASP Active again every T(ack) and was never closed, so that none was opened in its place (on_link_timer in callcontrol.rs). Open links have heartbeats of their own, one connection an exchange.

Change: after three repeated requests in a row without any octets from the far end the connection is closed, as after three heartbeats.

Test: a_link_on_which_the_far_end_never_answers_is_closed, both steps of the opening; fails before, passes now.

--- a/crates/callcontrol/src/callcontrol.rs
+++ b/crates/callcontrol/src/callcontrol.rs
@@ -19,7 +19,7 @@
 use crate::circuits::{CircuitUse, TrunkGroup};
 use crate::config::{ANSWER_MARGIN, CallControlConfig};
 use crate::context::{CallControlState, EventContext};
-use crate::links::{InitialReset, Link, LocalAspState, MAX_UNANSWERED_HEARTBEATS};
+use crate::links::{InitialReset, Link, LocalAspState, MAX_UNANSWERED_REQUESTS};
 use crate::status::Counters;
 use crate::timers::{Timer, TimerQueue};
 use crate::trace::{Trace, TraceStep, Traces};
@@ -371,7 +371,7 @@
             link.local_state = LocalAspState::Announcing;
             link.remote_state = Default::default();
             link.deframer = Default::default();
-            link.unanswered_heartbeats = 0;
+            link.unanswered_requests = 0;
             context.send_asp_request(to);
         });
     }
@@ -654,12 +654,20 @@
         link.timer = None;
         match link.local_state {
             LocalAspState::Down => {}
-            LocalAspState::Announcing | LocalAspState::Activating => self.send_asp_request(to),
-            LocalAspState::Active if link.unanswered_heartbeats >= MAX_UNANSWERED_HEARTBEATS => {
+            LocalAspState::Announcing | LocalAspState::Activating
+                if link.unanswered_requests >= MAX_UNANSWERED_REQUESTS =>
+            {
+                self.actions.close_link(to, "requests to open the link not answered");
+            }
+            LocalAspState::Announcing | LocalAspState::Activating => {
+                link.unanswered_requests += 1;
+                self.send_asp_request(to);
+            }
+            LocalAspState::Active if link.unanswered_requests >= MAX_UNANSWERED_REQUESTS => {
                 self.actions.close_link(to, "heartbeats not answered");
             }
             LocalAspState::Active => {
-                link.unanswered_heartbeats += 1;
+                link.unanswered_requests += 1;
                 link.timer = Some(self.state.timers.set(self.now + interval, Timer::Link(to)));
                 self.send_frame(to, Frame::Heartbeat(b"mintstal"));
             }
--- a/crates/callcontrol/src/links.rs
+++ b/crates/callcontrol/src/links.rs
@@ -32,8 +32,8 @@
     pub deframer: Deframer,
     pub timer: Option<TimerHandle>,
     pub grace_timer: Option<TimerHandle>,
-    /// Heartbeats sent since the last octets received.
-    pub unanswered_heartbeats: u8,
+    /// Heartbeats, and repeated requests to open the link, sent since the last octets received.
+    pub unanswered_requests: u8,
     /// Whether this process has reset the group's circuits at the far end, which may hold calls of an earlier process.
     pub initial_reset: InitialReset,
     /// The last peer message sent while the link was not usable; it is sent when the link opens.
@@ -47,8 +47,8 @@
     Sent,
 }
 
-/// Heartbeats without an answer after which a link is closed.
-pub(crate) const MAX_UNANSWERED_HEARTBEATS: u8 = 3;
+/// Heartbeats, or repeated requests to open the link, without an answer after which a link is closed.
+pub(crate) const MAX_UNANSWERED_REQUESTS: u8 = 3;
 
 impl Link {
     pub fn is_usable(&self) -> bool {
--- a/crates/callcontrol/src/signalling.rs
+++ b/crates/callcontrol/src/signalling.rs
@@ -41,7 +41,7 @@
         };
         // Taken out of the link, since the handling of a frame may change the link.
         let mut deframer = std::mem::take(&mut link.deframer);
-        link.unanswered_heartbeats = 0;
+        link.unanswered_requests = 0;
         deframer.push(octets);
         let closing = self.is_closing();
         let error: Option<FrameError> = loop {
--- a/crates/callcontrol/tests/stories.rs
+++ b/crates/callcontrol/tests/stories.rs
@@ -336,6 +336,26 @@
     assert_eq!(network.exchanges[&1].1.closed, [(ExchangeNumber(2), "heartbeats not answered".to_string())]);
 }
 
+// Guards against: a connection kept for good on which the far end never said a word, so that none in its place is opened.
+#[test]
+fn a_link_on_which_the_far_end_never_answers_is_closed() {
+    for acknowledges_asp_up in [false, true] {
+        let mut network = TestNetwork::new(2, 31);
+        network.break_link(1, 2);
+        network.restore_link(1, 2);
+        if acknowledges_asp_up {
+            network.take_sent(2, 1);
+            network.take_sent(1, 2).iter().for_each(|octets| network.deliver(1, 2, octets));
+            network.take_sent(2, 1).iter().for_each(|octets| network.deliver(2, 1, octets));
+        }
+        network.advance(ms(7900));
+        assert!(network.exchanges[&1].1.closed.is_empty(), "three requests are repeated");
+        network.advance(ms(2200));
+        let why = "requests to open the link not answered".to_string();
+        assert_eq!(network.exchanges[&1].1.closed, [(ExchangeNumber(2), why)]);
+    }
+}
+
 // Guards against: calls kept for good at an exchange that is connected again and again and never opens the link.
 #[test]
 fn standing_calls_are_cut_after_the_grace_though_the_link_is_connected_again_and_never_opens() {
