Platform: send a release to who may hold the call, not to who is busiest

A caller has closed the connection of its call and has another one open, on which a set-up was refused; a client sends releases of unknown calls. The call ends, its release goes to that client, and the caller is never told (limit 1.05 s).

Cause: activity was taken for a proof of whose a connection is (connection_for and send_pending_releases in state/releases.rs, mark_valid in core/callers.rs), and a release was done with once it was written.

Change: state/caller_releases.rs. A connection has shown nothing, a request, a set-up or a known call. The call's own connection, where it was set up or named last, comes first, then one with a known call. If there is none, all that may be the caller's get the release, within limits, and it stays open for 30 s: for a connection that shows more, for one that names the call, for the next if it is turned down (300 or more). The same order decides which connections a shutdown keeps, and which are closed to make room.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -24,7 +24,7 @@
 use crate::bus_connector::{self, BusConnector};
 use crate::event_bus::EventDecoder;
 use crate::reasons::{CallerClose, LinkLoss};
-use crate::state::{AnswerState, Caller, EventContext, LinkState, PlatformState, Timer};
+use crate::state::{AnswerState, Caller, CallerEvidence, EventContext, LinkState, PlatformState, Timer};
 use crate::{Config, Transport};
 
 /// Interval at which connections and leases are checked for time-outs.
@@ -189,8 +189,11 @@
         self.restart_partial_times(transport);
         let late = |since: Option<Duration>, span| since.is_some_and(|since| since + span < now);
         let stuck = |caller: &Caller| {
-            let timeout =
-                if caller.had_standing_call { PROVEN_CALLER_PARTIAL_TIMEOUT } else { CALLER_PARTIAL_TIMEOUT };
+            let timeout = if caller.evidence == CallerEvidence::KnownCall {
+                PROVEN_CALLER_PARTIAL_TIMEOUT
+            } else {
+                CALLER_PARTIAL_TIMEOUT
+            };
             // Its open calls get their answers first.
             late(caller.partial_since, timeout) && caller.open_calls.is_empty()
         };
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -10,7 +10,9 @@
 use crate::exchange_protocol::WireCallId;
 use crate::invite::{self, Invite, SetUp};
 use crate::reasons::{CallEnd, CallerClose};
-use crate::state::{AnswerState, Call, MAX_STANDING_CALLS, StandingCall, TEMPORARY_FAILURE, Timer};
+use crate::state::{
+    AnswerState, Call, CallerEvidence, MAX_STANDING_CALLS, StandingCall, TEMPORARY_FAILURE, Timer,
+};
 use crate::{CallerConnectionId, Transport};
 
 impl Core {
@@ -118,7 +120,7 @@
         match message.start {
             StartLine::Request { method, .. } => {
                 if method != "INVITE" {
-                    self.mark_valid(transport, connection);
+                    self.state.raise_evidence(transport, connection, CallerEvidence::Request);
                 }
                 match method {
                     "INVITE" => self.handle_invite(transport, connection, message),
@@ -132,26 +134,19 @@
                     _ => reply(transport, connection, message, 405, ""),
                 }
             }
-            StartLine::Response { .. } => {
-                if let (Some((_, "BYE")), Some(id)) =
-                    (message.cseq(), message.header("Call-ID").and_then(WireCallId::parse))
-                {
-                    self.state.release_confirmed(connection, id);
+            StartLine::Response { status } => {
+                let id = message.header("Call-ID").and_then(WireCallId::parse);
+                match (message.cseq(), id, status) {
+                    (Some((_, "BYE")), Some(id), 200..=299) => self.state.release_confirmed(connection, id),
+                    (Some((_, "BYE")), Some(id), 300..) => {
+                        self.state.release_turned_down(transport, connection, id)
+                    }
+                    _ => {}
                 }
             }
         }
     }
 
-    /// Marks a connection on which a valid message has arrived. Releases may be sent on it from now on, so those that
-    /// wait for a connection are.
-    pub(super) fn mark_valid(&mut self, transport: &mut dyn Transport, connection: CallerConnectionId) {
-        if let Some(caller) = self.state.callers.get_mut(&connection)
-            && !std::mem::replace(&mut caller.sent_valid, true)
-        {
-            self.state.send_pending_releases(transport);
-        }
-    }
-
     pub(super) fn handle_invite(
         &mut self,
         transport: &mut dyn Transport,
@@ -165,7 +160,7 @@
         };
         match invite {
             Invite::Stands { id, exchange_uid } => {
-                self.mark_valid(transport, connection);
+                self.state.raise_evidence(transport, connection, CallerEvidence::SetUp);
                 self.restore_standing_call(transport, connection, id, exchange_uid);
             }
             Invite::Call(set_up) => {
@@ -174,7 +169,7 @@
                 {
                     return reply(transport, connection, message, 400, "a call has this id");
                 }
-                self.mark_valid(transport, connection);
+                self.state.raise_evidence(transport, connection, CallerEvidence::SetUp);
                 if self.is_draining() {
                     metrics::counter!("set_ups_refused", "reason" => "shutdown").increment(1);
                     return reply(transport, connection, message, 503, "this controller shuts down");
@@ -249,14 +244,21 @@
         id: WireCallId,
         exchange_uid: &str,
     ) {
-        if self.state.standing.contains_key(&id) || self.state.standing.len() >= MAX_STANDING_CALLS {
+        if let Some(standing) = self.state.standing.get_mut(&id) {
+            // Who names a call holds it.
+            standing.caller = connection;
+            return;
+        }
+        if self.state.tell_release_to_namer(transport, connection, id) {
+            return;
+        }
+        if self.state.standing.len() >= MAX_STANDING_CALLS {
             return;
         }
-        let now = self.state.now;
         if let Some(cause) = self.state.unmatched_release(id) {
             transport
                 .log_debug(format_args!("{id} ended: its exchange released it before its caller named it"));
-            return self.state.notify_release(transport, Some(connection), id, cause, now);
+            return self.state.notify_release(transport, Some(connection), id, cause);
         }
         // The call stood before this process started. If its exchange is no longer listed, or has started since, the call
         // has ended with it.
@@ -269,7 +271,7 @@
         };
         transport.log_debug(format_args!("{id} ended: {reason} ({exchange_uid})"));
         reason.count(1);
-        self.state.notify_release(transport, Some(connection), id, TEMPORARY_FAILURE, now);
+        self.state.notify_release(transport, Some(connection), id, TEMPORARY_FAILURE);
     }
 
     /// Adds a standing call that its caller has named.
@@ -332,8 +334,14 @@
     ) {
         let id = message.header("Call-ID").and_then(WireCallId::parse);
         let Some((id, call)) = id.and_then(|id| Some((id, self.state.standing.remove(&id)?))) else {
+            // The call may have ended here, too, and its caller does not want to hear of that any more.
+            id.into_iter().for_each(|id| self.state.release_confirmed(connection, id));
             return reply(transport, connection, message, 481, "");
         };
+        // A call that was named and not set up here may have been made up.
+        if call.link.is_some() {
+            self.state.raise_evidence(transport, connection, CallerEvidence::KnownCall);
+        }
         reply(transport, connection, message, 200, "");
         let reason = CallEnd::ReleasedByCaller;
         transport.log_debug(format_args!("{id} ended: {reason}"));
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -7,7 +7,9 @@
 use super::{Core, Disconnect, partial_since};
 use crate::exchange_protocol::{self, MessageType, WireCallId};
 use crate::reasons::{CallEnd, LinkLoss};
-use crate::state::{AnswerState, LinkState, NORMAL_CLEARING, StandingCall, TEMPORARY_FAILURE};
+use crate::state::{
+    AnswerState, CallerEvidence, LinkState, NORMAL_CLEARING, StandingCall, TEMPORARY_FAILURE,
+};
 use crate::{LinkId, Transport};
 
 impl Core {
@@ -193,7 +195,7 @@
             answered_at: now,
         };
         self.state.standing.insert(message.call, standing);
-        self.state.callers.entry(caller).and_modify(|caller| caller.had_standing_call = true);
+        self.state.raise_evidence(transport, caller, CallerEvidence::KnownCall);
         self.state.answer(transport, id, 200, &[("Content-Type", "application/sdp")], description);
         let elapsed = now.saturating_sub(seizure.seized_at);
         let answered = SeizureAnswered { call: id, seizure: seizure.number, exchange, elapsed };
@@ -228,7 +230,7 @@
             _ => (CallEnd::Cut, TEMPORARY_FAILURE, Cause::Cut),
         };
         reason.count(1);
-        self.state.notify_release(transport, Some(call.caller), message.call, cause, self.state.now);
+        self.state.notify_release(transport, Some(call.caller), message.call, cause);
         let mut octets = Vec::new();
         exchange_protocol::encode(&mut octets, MessageType::ReleaseComplete, message.call, &[]);
         transport.send_to_link(link_id, &octets);
@@ -267,7 +269,7 @@
         transport.log_info(&format!("exchange {}: {count} standing calls ended: {reason}", exchange.0));
         reason.count(count);
         for (id, call) in &ended {
-            self.state.notify_release(transport, Some(call.caller), *id, TEMPORARY_FAILURE, self.state.now);
+            self.state.notify_release(transport, Some(call.caller), *id, TEMPORARY_FAILURE);
             self.report_standing_call_ended(transport, call, Cause::Cut);
         }
         ended.into_iter().map(|(id, _)| id).collect()
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -14,7 +14,7 @@
 
 use super::Core;
 use crate::reasons::CallerClose;
-use crate::state::{Caller, StandingCall, Timer};
+use crate::state::{Caller, CallerEvidence, StandingCall, Timer};
 use crate::{CallerConnectionId, Transport};
 
 /// Callers keep sending set-ups for 0.6 s after the signal. The rest is for their transmission and for a late start.
@@ -106,23 +106,27 @@
     }
 
     /// The connections on which the releases of standing calls will be sent. A call whose own connection is closed
-    /// needs one of the others.
+    /// needs those that may be its caller's.
     fn callers_awaiting_releases(&self) -> BTreeSet<CallerConnectionId> {
-        let other = self.state.connection_for(None);
-        let open = |connection: &CallerConnectionId| self.state.callers.contains_key(connection);
-        let release_connection = |call: &StandingCall| Some(call.caller).filter(open).or(other);
-        self.state.standing.values().filter_map(release_connection).collect()
+        let is_open = |call: &&StandingCall| self.state.callers.contains_key(&call.caller);
+        let (open, closed): (Vec<&StandingCall>, Vec<_>) = self.state.standing.values().partition(is_open);
+        let mut connections: BTreeSet<_> = open.into_iter().map(|call| call.caller).collect();
+        if !closed.is_empty() {
+            connections.extend(self.state.likely_callers(&[]));
+        }
+        connections
     }
 
-    /// The connection that can be closed to make room for another: of those without open set-ups the one that has been
-    /// silent longest, and one that has sent no valid message before any other. A connection that has sent valid
-    /// messages is not closed in the middle of the next.
+    /// The connection that can be closed to make room for another: of those without open set-ups one that has shown least
+    /// of whose it is, and among these the one that has been silent longest. A connection that has sent set-ups is not
+    /// closed in the middle of a message.
     pub fn least_active_caller(&self) -> Option<CallerConnectionId> {
         let closable = |caller: &Caller| {
-            caller.open_calls.is_empty() && !(caller.sent_valid && caller.partial_since.is_some())
+            let is_in_message = caller.evidence >= CallerEvidence::SetUp && caller.partial_since.is_some();
+            caller.open_calls.is_empty() && !is_in_message
         };
         let idle = self.state.callers.iter().filter(|(_, caller)| closable(caller));
-        idle.min_by_key(|(_, caller)| (caller.sent_valid, caller.last_received))
+        idle.min_by_key(|(_, caller)| (caller.evidence, caller.last_received))
             .map(|(connection, _)| *connection)
     }
 }
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -1,10 +1,11 @@
 //! The state of calls, seizures, standing calls, callers' connections and links to exchanges, and the actions on it
 //! that the controller asks for.
 //!
-//! `calls` holds the calls without a final answer, `links` the pools of connections to exchanges, `releases` the
-//! releases of standing calls, `release_waits` the ids that must wait, and `actions` the [`mintstall::interface::ControllerActions`] of this platform.
+//! `calls` holds the calls without a final answer, `links` the pools of connections to exchanges, `caller_releases` and
+//! `releases` the releases of standing calls towards callers and exchanges, `release_waits` the ids that must wait, and `actions` the [`mintstall::interface::ControllerActions`] of this platform.
 
 mod actions;
+mod caller_releases;
 mod calls;
 mod links;
 mod release_waits;
@@ -27,15 +28,14 @@
 use crate::{CallerConnectionId, LinkId};
 
 pub use self::actions::EventContext;
+pub use self::caller_releases::CallerEvidence;
+use self::caller_releases::CallerReleases;
 use self::release_waits::ReleaseWaits;
 
 /// Q.850 cause: normal call clearing.
 pub const NORMAL_CLEARING: u8 = 16;
 /// Q.850 cause: temporary failure.
 pub const TEMPORARY_FAILURE: u8 = 41;
-/// A release that finds no connection to its caller is kept this long. The time in which the caller has to learn of it
-/// is shorter, but a caller that reconnects later still holds the call.
-const PENDING_RELEASE_TTL: Duration = Duration::from_secs(30);
 /// A release of a call that is not known here is kept this long, until the caller names the call: exchanges repeat
 /// releases as soon as a connection is up, callers connect only once the process passes a test.
 const UNMATCHED_RELEASE_TTL: Duration = Duration::from_secs(30);
@@ -153,19 +153,9 @@
     pub last_received: Duration,
     /// Since when a message has been incomplete, or the connection open without any message.
     pub partial_since: Option<Duration>,
-    /// Whether it has sent a valid message.
-    pub sent_valid: bool,
-    /// Whether one of its calls has been answered: a caller that only disrupts does not get this far.
-    pub had_standing_call: bool,
+    pub evidence: CallerEvidence,
     /// Releases written recently that it has not confirmed, oldest first.
-    unconfirmed_releases: VecDeque<(Duration, WireCallId, u8)>,
-}
-
-impl Caller {
-    /// Whether a release was written recently that it has not confirmed.
-    pub fn awaits_confirmation(&self, now: Duration) -> bool {
-        self.unconfirmed_releases.iter().any(|(at, ..)| *at + RELEASE_CONFIRM_WINDOW > now)
-    }
+    unconfirmed_releases: VecDeque<(Duration, WireCallId)>,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -277,8 +267,7 @@
     pub timers: BinaryHeap<Reverse<(Duration, u64, Timer)>>,
     /// Ended seizures of which the controller is yet to be told.
     pub ended_seizures: VecDeque<SeizureEnded>,
-    /// Releases for callers that have no open connection, oldest first.
-    pending_releases: VecDeque<(Duration, WireCallId, u8)>,
+    caller_releases: CallerReleases,
     /// Releases by exchanges of calls that are not known here, oldest first.
     unmatched_releases: VecDeque<(Duration, WireCallId, u8)>,
     /// Ids under which no set-up may be sent yet.
@@ -314,7 +303,7 @@
             links: BTreeMap::new(),
             timers: BinaryHeap::new(),
             ended_seizures: VecDeque::new(),
-            pending_releases: VecDeque::new(),
+            caller_releases: CallerReleases::default(),
             unmatched_releases: VecDeque::new(),
             release_waits: ReleaseWaits::new(release_wait),
             held_octets: 0,
@@ -357,8 +346,7 @@
             open_calls: BTreeSet::new(),
             last_received: self.now,
             partial_since: Some(self.now),
-            sent_valid: false,
-            had_standing_call: false,
+            evidence: CallerEvidence::Nothing,
             unconfirmed_releases: VecDeque::new(),
         };
         self.callers.insert(caller, new_caller);
--- a/crates/platform/src/state/releases.rs
+++ b/crates/platform/src/state/releases.rs
@@ -1,102 +1,18 @@
-//! Releases of standing calls, towards callers and towards exchanges.
+//! Releases of standing calls towards exchanges, and by exchanges of calls that are not known here.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use mintstall::interface::{CallId, ExchangeId};
-use mintstall_sip as sip;
+use mintstall::interface::ExchangeId;
 
 use super::{
-    MAX_PENDING_RELEASES, MAX_RELEASE_REPEATS, NORMAL_CLEARING, PENDING_RELEASE_TTL, PlatformState,
-    RELEASE_CONFIRM_WINDOW, RELEASE_REPEAT_INTERVAL, RELEASE_REPEAT_WINDOW, StandingCall,
-    UNMATCHED_RELEASE_TTL, UnconfirmedRelease,
+    MAX_PENDING_RELEASES, MAX_RELEASE_REPEATS, NORMAL_CLEARING, PlatformState, RELEASE_REPEAT_INTERVAL,
+    RELEASE_REPEAT_WINDOW, StandingCall, UNMATCHED_RELEASE_TTL, UnconfirmedRelease,
 };
 use crate::exchange_protocol::{self, MessageType, WireCallId, parameter};
-use crate::{CallerConnectionId, LinkId, Transport};
+use crate::{LinkId, Transport};
 
 impl PlatformState {
-    /// Sends a caller the release of its call: on its own connection, else on another, else on the next one that opens.
-    pub fn notify_release(
-        &mut self,
-        transport: &mut dyn Transport,
-        caller: Option<CallerConnectionId>,
-        id: WireCallId,
-        cause: u8,
-        since: Duration,
-    ) {
-        let Some(connection) = self.connection_for(caller) else {
-            if self.pending_releases.len() == MAX_PENDING_RELEASES {
-                self.pending_releases.pop_front();
-            }
-            transport.log_debug(format_args!("{id} released: waits for a connection to a caller"));
-            return self.pending_releases.push_back((since, id, cause));
-        };
-        let (wire_id, reason) = (id.to_string(), format!("Q.850;cause={cause}"));
-        let headers = [
-            ("Via", "SIP/2.0/TCP controller"),
-            ("Call-ID", &*wire_id),
-            ("CSeq", "1 BYE"),
-            ("Reason", &*reason),
-        ];
-        let mut octets = Vec::new();
-        sip::encode(&mut octets, "BYE sip:peer@net SIP/2.0", &headers, b"");
-        if let Some(caller) = self.callers.get_mut(&connection) {
-            let now = self.now;
-            let expired = |(at, ..): &mut (Duration, WireCallId, u8)| *at + RELEASE_CONFIRM_WINDOW < now;
-            while caller.unconfirmed_releases.pop_front_if(expired).is_some() {}
-            if caller.unconfirmed_releases.len() < MAX_PENDING_RELEASES {
-                caller.unconfirmed_releases.push_back((self.now, id, cause));
-            }
-        }
-        transport.send_to_caller(connection, &octets);
-        transport.log_debug(format_args!("{id} released: sent to caller {}, cause {cause}", connection.0));
-    }
-
-    /// The connection for the release of a call: its caller's if open, else one of the others. Connections that have
-    /// had a standing call come first: a caller that only disrupts does not get that far.
-    pub fn connection_for(&self, caller: Option<CallerConnectionId>) -> Option<CallerConnectionId> {
-        let has_sent_valid = |connection: &CallerConnectionId| {
-            self.callers.get(connection).is_some_and(|caller| caller.sent_valid)
-        };
-        let best_other = || {
-            let valid = self.callers.iter().filter(|(_, caller)| caller.sent_valid);
-            let best = valid.max_by_key(|(_, caller)| (caller.had_standing_call, caller.last_received));
-            best.map(|(connection, _)| *connection)
-        };
-        caller.filter(has_sent_valid).or_else(best_other)
-    }
-
-    pub fn release_confirmed(&mut self, caller: CallerConnectionId, id: WireCallId) {
-        if let Some(caller) = self.callers.get_mut(&caller) {
-            remove_confirmed(&mut caller.unconfirmed_releases, |(_, known, _)| *known == id);
-        }
-    }
-
-    /// Sends the releases that wait for a connection.
-    pub fn send_pending_releases(&mut self, transport: &mut dyn Transport) {
-        for (since, id, cause) in std::mem::take(&mut self.pending_releases) {
-            if since + PENDING_RELEASE_TTL > self.now {
-                self.notify_release(transport, None, id, cause, since);
-            }
-        }
-    }
-
-    /// Removes a caller's connection and sends its unconfirmed releases on another. Returns its calls without a final
-    /// answer, of which the controller has to be told.
-    pub fn caller_disconnected(
-        &mut self,
-        transport: &mut dyn Transport,
-        connection: CallerConnectionId,
-    ) -> Vec<CallId> {
-        let Some(caller) = self.callers.remove(&connection) else { return Vec::new() };
-        for (at, id, cause) in caller.unconfirmed_releases {
-            if at + RELEASE_CONFIRM_WINDOW > self.now {
-                self.notify_release(transport, None, id, cause, at);
-            }
-        }
-        caller.open_calls.into_iter().collect()
-    }
-
     /// Releases a standing call at its exchange: on a link that is up, and again on the next one unless the exchange
     /// confirms it, since what was written on a link may be lost with it.
     pub fn release_at_exchange(&mut self, transport: &mut dyn Transport, to: ExchangeId, id: WireCallId) {
