Platform: tell by its link which set-up a late message is about

A refusal is 1.5 s on its way; its set-up is given up after 0.8 s, and the call stands by another one on another link. The late refusal ends the call for its caller, and the exchange goes on holding it.

Cause: handle_release (core/exchanges.rs) matched a release with the standing call by id and exchange. The links with given-up set-ups belonged to the call without an answer and were forgotten with it. Ruled out that the cause value alone is to blame: 41 and 16, with which calls can end, on the given-up set-up's link end the call as well.

--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -212,7 +212,6 @@
             answer_state: AnswerState::Pending,
             seizure_count: 0,
             open_seizure: None,
-            abandoned_links: Vec::new(),
         };
         self.state.add_call(id, call);
         self.state.unanswered.insert(set_up.id, id);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -1,9 +1,10 @@
 //! The state of calls, seizures, standing calls, callers' connections and links to exchanges, and the actions on it
 //! that the controller asks for.
 //!
-//! `calls` holds the calls without a final answer, `links` the pools of connections to exchanges, `caller_releases` and
+//! `calls` holds the calls without a final answer, `abandoned_set_ups` those set-ups of which messages may still arrive, `links` the pools of connections to exchanges, `caller_releases` and
 //! `releases` the releases of standing calls towards callers and exchanges, `release_waits` the ids that must wait, and `actions` the [`mintstall::interface::ControllerActions`] of this platform.
 
+mod abandoned_set_ups;
 mod actions;
 mod caller_releases;
 mod calls;
@@ -27,10 +28,12 @@
 use crate::exchange_protocol::{self, WireCallId};
 use crate::{CallerConnectionId, LinkId};
 
+use self::abandoned_set_ups::AbandonedSetUps;
 pub use self::actions::EventContext;
 pub use self::caller_releases::CallerEvidence;
 use self::caller_releases::CallerReleases;
 use self::release_waits::ReleaseWaits;
+pub use self::releases::release_on;
 
 /// Q.850 cause: normal call clearing.
 pub const NORMAL_CLEARING: u8 = 16;
@@ -120,9 +123,6 @@
     pub answer_state: AnswerState,
     pub seizure_count: u8,
     pub open_seizure: Option<OpenSeizure>,
-    /// Links on which a seizure of this call was given up. A late answer on one of them would be taken for the answer
-    /// to a later seizure, so no later one is sent there.
-    pub abandoned_links: Vec<LinkId>,
 }
 
 impl Call {
@@ -188,6 +188,8 @@
     pub partial_since: Option<Duration>,
     /// Set-ups sent on it whose seizure has not ended.
     pub open_set_ups: BTreeMap<WireCallId, CallId>,
+    /// Set-ups sent on it that were given up here. No other set-up of such a call is sent on it.
+    pub abandoned_set_ups: AbandonedSetUps,
     /// The last report of the group's state on this link, kept while the reports of an older link are the ones used.
     pub last_report: Option<CapacityReport>,
 }
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -79,7 +79,7 @@
         let free = links.filter(|(link_id, link)| {
             link.state == LinkState::Up
                 && link.partial_since.is_none()
-                && !call.abandoned_links.contains(link_id)
+                && !link.abandoned_set_ups.contains(self.now, call.id)
                 && !transport.is_write_blocked(**link_id)
         });
         let is_doubtful = |link: &Link| {
@@ -154,13 +154,15 @@
     }
 
     /// Gives up a seizure and releases it at the exchange. Later seizures of the call use other links, so that a late
-    /// answer is not taken for theirs.
+    /// message is not taken for one of theirs.
     pub fn give_up_seizure(&mut self, transport: &mut dyn Transport, id: CallId, cause: Cause) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(seizure) = &call.open_seizure else { return };
         // Without a link the set-up was never sent, so the exchange has not acted on it.
         let Some(link) = seizure.link else { return self.end_seizure(id, Cause::Unreachable) };
-        call.abandoned_links.push(link);
+        if let Some(link) = self.links.get_mut(&link) {
+            link.abandoned_set_ups.insert(self.now, call.id);
+        }
         release_on(transport, link, call.id);
         self.end_seizure(id, cause);
     }
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -199,6 +199,7 @@
             liveness: ConnectionLiveness::new(self.now),
             partial_since: None,
             open_set_ups: BTreeMap::new(),
+            abandoned_set_ups: Default::default(),
             last_report: None,
         };
         self.links.insert(link_id, link);
--- a/crates/platform/src/state/releases.rs
+++ b/crates/platform/src/state/releases.rs
@@ -34,7 +34,14 @@
         });
     }
 
-    pub fn exchange_confirmed_release(&mut self, by: ExchangeId, id: WireCallId) {
+    /// An exchange has confirmed a release on the link on which it got it: that of a set-up that was given up on this link,
+    /// else that of a call that stood.
+    pub fn exchange_confirmed_release(&mut self, link_id: LinkId, by: ExchangeId, id: WireCallId) {
+        let now = self.now;
+        let link = self.links.get_mut(&link_id);
+        if link.is_some_and(|link| link.abandoned_set_ups.confirm(now, id)) {
+            return;
+        }
         if let Some(remote) = self.exchanges.get_mut(&by) {
             remove_confirmed(&mut remote.unconfirmed_releases, |release| release.id == id);
         }
@@ -98,7 +105,7 @@
 }
 
 /// Sends a release of a call with normal clearing: the caller released it, or it was given up here.
-pub(super) fn release_on(transport: &mut dyn Transport, link: LinkId, id: WireCallId) {
+pub fn release_on(transport: &mut dyn Transport, link: LinkId, id: WireCallId) {
     let mut octets = Vec::new();
     exchange_protocol::encode(
         &mut octets,
