Call control: a second release complete is not about the next call on its circuit

The first release complete frees the circuit, the next call takes it, and the second one cut that call and reset the circuit: a release complete for a busy circuit was taken for one that nobody had asked for.

Change: each circuit counts the releases and resets sent on the present link that are not completed (send in context.rs); a release complete that is due does not touch a later call. One that is not due still ends the call (Q.764 2.9.5.1).

--- a/crates/callcontrol/src/circuits.rs
+++ b/crates/callcontrol/src/circuits.rs
@@ -82,6 +82,9 @@
     pub blocking: Blocking,
     /// Counts the changes of its use.
     pub changes: u32,
+    /// Releases and resets sent on the present link that the far end has not completed. Each is completed for itself, also a
+    /// repeated one, when the circuit may carry the next call already.
+    completes_due: u8,
 }
 
 /// The circuits to one other exchange, by their indices in the group.
@@ -98,7 +101,8 @@
 
 impl TrunkGroup {
     pub fn new(own: ExchangeNumber, to: ExchangeNumber, count: u16) -> Self {
-        let circuit = Circuit { usage: CircuitUse::Idle, blocking: Blocking::Unblocked, changes: 0 };
+        let circuit =
+            Circuit { usage: CircuitUse::Idle, blocking: Blocking::Unblocked, changes: 0, completes_due: 0 };
         let mut group = Self {
             circuits: vec![circuit; usize::from(count.min(Cic::MAX_PER_GROUP))],
             controls_even: own > to,
@@ -143,6 +147,26 @@
         }
     }
 
+    /// A release or a reset was sent, which the far end will complete.
+    pub fn await_complete(&mut self, index: u16) {
+        if let Some(circuit) = self.circuits.get_mut(usize::from(index)) {
+            circuit.completes_due = circuit.completes_due.saturating_add(1);
+        }
+    }
+
+    /// A release complete has come. Returns whether it is for a release or a reset from this end.
+    pub fn take_complete(&mut self, index: u16) -> bool {
+        let Some(circuit) = self.circuits.get_mut(usize::from(index)) else { return false };
+        let was_due = circuit.completes_due > 0;
+        circuit.completes_due = circuit.completes_due.saturating_sub(1);
+        was_due
+    }
+
+    /// The link is lost, and with it the release completes that were on their way.
+    pub fn forget_completes(&mut self) {
+        self.circuits.iter_mut().for_each(|circuit| circuit.completes_due = 0);
+    }
+
     pub fn block(&mut self, index: u16, local: Option<bool>, remote: Option<bool>) {
         if let Some(circuit) = self.circuits.get_mut(usize::from(index)) {
             let before = circuit.blocking.flags();
--- a/crates/callcontrol/src/context.rs
+++ b/crates/callcontrol/src/context.rs
@@ -120,6 +120,12 @@
         if !self.state.links.get(&to).is_some_and(Link::is_usable) {
             return;
         }
+        if let Body::Rel(_) | Body::Rsc = body
+            && let Some(group) = self.state.groups.get_mut(&to)
+            && let Some(index) = group.index_of(cic)
+        {
+            group.await_complete(index);
+        }
         let CallControlState { frame_buffer, message_buffer, own, .. } = &mut *self.state;
         frame_buffer.clear();
         message_buffer.clear();
--- a/crates/callcontrol/src/signalling.rs
+++ b/crates/callcontrol/src/signalling.rs
@@ -15,7 +15,7 @@
 use crate::actions::{Answer, CallControlActions, CallEnd};
 use crate::callcontrol::{CallControl, EXCHANGE_DIGITS, local_failure, normal_clearing};
 use crate::calls::{CallRecord, HeldCircuits, IncomingSide, OutgoingSeizure, OutgoingSide};
-use crate::circuits::CircuitUse;
+use crate::circuits::{CircuitUse, TrunkGroup};
 use crate::config::ANSWER_MARGIN;
 use crate::context::{EventContext, circuits_in_range};
 use crate::links::{LocalAspState, RemoteAspState};
@@ -190,27 +190,10 @@
                     );
                 }
             }
-            Body::Rlc { .. } => match usage {
-                CircuitUse::Releasing { .. } | CircuitUse::Resetting { timer: Some(_) } => {
-                    self.make_idle(from, index)
-                }
-                CircuitUse::Idle | CircuitUse::ReleasedWith(_) | CircuitUse::Resetting { timer: None } => {}
-                // The call is over for the far end, but not here: the state of the circuit is unknown.
-                _ => {
-                    self.state.counters.unexpected += 1;
-                    let rel = local_failure(Q850::ProtocolError);
-                    usage.call().into_iter().for_each(|call| {
-                        self.on_circuits_lost(
-                            controller,
-                            call,
-                            (from, index),
-                            Cause::Cut,
-                            &rel,
-                            HeldCircuits::reset,
-                        );
-                    });
-                }
-            },
+            Body::Rlc { .. } => {
+                let is_due = self.state.groups.get_mut(&from).is_some_and(|group| group.take_complete(index));
+                self.on_release_complete(controller, (from, index), usage, is_due);
+            }
             Body::Rsc => {
                 if self.state.groups[&from].get(index).is_some_and(|circuit| circuit.blocking.is_local()) {
                     self.send(from, cic, Body::Blo);
@@ -288,6 +271,39 @@
         }
     }
 
+    /// The far end has completed a release or a reset. `is_due`: one was sent that it has not completed before.
+    fn on_release_complete(
+        &mut self,
+        controller: &mut Controller,
+        (from, index): (ExchangeNumber, u16),
+        usage: CircuitUse,
+        is_due: bool,
+    ) {
+        match usage {
+            CircuitUse::Releasing { .. } | CircuitUse::Resetting { timer: Some(_) } => {
+                self.make_idle(from, index)
+            }
+            CircuitUse::Idle | CircuitUse::ReleasedWith(_) | CircuitUse::Resetting { timer: None } => {}
+            // It completes a repeated release of the call before.
+            _ if is_due => {}
+            // The call is over for the far end, but not here: the state of the circuit is unknown.
+            _ => {
+                self.state.counters.unexpected += 1;
+                let rel = local_failure(Q850::ProtocolError);
+                usage.call().into_iter().for_each(|call| {
+                    self.on_circuits_lost(
+                        controller,
+                        call,
+                        (from, index),
+                        Cause::Cut,
+                        &rel,
+                        HeldCircuits::reset,
+                    );
+                });
+            }
+        }
+    }
+
     /// The signalling circuit of a seizure that prevailed over a set-up of the far end.
     fn prevailed_on(&self, call: CallId) -> Option<u16> {
         match &self.state.calls.get(&call)?.outgoing {
@@ -476,6 +492,7 @@
         };
         (link.local_state, link.remote_state) = (LocalAspState::Down, RemoteAspState::Inactive);
         link.timer.take().into_iter().for_each(|timer| self.state.timers.cancel(timer));
+        self.state.groups.entry(to).and_modify(TrunkGroup::forget_completes);
         // The grace runs from when the link was last usable: a connection that is lost while it opens does not prolong it.
         if link.grace_timer.is_none() {
             link.grace_timer = Some(self.state.timers.set(grace_end, Timer::LinkGrace(to)));
