Daemon: keep a link that works when another connection names its exchange

The link that worked was closed, its set-ups failed, and its calls were cut after the grace.

Change: src/link_claims.rs. Such a connection waits, unread, while the link is sent a heartbeat. It is refused when anything comes on the link, and takes its place after 2 s without, or when the link is lost. What arrives on a replaced connection is discarded; it was read as if it had come on the new one.

--- a/crates/callcontrol/src/callcontrol.rs
+++ b/crates/callcontrol/src/callcontrol.rs
@@ -19,7 +19,7 @@
 use crate::circuits::{CircuitUse, TrunkGroup};
 use crate::config::{ANSWER_MARGIN, CallControlConfig};
 use crate::context::{CallControlState, EventContext};
-use crate::links::{InitialReset, Link, LocalAspState, MAX_UNANSWERED_REQUESTS};
+use crate::links::{HEARTBEAT_DATA, InitialReset, Link, LocalAspState, MAX_UNANSWERED_REQUESTS};
 use crate::status::Counters;
 use crate::timers::{Timer, TimerQueue};
 use crate::trace::{Trace, TraceStep, Traces};
@@ -376,6 +376,22 @@
         });
     }
 
+    /// Sends a heartbeat on the link to an exchange at once. Returns whether it is open, so that the far end has to answer.
+    pub fn probe_link(
+        &mut self,
+        now: Duration,
+        actions: &mut dyn CallControlActions,
+        to: ExchangeNumber,
+    ) -> bool {
+        let is_usable = self.state.links.get(&to).is_some_and(Link::is_usable);
+        if is_usable {
+            self.handle_event(now, actions, |_, context| {
+                context.send_frame(to, Frame::Heartbeat(HEARTBEAT_DATA));
+            });
+        }
+        is_usable
+    }
+
     /// The connection to an exchange is lost.
     pub fn link_down(&mut self, now: Duration, actions: &mut dyn CallControlActions, to: ExchangeNumber) {
         self.handle_event(now, actions, |controller, context| context.on_link_lost(controller, to));
@@ -669,7 +685,7 @@
             LocalAspState::Active => {
                 link.unanswered_requests += 1;
                 link.timer = Some(self.state.timers.set(self.now + interval, Timer::Link(to)));
-                self.send_frame(to, Frame::Heartbeat(b"mintstal"));
+                self.send_frame(to, Frame::Heartbeat(HEARTBEAT_DATA));
             }
         }
     }
--- a/crates/callcontrol/src/links.rs
+++ b/crates/callcontrol/src/links.rs
@@ -47,6 +47,8 @@
     Sent,
 }
 
+/// What a heartbeat carries; the far end sends it back (RFC 4666 clause 3.5.5).
+pub(crate) const HEARTBEAT_DATA: &[u8] = b"mintstal";
 /// Heartbeats, or repeated requests to open the link, without an answer after which a link is closed.
 pub(crate) const MAX_UNANSWERED_REQUESTS: u8 = 3;
 
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -41,6 +41,8 @@
         deframer: Deframer,
         octets: Vec<u8>,
     },
+    /// It has named an exchange which has a link, and waits until that link turns out to be dead.
+    WaitingLink(ExchangeNumber),
     Line(LineId),
     /// Accepted on the port of the call-control API; the WebSocket handshake is not complete yet.
     Handshake(ServerHandshake),
@@ -49,7 +51,7 @@
         line: LineId,
         socket: Box<WebSocketConnection>,
     },
-    /// Rejected in its handshake; closed once the rejection is written.
+    /// Rejected in its handshake, or replaced by another connection. What still arrives is discarded.
     Closing,
     Directory,
     Admin(LineDecoder),
@@ -298,12 +300,13 @@
         self.output_monitor.has_waiting().then(|| self.now() + STALL_CHECK_INTERVAL)
     }
 
-    /// Whether a connection may be read from: not a client that does not take its answers, and no input that causes more
-    /// output while too much waits.
+    /// Whether a connection may be read from: not a client that does not take its answers, no input that causes more output
+    /// while too much waits, and no connection that waits to become a link.
     pub fn may_read(&self, token: Token) -> bool {
         let Some(Connection { purpose, output, .. }) = self.by_token.get(&token) else { return true };
         match purpose {
             Purpose::Connecting(_) | Purpose::Directory | Purpose::Closing => true,
+            Purpose::WaitingLink(_) => false,
             Purpose::Link(_) | Purpose::Unidentified { .. } => !self.output_monitor.is_scarce(),
             Purpose::Line(_) | Purpose::Handshake(_) | Purpose::WebSocket { .. } | Purpose::Admin(_) => {
                 self.output_monitor.accepts_requests(output.waiting(), output.limit())
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -329,6 +329,14 @@
         self.process_admitted(now, transport);
     }
 
+    /// Sends a heartbeat on the link to an exchange, on which another connection claims to be it. Returns whether the link is
+    /// open, so that an answer can be expected.
+    pub fn probe_link(&mut self, now: Duration, transport: &mut dyn Transport, to: ExchangeNumber) -> bool {
+        self.with_call_control(now, transport, |call_control, actions| {
+            call_control.probe_link(now, actions, to)
+        })
+    }
+
     pub fn link_octets(
         &mut self,
         now: Duration,
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -26,6 +26,7 @@
     CLOCK_START, ConnectTarget, Connections, LOG_TARGET, MAX_ADMIN_MESSAGE_OCTETS, Purpose,
 };
 use crate::exchange::{Exchange, LineOpenError, MAX_MESSAGE_OCTETS};
+use crate::link_claims::{LinkClaim, LinkClaims};
 
 #[derive(Debug, Error)]
 pub enum ServerError {
@@ -90,6 +91,7 @@
     /// Listeners that may have more connections to accept.
     accepting: BTreeSet<Token>,
     reconnects: BTreeMap<ConnectTarget, Reconnect>,
+    link_claims: LinkClaims<Token>,
     membership_file: Option<PathBuf>,
     token_file: Option<PathBuf>,
     stopping_since: Option<Instant>,
@@ -160,6 +162,7 @@
             origins: config.calls.origins.clone(),
             accepting: BTreeSet::new(),
             reconnects: links.chain(directory).collect(),
+            link_claims: LinkClaims::default(),
             membership_file: config.directory.as_ref().and_then(|directory| directory.keep.clone()),
             token_file: config.tokens.clone(),
             stopping_since: None,
@@ -253,6 +256,7 @@
             self.exchange.on_timer(now, &mut self.connections);
             self.start_due_connects();
             self.check_connection_timeouts(now);
+            self.grant_due_claims(now);
             self.flush_and_close();
             self.connections.resume_reads();
             if self.is_stop_complete() {
@@ -270,6 +274,7 @@
             self.connections.unidentified.next_timer(),
             self.connections.clients.next_timer(),
             self.connections.next_stall_check(),
+            self.link_claims.next_timer(),
         ];
         let monitor = monitors.into_iter().flatten().min().map(|at| at.saturating_sub(now));
         let stopping = self.stopping_since.map(|_| Duration::from_millis(20));
@@ -502,16 +507,57 @@
         }
     }
 
+    /// A connection is the link of an exchange from now on, in place of any other.
     fn on_link_connected(&mut self, token: Token, to: ExchangeNumber) {
         let now = self.now();
-        // The far end may reconnect before the loss of its previous connection is detected.
         if let Some(previous) = self.connections.links.insert(to, token) {
             self.exchange.link_down(now, &mut self.connections, to);
+            if let Some(previous) = self.connections.by_token.get_mut(&previous) {
+                previous.purpose = Purpose::Closing;
+            }
             self.connections.close(Some(previous), "replaced by a newer connection");
         }
         self.exchange.link_up(now, &mut self.connections, to);
     }
 
+    /// An incoming connection names an exchange that has a link here.
+    fn on_link_named(&mut self, token: Token, from: ExchangeNumber, received: Vec<u8>) {
+        let now = self.now();
+        let has_open_link = self.connections.links.contains_key(&from)
+            && self.exchange.probe_link(now, &mut self.connections, from);
+        if !has_open_link {
+            let claim = LinkClaim::immediate(token, received);
+            return self.grant_claim(from, claim);
+        }
+        match self.link_claims.add(now, from, token, received) {
+            Ok(()) => {
+                info!(target: LOG_TARGET, exchange = from.0, "another connection names an exchange whose link is open: checking the link");
+                if let Some(connection) = self.connections.by_token.get_mut(&token) {
+                    connection.purpose = Purpose::WaitingLink(from);
+                }
+            }
+            Err(error) => self.connections.close(Some(token), &error.to_string()),
+        }
+    }
+
+    /// The connection of a claim becomes the link of the exchange.
+    fn grant_claim(&mut self, from: ExchangeNumber, claim: LinkClaim<Token>) {
+        let now = self.now();
+        let LinkClaim { connection: token, received, .. } = claim;
+        let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
+        connection.purpose = Purpose::Link(from);
+        self.connections.unidentified.remove(token);
+        self.on_link_connected(token, from);
+        self.exchange.link_octets(now, &mut self.connections, from, &received);
+    }
+
+    fn grant_due_claims(&mut self, now: Duration) {
+        for (exchange, claim) in self.link_claims.take_due(now) {
+            info!(target: LOG_TARGET, exchange = exchange.0, "the link does not answer: another connection takes its place");
+            self.grant_claim(exchange, claim);
+        }
+    }
+
     fn read(&mut self, token: Token) {
         // At most 8 reads, so that a connection that always has data does not keep the others waiting.
         for _ in 0..8 {
@@ -549,6 +595,10 @@
         match &mut connection.purpose {
             Purpose::Link(from) => {
                 let from = *from;
+                if let Some(refused) = self.link_claims.on_link_heard(from) {
+                    warn!(target: LOG_TARGET, exchange = from.0, "another connection that names the exchange is closed: the link works");
+                    self.connections.close(Some(refused), "the exchange has a link that works");
+                }
                 self.exchange.link_octets(now, &mut self.connections, from, octets);
             }
             Purpose::Line(line) => {
@@ -586,7 +636,7 @@
                 },
             },
             Purpose::WebSocket { .. } => self.client_octets(now, token, octets),
-            Purpose::Closing => {}
+            Purpose::Closing | Purpose::WaitingLink(_) => {}
             Purpose::Unidentified { deframer, octets: received } => {
                 received.extend_from_slice(octets);
                 deframer.push(octets);
@@ -607,10 +657,7 @@
                         "the first message does not name an exchange that has a link here",
                     );
                 };
-                connection.purpose = Purpose::Link(from);
-                self.connections.unidentified.remove(token);
-                self.on_link_connected(token, from);
-                self.exchange.link_octets(now, &mut self.connections, from, &received);
+                self.on_link_named(token, from, received);
             }
             Purpose::Admin(decoder) => {
                 decoder.push(octets);
@@ -678,6 +725,7 @@
     fn on_closed(&mut self, token: Token, why: &str) {
         let Some(connection) = self.connections.remove(token) else { return };
         let now = self.now();
+        self.link_claims.remove(token);
         match connection.purpose {
             Purpose::Connecting(target) => self.schedule_reconnect(target),
             Purpose::Link(to) => {
@@ -688,7 +736,10 @@
                     self.reconnects
                         .entry(ConnectTarget::Link(to))
                         .and_modify(|reconnect| reconnect.failures = 0);
-                    self.schedule_reconnect(ConnectTarget::Link(to));
+                    match self.link_claims.on_link_lost(to) {
+                        Some(claim) => self.grant_claim(to, claim),
+                        None => self.schedule_reconnect(ConnectTarget::Link(to)),
+                    }
                 }
             }
             Purpose::WebSocket { line, socket } => {
@@ -706,6 +757,9 @@
                 debug!(target: LOG_TARGET, "client connection closed during its handshake: {why}")
             }
             Purpose::Closing => {}
+            Purpose::WaitingLink(from) => {
+                info!(target: LOG_TARGET, exchange = from.0, "connection that waited to become the link closed: {why}");
+            }
             Purpose::Line(line) => {
                 self.connections.lines.remove(&line);
                 debug!(target: LOG_TARGET, line = line.0, "line closed: {why}");
