--- a/crates/lab/tests/rule_checker.rs
+++ b/crates/lab/tests/rule_checker.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use mintstall_emulator::{Day, Fault, FaultAt, FaultTarget, Groups, RuleLimits, Traffic};
-use mintstall_isup::{Body, Cic, Frame, Message, ProtocolData, Q850};
+use mintstall_emulator::{
+    Day, Fault, FaultAt, FaultTarget, Groups, Observation, Observer, RuleLimits, Traffic,
+};
+use mintstall_isup::{
+    Body, CallIdentity, CauseIndicators, Cic, Frame, Iam, Location, Message, Number, ProtocolData, Q850, Rel,
+};
 use mintstall_lab::virtual_day::{self, Interceptor, PassThrough};
 use mintstall_lab::{RuleChecker, Verdict};
 
@@ -204,3 +208,92 @@
     assert_passed(&correct);
     assert!(correct.checked.releases > 10, "{:?}", correct.checked);
 }
+
+/// What exchange 1 and exchange 2 send each other on one circuit.
+struct OneCircuit {
+    rule_checker: RuleChecker,
+    at: Duration,
+}
+
+impl OneCircuit {
+    /// A call whose release was sent `releases` times, and completed once.
+    fn after_call_with_releases(releases: usize) -> Self {
+        let rules = RuleLimits::default();
+        let rule_checker = RuleChecker::new(&rules, Duration::ZERO, Duration::ZERO);
+        let mut circuit = Self { rule_checker, at: Duration::from_secs(10) };
+        circuit.rule_checker.observe(circuit.at, Observation::Started { exchange_number: 1 });
+        circuit.send_set_up(1, Cic(1));
+        let rel = || Rel::new(CauseIndicators::new(Location::User, Q850::NormalClearing));
+        (0..releases).for_each(|_| circuit.send(Cic(1), Body::Rel(rel())));
+        circuit.receive_release_complete();
+        circuit
+    }
+
+    fn send(&mut self, cic: Cic, body: Body) {
+        let frame = frame(cic, body);
+        let sent = Observation::FrameSent { exchange_number: 1, to: 2, frame: &frame };
+        self.rule_checker.observe(self.at, sent);
+    }
+
+    fn send_set_up(&mut self, call: u64, cic: Cic) {
+        let identity = CallIdentity {
+            origin: 1,
+            call,
+            seizure: 0,
+            call_type: 0,
+            customer: 0,
+            time_left_ms: 3000,
+            cut: false,
+            redial: false,
+        };
+        let iam = Iam {
+            nature: 0,
+            forward: [0x60, 0x01],
+            category: 0x0a,
+            medium: 0,
+            called: Number::empty(),
+            calling: None,
+            map: None,
+            hops: None,
+            identity: Some(identity),
+            unknown_parameters: Vec::new(),
+        };
+        self.send(cic, Body::Iam(iam));
+    }
+
+    fn receive_release_complete(&mut self) {
+        let frame = frame(Cic(1), Body::Rlc { unknown_parameters: Vec::new() });
+        let received = Observation::FrameReceived { exchange_number: 1, from: 2, frame: &frame };
+        self.rule_checker.observe(self.at, received);
+    }
+
+    /// The next call takes the circuit, a release complete comes, and the call is set up again at once on another one.
+    fn violations_of_next_call(mut self) -> Vec<String> {
+        self.send_set_up(2, Cic(1));
+        self.receive_release_complete();
+        self.at += Duration::from_millis(10);
+        self.send_set_up(2, Cic(3));
+        let verdict = self.rule_checker.finish(self.at);
+        verdict.violations.iter().map(ToString::to_string).collect()
+    }
+}
+
+fn frame(cic: Cic, body: Body) -> Vec<u8> {
+    let (mut octets, mut out) = (Vec::new(), Vec::new());
+    Message::new(cic, body).write(&mut octets);
+    let data = ProtocolData { opc: 1, dpc: 2, service: 5, network: 2, priority: 0, sls: 0, user: &octets };
+    Frame::Data(data).write(&mut out);
+    out
+}
+
+#[test]
+fn a_release_complete_ends_the_next_call_only_if_no_release_or_reset_was_sent_for_it() {
+    let unasked = OneCircuit::after_call_with_releases(1).violations_of_next_call();
+    assert!(unasked[0].contains("after a release complete without a release"), "{unasked:?}");
+    let repeated = OneCircuit::after_call_with_releases(2).violations_of_next_call();
+    assert!(repeated[0].contains("while it is out"), "{repeated:?}");
+    let mut link_lost = OneCircuit::after_call_with_releases(2);
+    link_lost.rule_checker.observe(link_lost.at, Observation::LinkDown { exchange_number: 1, to: 2 });
+    let violations = link_lost.violations_of_next_call();
+    assert!(violations[0].contains("after a release complete without a release"), "{violations:?}");
+}
