Node: do not send on the set-ups of a caller that has left

A caller writes 600 set-ups and closes, by FIN or reset, while the controller does not read: 7 of them went to the exchange, and an id that came again on a new connection ran twice.

Cause: the kernel keeps what arrived before a close, and hands it out first. The core read it as requests of a caller that waits, and learnt of the close behind them.

Change: the event that reports the close is looked at before anything is read (note_departure). Core::caller_left gives up the caller's set-ups and accepts no more; releases and named calls still count, and no release is sent there.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -128,6 +128,9 @@
                 Err(error) => return Err(NodeError::Poll(error)),
             }
             self.connections.now = self.now();
+            for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
+                self.note_departure(event.token());
+            }
             let mut ready: Vec<_> = events.iter().map(|event| (event.token(), event.is_writable())).collect();
             ready.extend(
                 std::mem::take(&mut self.connections.pending_reads).into_iter().map(|token| (token, false)),
@@ -284,6 +287,15 @@
         }
     }
 
+    /// If a caller has closed its connection, tells the core before what it sent earlier is read.
+    fn note_departure(&mut self, token: Token) {
+        if let Some(Purpose::Caller(caller)) =
+            self.connections.by_token.get(&token).map(|known| known.purpose)
+        {
+            self.core.caller_left(self.now(), &mut self.connections, caller);
+        }
+    }
+
     /// Handles a connection that is ready to be read or written.
     fn handle_ready(&mut self, token: Token, writable: bool) {
         let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -65,6 +65,23 @@
         self.report_ended_seizures(transport);
     }
 
+    /// A caller has closed its connection, and some of what it sent before may still be unread. Nobody waits for answers, so
+    /// its set-ups are given up, and no more are accepted; what ends calls still counts.
+    pub fn caller_left(
+        &mut self,
+        now: Duration,
+        transport: &mut dyn Transport,
+        connection: CallerConnectionId,
+    ) {
+        self.state.now = now;
+        let Some(caller) = self.state.callers.get_mut(&connection) else { return };
+        caller.has_left = true;
+        for id in std::mem::take(&mut caller.open_calls) {
+            self.withdraw(transport, id);
+        }
+        self.report_ended_seizures(transport);
+    }
+
     pub fn caller_disconnected(
         &mut self,
         now: Duration,
@@ -169,6 +186,10 @@
                 {
                     return reply(transport, connection, message, 400, "a call has this id");
                 }
+                if self.state.callers.get(&connection).is_some_and(|caller| caller.has_left) {
+                    metrics::counter!("set_ups_refused", "reason" => "caller_left").increment(1);
+                    return;
+                }
                 self.state.raise_evidence(transport, connection, CallerEvidence::SetUp);
                 if self.is_draining() {
                     metrics::counter!("set_ups_refused", "reason" => "shutdown").increment(1);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -154,6 +154,8 @@
     /// Since when a message has been incomplete, or the connection open without any message.
     pub partial_since: Option<Duration>,
     pub evidence: CallerEvidence,
+    /// Whether it has closed the connection: what it sent before may still be read, but nobody waits for answers.
+    pub has_left: bool,
     /// Releases written recently that it has not confirmed, oldest first.
     unconfirmed_releases: VecDeque<(Duration, WireCallId)>,
 }
@@ -349,6 +351,7 @@
             last_received: self.now,
             partial_since: Some(self.now),
             evidence: CallerEvidence::Nothing,
+            has_left: false,
             unconfirmed_releases: VecDeque::new(),
         };
         self.callers.insert(caller, new_caller);
--- a/crates/platform/src/state/caller_releases.rs
+++ b/crates/platform/src/state/caller_releases.rs
@@ -163,15 +163,17 @@
         }
     }
 
+    /// What a connection has shown on which releases can be sent.
     fn evidence_of(&self, connection: CallerConnectionId) -> CallerEvidence {
-        self.callers.get(&connection).map_or(CallerEvidence::Nothing, |caller| caller.evidence)
+        let caller = self.callers.get(&connection).filter(|caller| !caller.has_left);
+        caller.map_or(CallerEvidence::Nothing, |caller| caller.evidence)
     }
 
     /// The connections that may be those of a caller whose own connection is closed: one of a usual caller if there is any,
     /// else those that have shown most.
     pub fn likely_callers(&self, excluded: &[CallerConnectionId]) -> Vec<CallerConnectionId> {
-        let candidates = self.callers.iter().filter(|(connection, caller)| {
-            caller.evidence > CallerEvidence::Nothing && !excluded.contains(connection)
+        let candidates = self.callers.iter().filter(|(connection, _)| {
+            self.evidence_of(**connection) > CallerEvidence::Nothing && !excluded.contains(connection)
         });
         let mut ranked: Vec<_> = candidates
             .map(|(connection, caller)| (caller.evidence, caller.last_received, *connection))
