Daemon: do not place the offers of a client that has left

Cause: as on the platform, the kernel hands out what came before a close, and the close was seen behind it.

Change: the event that reports the close is looked at first (note_departure); a session that cannot be resumed ends at once (line_left). Texts that come in one read with a client's close are dropped, since that close ends the session.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod node;
+pub mod sessions;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -425,6 +425,16 @@
         self.process_admitted(now, transport);
     }
 
+    /// The far end has closed the connection, and some of what it sent before may still be unread. A session that cannot be
+    /// resumed is over, so that no more of its offers are placed.
+    pub fn line_left(&mut self, now: Duration, transport: &mut dyn Transport, line: LineId) {
+        let Some(state) = self.lines.get(&line) else { return };
+        if !self.resumable_sessions.is_registered(state.session) {
+            self.end_line(now, transport, line);
+            self.process_admitted(now, transport);
+        }
+    }
+
     /// The client has closed the line on purpose: its calls are hung up, whether the session is resumable or not.
     pub fn line_closed_by_client(&mut self, now: Duration, transport: &mut dyn Transport, line: LineId) {
         self.end_line(now, transport, line);
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -241,6 +241,9 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(ServerError::Poll(error)),
             }
+            for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
+                self.note_departure(event.token());
+            }
             for event in &events {
                 match event.token() {
                     SIGNALS => self.on_signals(),
@@ -478,6 +481,15 @@
         }
     }
 
+    /// If a client has closed its connection, tells the exchange before what it sent earlier is read.
+    fn note_departure(&mut self, token: Token) {
+        let now = self.now();
+        let Some(connection) = self.connections.by_token.get(&token) else { return };
+        if let Purpose::Line(line) | Purpose::WebSocket { line, .. } = connection.purpose {
+            self.exchange.line_left(now, &mut self.connections, line);
+        }
+    }
+
     /// An outgoing connection is established or has failed.
     fn on_connect_finished(&mut self, token: Token, target: ConnectTarget) {
         let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
@@ -692,6 +704,12 @@
             WebSocketEvent::Text(text) => texts.push(text),
             WebSocketEvent::PingOrPong => {}
         });
+        // A close by the client ends the session and its calls, resumable or not.
+        let is_over =
+            socket.close_info().is_some_and(|ended| ended.by_far_end && ended.code == close::NORMAL);
+        if is_over {
+            texts.clear();
+        }
         for text in texts {
             self.exchange.line_message(now, &mut self.connections, line, text.as_bytes());
         }
--- a/crates/limits/src/resumable_sessions.rs
+++ b/crates/limits/src/resumable_sessions.rs
@@ -98,6 +98,11 @@
         self.entries.insert(session, Entry { key, owner, state: State::Open });
     }
 
+    /// Whether a session can be resumed when its connection is lost.
+    pub fn is_registered(&self, session: SessionId) -> bool {
+        self.max_disconnected > 0 && self.entries.contains_key(&session)
+    }
+
     /// The connection of a session was lost.
     pub fn on_disconnect(&mut self, now: Duration, session: SessionId) -> DisconnectOutcome {
         let until = now + self.retention;
