Node: handle a connection once a turn, however often it is listed

Cause: a connection with more to read is listed for the next turn (pending_reads), and its next event lists it again. Each entry was read up to the limit a turn, and listed anew, so that the flood's share of a turn grew with each event. Ruled out: the cost of a request (1.7 us), the output (it is read).

Change: merge_ready lists each connection once.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod metrics;
 
+use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -131,11 +132,12 @@
             for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
                 self.note_departure(event.token());
             }
-            let mut ready: Vec<_> = events.iter().map(|event| (event.token(), event.is_writable())).collect();
-            ready.extend(
-                std::mem::take(&mut self.connections.pending_reads).into_iter().map(|token| (token, false)),
+            let ready = merge_ready(
+                events.iter().map(|event| (event.token(), event.is_writable())),
+                std::mem::take(&mut self.connections.pending_reads),
             );
             // The event bus comes first, so that no new call goes to an exchange that it has just reported draining.
+            let mut ready: Vec<_> = ready.into_iter().collect();
             ready.sort_by_key(|(token, _)| {
                 (self.connections.by_token.get(token).map(|connection| connection.purpose), *token)
             });
@@ -369,3 +371,19 @@
         self.connections.pending_reads.push(token);
     }
 }
+
+/// The connections to handle in a turn, each once, with whether it can be written: those with an event, and those of which
+/// more may be left to read. One that is handled twice gets twice its share of the turn, and more with each turn.
+fn merge_ready(
+    events: impl Iterator<Item = (Token, bool)>,
+    pending_reads: Vec<Token>,
+) -> BTreeMap<Token, bool> {
+    let mut ready: BTreeMap<_, _> = pending_reads.into_iter().map(|token| (token, false)).collect();
+    for (token, writable) in events {
+        *ready.entry(token).or_default() |= writable;
+    }
+    ready
+}
+
+#[cfg(test)]
+mod tests;
