Platform: an id that comes again and again does not use up the links

The others' set-ups were refused (503).

The next call under the id took the next link, and once all were used up, links beyond the pool were opened and the oldest drained, with the set-ups of others on them.

Change: a call keeps away from the links of its own given-up set-ups. A link with one of a former call under the same id is the last choice, and is taken before another is opened.

--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -190,7 +190,8 @@
     pub partial_since: Option<Duration>,
     /// Set-ups sent on it whose seizure has not ended.
     pub open_set_ups: BTreeMap<WireCallId, CallId>,
-    /// Set-ups sent on it that were given up here. No other set-up of such a call is sent on it.
+    /// Set-ups sent on it that were given up here. No other set-up of such a call is sent on it, and one of another call under
+    /// the same id only if there is no other link.
     pub abandoned_set_ups: AbandonedSetUps,
     /// The last report of the group's state on this link, kept while the reports of an older link are the ones used.
     pub last_report: Option<CapacityReport>,
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -65,27 +65,29 @@
         }
     }
 
-    /// The link for a set-up: of those that are free for this call, the one with the fewest open set-ups. Links that are
-    /// suspected of having failed come last, and so do, while another process may listen at the address, links on which it
-    /// has not answered.
+    /// The link for a set-up: of those that are free for this call, the one with the fewest open set-ups. Links with a
+    /// given-up set-up of a former call under the same id come last. Before them come those that are suspected of having
+    /// failed, and, while another process may listen at the address, those on which it has not answered.
     pub(super) fn pick_link(
         &self,
         transport: &dyn Transport,
         remote: &RemoteExchange,
-        call: &Call,
+        (id, call): (CallId, &Call),
     ) -> Option<LinkId> {
         let links =
             remote.links.iter().filter_map(|link_id| self.links.get(link_id).map(|link| (link_id, link)));
         let free = links.filter(|(link_id, link)| {
             link.state == LinkState::Up
                 && link.partial_since.is_none()
-                && !link.abandoned_set_ups.contains(self.now, call.id)
+                && link.abandoned_set_ups.call_of(self.now, call.id) != Some(id)
                 && !transport.is_write_blocked(**link_id)
         });
         let is_doubtful = |link: &Link| {
             link.liveness.is_suspected() || remote.opened_in_doubt().is_some_and(|at| link.is_older(at))
         };
-        free.min_by_key(|(_, link)| (is_doubtful(link), link.open_set_ups.len())).map(|(link_id, _)| *link_id)
+        let had_same_id = |link: &Link| link.abandoned_set_ups.contains(self.now, call.id);
+        free.min_by_key(|(_, link)| (had_same_id(link), is_doubtful(link), link.open_set_ups.len()))
+            .map(|(link_id, _)| *link_id)
     }
 
     /// Sends the set-up of a seizure that has no link yet. False if it has to wait for a free link. If its caller no longer
@@ -100,7 +102,7 @@
             return true;
         }
         let Some(remote) = self.exchanges.get(&seizure.exchange) else { return false };
-        let Some(link_id) = self.pick_link(transport, remote, call) else { return false };
+        let Some(link_id) = self.pick_link(transport, remote, (id, call)) else { return false };
         let remaining = seizure.timeout.saturating_sub(self.now.saturating_sub(seizure.seized_at));
         let expires_ms = remaining.as_millis().to_string();
         let mut octets = Vec::with_capacity(64 + call.description.len());
@@ -161,7 +163,7 @@
         // Without a link the set-up was never sent, so the exchange has not acted on it.
         let Some(link) = seizure.link else { return self.end_seizure(id, Cause::Unreachable) };
         if let Some(link) = self.links.get_mut(&link) {
-            link.abandoned_set_ups.insert(self.now, call.id);
+            link.abandoned_set_ups.insert(self.now, call.id, id);
         }
         release_on(transport, link, call.id);
         self.end_seizure(id, cause);
--- a/crates/platform/tests/late_messages.rs
+++ b/crates/platform/tests/late_messages.rs
@@ -199,3 +199,20 @@
     platform.answer(second, CALL);
     assert_eq!(platform.messages_to_callers(), ["2: 200 INVITE"]);
 }
+
+// Guards against: links opened and closed without end for one id that is sent and taken back again and again.
+#[test]
+fn an_id_that_comes_again_and_again_does_not_use_up_the_links() {
+    let mut platform = Platform::start();
+    platform.connect_caller(CALLER);
+    let links = platform.links(1);
+    for round in 10..30 {
+        platform.connect_caller(round);
+        platform.report_free(links[0], 10);
+        platform.send_invite(round, CALL);
+        assert_eq!(platform.set_ups_sent().len(), 1, "round {round}");
+        platform.send_from_caller(round, &request("CANCEL", CALL));
+        platform.advance(ms(250));
+    }
+    assert_eq!(platform.links(1), links);
+}
