Platform: do not send all releases of made-up calls to others

Change: of a connection of which no call was ever answered, 100 unconfirmed releases at most are sent on others. Whoever holds such a call names it again and is told there.

Test: releases_of_calls_that_were_made_up_are_not_all_sent_to_others.

--- a/crates/platform/src/state/caller_releases.rs
+++ b/crates/platform/src/state/caller_releases.rs
@@ -26,6 +26,10 @@
 /// up the memory.
 const MAX_RELEASES_WITH_MANY_TARGETS: usize = 1000;
 
+/// Of the releases that were written to a connection before it closed, and not confirmed, this many are sent on others if no
+/// call of it was ever answered. Whoever names calls that nobody has gets a release of each.
+const MAX_RESENT_OF_UNKNOWN_CALLER: usize = 100;
+
 /// What a connection has shown of whose it is, in rising order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallerEvidence {
@@ -308,11 +312,16 @@
         connection: CallerConnectionId,
     ) -> Vec<CallId> {
         let Some(caller) = self.callers.remove(&connection) else { return Vec::new() };
-        for (at, id) in caller.unconfirmed_releases {
-            if at + RELEASE_CONFIRM_WINDOW > self.now {
-                self.caller_releases.reopen(id, connection);
-                self.send_to_likely_callers(transport, id);
-            }
+        let max_resent = match caller.evidence {
+            CallerEvidence::KnownCall => MAX_PENDING_RELEASES,
+            _ => MAX_RESENT_OF_UNKNOWN_CALLER,
+        };
+        let now = self.now;
+        let unconfirmed = caller.unconfirmed_releases.into_iter();
+        let recent = unconfirmed.filter(|(at, _)| *at + RELEASE_CONFIRM_WINDOW > now).take(max_resent);
+        for (_, id) in recent {
+            self.caller_releases.reopen(id, connection);
+            self.send_to_likely_callers(transport, id);
         }
         caller.open_calls.into_iter().collect()
     }
--- a/crates/platform/tests/release_targets.rs
+++ b/crates/platform/tests/release_targets.rs
@@ -202,6 +202,22 @@
     assert_eq!(told(&mut platform), [SECOND.to_string()]);
 }
 
+// Guards against: a usual caller that gets the releases of all calls which another has made up and named.
+#[test]
+fn releases_of_calls_that_were_made_up_are_not_all_sent_to_others() {
+    let mut platform = Platform::start();
+    platform.connect_caller(FIRST);
+    platform.set_up_call(FIRST, CALL);
+    platform.connect_caller(BAD);
+    for id in 0..5000 {
+        platform.send_from_caller(BAD, &invite(0xbad0 + id, "at:nowhere", "1500", "hello"));
+    }
+    assert_eq!(platform.messages_to_callers().len(), 5000);
+    close_caller(&mut platform, BAD);
+    let resent = platform.messages_to_callers().len();
+    assert!((1..=100).contains(&resent), "{resent}");
+}
+
 // Guards against: memory and time taken up by sending many releases to many connections that have shown little.
 #[test]
 fn many_releases_are_not_sent_to_many_connections() {
