Memory: timers and numbers do not outlive their calls

After 2 s the controller had 38,532 KiB, after 3 s 54,116 (limit: 32 MiB), growing for 5 s.

Cause: two things were kept for a time, and not for the call. Timers of the caller's deadline and of the seizure ran on after their call was over (BinaryHeap in crates/platform). Numbers whose calls were given up count for 5 s, in any number (RecentNumbers in src/choice.rs). With the timers mended alone it was 46,884 KiB after 12 s.

Change: the timer queue of call control, which cancels, moves to src/timer_queue.rs and serves both. A call's timers end with it. The pool of links has one timer an exchange.

--- a/crates/callcontrol/src/lib.rs
+++ b/crates/callcontrol/src/lib.rs
@@ -9,7 +9,7 @@
 //! | `audit` | circuit audits: circuits that are busy at one end and idle at the other |
 //! | `calls` | the calls of this exchange and the circuits that each holds |
 //! | `links` | the M3UA state of the link to each other exchange |
-//! | `timers` | the timer queue |
+//! | `timers` | what timers there are |
 //! | `callcontrol` | events from callers, the membership list, the own circuits and the clock |
 //! | `signalling` | events from other exchanges: M3UA frames and ISUP messages |
 //! | `context` | the state, and the controller's actions on it (`mintstall::interface::ControllerActions`) |
--- a/crates/cli/tests/common/node.rs
+++ b/crates/cli/tests/common/node.rs
@@ -1,10 +1,12 @@
 //! `mintstall node` as a process, with callers, exchanges and an event bus that a test provides on loopback.
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -62,6 +64,55 @@
     }
 }
 
+/// Starts an exchange that answers every set-up while it has circuits, and reports how many are idle after each change.
+pub fn start_counting_exchange(circuits: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let calls = Arc::new(Mutex::new(BTreeSet::new()));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let calls = Arc::clone(&calls);
+            thread::spawn(move || serve_counting_link(stream, &calls, circuits));
+        }
+    });
+    addr
+}
+
+fn serve_counting_link(mut stream: TcpStream, calls: &Mutex<BTreeSet<u64>>, circuits: usize) {
+    let (mut decoder, mut buffer, mut out) = (exchange_protocol::Decoder::default(), [0; 4096], Vec::new());
+    loop {
+        let idle = circuits - calls.lock().unwrap().len();
+        let report = format!("idle:{idle};circuits:{circuits}");
+        let parameters: &[(u8, &[u8])] = &[(parameter::REPORT, report.as_bytes())];
+        exchange_protocol::encode(&mut out, MessageType::State, exchange_protocol::WireCallId(0), parameters);
+        // The test may have ended and closed the other end.
+        if stream.write_all(&out).is_err() {
+            return;
+        }
+        out.clear();
+        let Ok(count @ 1..) = stream.read(&mut buffer) else { return };
+        decoder.push(&buffer[..count]);
+        while let Some(message) = decoder.next_message().unwrap() {
+            let mut calls = calls.lock().unwrap();
+            let (kind, parameters): (_, &[(u8, &[u8])]) = match message.kind {
+                MessageType::SetUp if calls.len() < circuits => {
+                    calls.insert(message.call.0);
+                    (MessageType::Answer, &[(parameter::DESCRIPTION, b"answer")])
+                }
+                MessageType::SetUp => {
+                    (MessageType::Release, &[(parameter::CAUSE, &[34]), (parameter::NOTE, b"congestion")])
+                }
+                MessageType::Release => {
+                    calls.remove(&message.call.0);
+                    (MessageType::ReleaseComplete, &[])
+                }
+                _ => continue,
+            };
+            exchange_protocol::encode(&mut out, kind, message.call, parameters);
+        }
+    }
+}
+
 /// Starts an event bus. It reports the request line of each connection, and keeps the connection open with a line each 500 ms.
 pub fn start_bus() -> (SocketAddr, Receiver<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -117,16 +117,13 @@
 
     /// When [`Core::on_timer`] has to be called next.
     pub fn next_timer(&self) -> Option<Duration> {
-        self.state.timers.peek().map(|first| first.0.0)
+        self.state.timers.next_expiry()
     }
 
     /// Handles all timers that have expired.
     pub fn on_timer(&mut self, now: Duration, transport: &mut dyn Transport) {
         self.state.now = now;
-        while self.state.timers.peek().is_some_and(|first| first.0.0 <= now)
-            && let Some(first) = self.state.timers.pop()
-        {
-            let (_, _, timer) = first.0;
+        while let Some(timer) = self.state.timers.pop_due(now) {
             self.handle_timer(transport, timer);
             self.report_ended_seizures(transport);
         }
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -233,13 +233,14 @@
             answer_state: AnswerState::Pending,
             seizure_count: 0,
             open_seizure: None,
+            guard_timer: Some(self.state.set_timer(deadline - now, Timer::GuardTime(id))),
+            controller_timer: None,
         };
         self.state.add_call(id, call);
         self.state.unanswered.insert(set_up.id, id);
         if let Some(caller) = self.state.callers.get_mut(&connection) {
             caller.open_calls.insert(id);
         }
-        self.state.set_timer(deadline - now, Timer::GuardTime(id));
         let offer = CallOffer {
             call: id,
             call_type: set_up.call_type,
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -163,6 +163,7 @@
                 draining: Default::default(),
                 connect_failures: 0,
                 next_connect: Duration::ZERO,
+                pool_timer: None,
                 queued_set_ups: Default::default(),
                 unconfirmed_releases: Default::default(),
                 lease: Lease::new(self.state.now),
--- a/crates/platform/src/core/exchanges.rs
+++ b/crates/platform/src/core/exchanges.rs
@@ -181,6 +181,7 @@
         }
         let Some(seizure) = call.open_seizure.take() else { return };
         let (caller, answer_state) = (call.caller, call.answer_state);
+        self.state.timers.cancel(seizure.timer);
         if answer_state == AnswerState::Settled {
             // The caller no longer waits, and the seizure was not cancelled: the call is released at once.
             call.open_seizure = Some(seizure);
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -12,8 +12,7 @@
 mod release_waits;
 mod releases;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +22,7 @@
 };
 use mintstall::liveness::{ConnectionLiveness, Lease};
 use mintstall::random::MwcRng;
+use mintstall::timer_queue::{TimerHandle, TimerQueue};
 use mintstall_sip as sip;
 
 use crate::exchange_protocol::{self, WireCallId};
@@ -71,7 +71,7 @@
 const HALF_CLOSE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// What is due when a timer expires.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
     /// A timer that the controller has set.
     Controller(TimerId),
@@ -100,6 +100,7 @@
     pub link: Option<LinkId>,
     pub seized_at: Duration,
     pub timeout: Duration,
+    pub timer: TimerHandle,
 }
 
 /// Whether the caller still waits for the final answer.
@@ -123,6 +124,9 @@
     pub answer_state: AnswerState,
     pub seizure_count: u8,
     pub open_seizure: Option<OpenSeizure>,
+    pub guard_timer: Option<TimerHandle>,
+    /// The timer that the controller has set for the call.
+    pub controller_timer: Option<TimerHandle>,
 }
 
 impl Call {
@@ -226,6 +230,8 @@
     pub draining: VecDeque<LinkId>,
     pub connect_failures: u32,
     pub next_connect: Duration,
+    /// Runs while the pool waits for `next_connect`.
+    pub pool_timer: Option<TimerHandle>,
     /// Set-ups that wait for a link.
     pub queued_set_ups: VecDeque<CallId>,
     /// Releases that wait for a link or that the exchange has not confirmed, oldest first.
@@ -269,7 +275,7 @@
     pub callers: BTreeMap<CallerConnectionId, Caller>,
     pub exchanges: BTreeMap<ExchangeId, RemoteExchange>,
     pub links: BTreeMap<LinkId, Link>,
-    pub timers: BinaryHeap<Reverse<(Duration, u64, Timer)>>,
+    pub timers: TimerQueue<Timer>,
     /// Ended seizures of which the controller is yet to be told.
     pub ended_seizures: VecDeque<SeizureEnded>,
     caller_releases: CallerReleases,
@@ -306,7 +312,7 @@
             callers: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             links: BTreeMap::new(),
-            timers: BinaryHeap::new(),
+            timers: TimerQueue::default(),
             ended_seizures: VecDeque::new(),
             caller_releases: CallerReleases::default(),
             unmatched_releases: VecDeque::new(),
@@ -321,15 +327,14 @@
         }
     }
 
-    /// The next of the numbers that identify calls and links and keep timers in order.
+    /// The next of the numbers that identify calls and links.
     pub fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
     }
 
-    pub fn set_timer(&mut self, after: Duration, timer: Timer) {
-        let order = self.next_number();
-        self.timers.push(Reverse((self.now + after, order, timer)));
+    pub fn set_timer(&mut self, after: Duration, timer: Timer) -> TimerHandle {
+        self.timers.set(self.now + after, timer)
     }
 
     /// A random number from 0.5 to 1, so that controllers that lose a connection at the same time don't reconnect at the
--- a/crates/platform/src/state/actions.rs
+++ b/crates/platform/src/state/actions.rs
@@ -21,9 +21,9 @@
         let Some(call) = state.calls.get_mut(&id) else { return };
         let number = SeizureNumber(call.seizure_count);
         call.seizure_count = call.seizure_count.saturating_add(1);
+        let timer = state.timers.set(state.now + timeout, Timer::SeizureTimeout(id, number));
         call.open_seizure =
-            Some(OpenSeizure { number, exchange: to, link: None, seized_at: state.now, timeout });
-        state.set_timer(timeout, Timer::SeizureTimeout(id, number));
+            Some(OpenSeizure { number, exchange: to, link: None, seized_at: state.now, timeout, timer });
         if state.send_set_up(*transport, id) {
             return;
         }
@@ -61,7 +61,11 @@
     }
 
     fn set_timer(&mut self, after: Duration, timer: TimerId) {
-        self.state.set_timer(after, Timer::Controller(timer));
+        let handle = self.state.set_timer(after, Timer::Controller(timer));
+        // Timers of calls have their numbers. A call waits for one thing at a time.
+        let call = self.state.calls.get_mut(&CallId(timer.0));
+        let previous = call.and_then(|call| call.controller_timer.replace(handle));
+        previous.into_iter().for_each(|previous| self.state.timers.cancel(previous));
     }
 
     fn send_to_peers(&mut self, _peer: Option<PeerId>, _message: &[u8]) {
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -17,8 +17,13 @@
         self.calls.insert(id, call);
     }
 
+    /// Removes a call, with its timers.
     pub(super) fn remove_call(&mut self, id: CallId) {
-        self.held_octets -= self.calls.remove(&id).map_or(0, |call| call.octets());
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.held_octets -= call.octets();
+        let timers =
+            [call.guard_timer, call.controller_timer, call.open_seizure.map(|seizure| seizure.timer)];
+        timers.into_iter().flatten().for_each(|timer| self.timers.cancel(timer));
     }
 
     /// Sends the final answer of a call, unless it has been sent or its caller no longer waits.
@@ -129,6 +134,7 @@
     pub fn end_seizure(&mut self, id: CallId, cause: Cause) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(seizure) = call.open_seizure.take() else { return };
+        self.timers.cancel(seizure.timer);
         let closed = call.answer_state == AnswerState::Settled;
         if let Some(link) = seizure.link.and_then(|link_id| self.links.get_mut(&link_id)) {
             link.open_set_ups.remove(&call.id);
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -178,7 +178,9 @@
             return;
         }
         if self.now < next_connect {
-            return self.set_timer(next_connect - self.now, Timer::MaintainPool(to));
+            let timer = self.set_timer(next_connect - self.now, Timer::MaintainPool(to));
+            let previous = self.exchanges.get_mut(&to).and_then(|remote| remote.pool_timer.replace(timer));
+            return previous.into_iter().for_each(|previous| self.timers.cancel(previous));
         }
         (0..if no_failures { missing } else { 1 }).for_each(|_| self.connect(transport, to, address));
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,13 +7,14 @@
 //! `Continuation`: a closure that runs when its seizure fails or its wait ends.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::fmt::Arguments;
 use std::ops::Bound;
 use std::time::Duration;
 
 use crate::interface::*;
 use crate::random::MwcRng;
+use crate::recent_numbers::RecentNumbers;
 
 /// Retry credit is counted in tenths of a retry.
 const CREDIT_PER_RETRY: u32 = 10;
@@ -212,13 +213,6 @@
 /// Position in the queue: calls of higher revenue first, then older ones.
 type QueueKey = (usize, Duration, CallId);
 
-/// Values for dialled numbers, by age (oldest first) and by number, so that the redials of many callers don't
-/// cost a search each.
-struct RecentNumbers<T> {
-    by_age: VecDeque<(Duration, DialledNumber)>,
-    by_number: BTreeMap<DialledNumber, (Duration, T)>,
-}
-
 impl Controller {
     pub fn new(config: &ControllerConfig, seed: u64) -> Self {
         let revenue_density = |call_type: &CallTypeConfig| {
@@ -268,8 +262,8 @@
             region_ejections: BTreeMap::new(),
             exchanges: BTreeMap::new(),
             calls: BTreeMap::new(),
-            given_up_numbers: RecentNumbers::new(),
-            busy_numbers: RecentNumbers::new(),
+            given_up_numbers: RecentNumbers::default(),
+            busy_numbers: RecentNumbers::default(),
             queue: BTreeMap::new(),
         }
     }
@@ -921,32 +915,6 @@
     }
 }
 
-impl<T> RecentNumbers<T> {
-    fn new() -> Self {
-        Self { by_age: VecDeque::new(), by_number: BTreeMap::new() }
-    }
-
-    /// Number 0 means no number and is not stored.
-    fn push(&mut self, now: Duration, dialled: DialledNumber, value: T) {
-        if dialled.0 != 0 {
-            self.by_age.push_back((now, dialled));
-            self.by_number.insert(dialled, (now, value));
-        }
-    }
-
-    fn get(&self, dialled: DialledNumber) -> Option<&T> {
-        self.by_number.get(&dialled).map(|(_, value)| value)
-    }
-
-    fn remove_older_than(&mut self, max_age: Duration, now: Duration) {
-        while let Some((at, dialled)) = self.by_age.pop_front_if(|(at, _)| *at + max_age < now) {
-            if self.by_number.get(&dialled).is_some_and(|(latest, _)| *latest == at) {
-                self.by_number.remove(&dialled);
-            }
-        }
-    }
-}
-
 impl Ejection {
     fn on_failure(
         &mut self,
