--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -29,6 +29,8 @@
 /// Octets that may wait for all connections together.
 const MAX_OUTPUT_OCTETS: usize = 64 << 20;
 pub const MAX_ADMIN_MESSAGE_OCTETS: usize = 4096;
+/// Octets read at once from a client. Requests can be as short as two octets, and each costs the others time.
+const MAX_CLIENT_READ_OCTETS: usize = 4 << 10;
 const READS_TOO_SLOWLY: &str = "reads too slowly";
 
 /// What a connection is for.
@@ -58,10 +60,12 @@
 }
 
 impl Purpose {
-    /// Octets that are read at once. Few from an admin client, whose short requests have long replies.
+    /// Octets that are read at once: fewer from clients than from other exchanges.
     pub fn max_read_octets(&self) -> usize {
         match self {
-            Self::Admin(_) => MAX_ADMIN_MESSAGE_OCTETS,
+            Self::Admin(_) | Self::Line(_) | Self::WebSocket { .. } | Self::Handshake(_) => {
+                MAX_CLIENT_READ_OCTETS
+            }
             _ => usize::MAX,
         }
     }
