Platform: an address belongs to the exchange that came up there last

Set-ups for the former went over connections to its address, to the wrong exchange, and its calls stood on.

Cause: apply_changes (core/discovery.rs) took each entry of the list for itself; an address was taken for the exchange listed there.

Change: of exchanges listed at one address the one that started last has it, of those that tell no start the one reported last. The others' links are closed, their calls end (address_taken), and they get no set-up until they are listed elsewhere or with a new start.

--- a/crates/cli/tests/session_departures.rs
+++ b/crates/cli/tests/session_departures.rs
@@ -94,3 +94,24 @@
     assert_eq!(site.far.counters().set_ups, 1);
     site.finish();
 }
+
+// A new controller process at the address of a former one does not take its sessions for its own.
+#[test]
+fn the_session_of_a_former_process_cannot_be_taken_up_at_a_new_one() {
+    let former = start("former.json");
+    let mut client = RawClient::open(former.calls_addr());
+    let session = client.hello(None)["session"].clone();
+    client.offer(7, TIME_LEFT_MS);
+    assert_eq!(client.receive().unwrap()["result"]["answer"], "stands");
+    let port = former.calls_addr();
+    former.controller.kill("-KILL");
+    drop(former);
+    let calls = json!({ "calls": { "listen": port } });
+    let site = Site::start("new.json", FarPlan::default(), calls);
+    let mut client = RawClient::open(site.calls_addr());
+    let hello = json!({ "client": "test", "resumable": true, "resume": session });
+    let denied = client.request("session.hello", hello);
+    assert!(denied["error"]["code"].is_i64(), "{denied}");
+    assert_eq!(site.far.counters().set_ups, 0);
+    site.finish();
+}
--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -140,6 +140,46 @@
         entries
     }
 
+    /// An exchange is reported with an address. If others are listed there, the one that started last has it, of those that
+    /// tell no start the one that was reported last. Connections to the address lead to that one, so the others get no more
+    /// links, and their calls have ended. Returns these.
+    fn settle_address(
+        &mut self,
+        transport: &mut dyn Transport,
+        reported: ExchangeId,
+    ) -> Vec<(ExchangeId, Duration, CallEnd)> {
+        let Some(remote) = self.state.exchanges.get_mut(&reported) else { return Vec::new() };
+        remote.address_taken = false;
+        let (address, started, status) = (remote.address, remote.started, remote.status);
+        if status == ExchangeStatus::Gone {
+            return Vec::new();
+        }
+        let at_address = self.state.exchanges.iter().filter(|(_, other)| other.address == address);
+        let listed = at_address.filter(|(id, other)| **id != reported && other.is_reachable());
+        let others: Vec<_> = listed.map(|(id, other)| (*id, other.started)).collect();
+        let (earlier, later): (Vec<_>, Vec<_>) =
+            others.into_iter().partition(|(_, other_started)| *other_started <= started);
+        let losers =
+            if later.is_empty() { earlier.into_iter().map(|(id, _)| id).collect() } else { vec![reported] };
+        for id in &losers {
+            self.close_links_of_taken_address(transport, *id);
+        }
+        losers.into_iter().map(|id| (id, Duration::MAX, CallEnd::AddressTaken)).collect()
+    }
+
+    fn close_links_of_taken_address(&mut self, transport: &mut dyn Transport, exchange: ExchangeId) {
+        let Some(remote) = self.state.exchanges.get_mut(&exchange) else { return };
+        remote.address_taken = true;
+        transport.log_info(&format!(
+            "exchange {}: another exchange has its address {}",
+            exchange.0, remote.address
+        ));
+        let links: Vec<_> = remote.links.iter().chain(&remote.draining).copied().collect();
+        for link in links {
+            self.state.remove_link(transport, link, LinkLoss::AddressTaken);
+        }
+    }
+
     /// Updates, adds and removes exchanges. Returns those whose calls have ended by it, if answered before the given
     /// time, and why.
     pub(super) fn apply_changes(
@@ -157,6 +197,7 @@
             let new_remote = RemoteExchange {
                 uid: target.uid.clone(),
                 address: target.endpoint,
+                address_taken: false,
                 status: entry.status,
                 started: entry.started,
                 links: Vec::new(),
@@ -173,17 +214,23 @@
                 unconfirmed_closes: Default::default(),
                 drained_since: None,
             };
+            let is_new = !self.state.exchanges.contains_key(&entry.id);
             let remote = self.state.exchanges.entry(entry.id).or_insert(new_remote);
             remote.status = entry.status;
-            if std::mem::replace(&mut remote.started, entry.started) != entry.started {
+            let is_restarted = std::mem::replace(&mut remote.started, entry.started) != entry.started;
+            if is_restarted {
                 ended.push((entry.id, entry.started, CallEnd::ExchangeRestarted));
             }
-            if std::mem::replace(&mut remote.address, target.endpoint) != target.endpoint {
+            let is_moved = std::mem::replace(&mut remote.address, target.endpoint) != target.endpoint;
+            if is_moved {
                 let links = remote.links.clone();
                 for link in links {
                     self.state.remove_link(transport, link, LinkLoss::AddressChanged);
                 }
             }
+            if is_new || is_restarted || is_moved {
+                ended.extend(self.settle_address(transport, entry.id));
+            }
         }
         let missing = |id: &ExchangeId| topology.is_full && entries.iter().all(|entry| entry.id != *id);
         for (id, remote) in &mut self.state.exchanges {
--- a/crates/platform/src/core/link_liveness.rs
+++ b/crates/platform/src/core/link_liveness.rs
@@ -83,6 +83,7 @@
         remote.unconfirmed_closes.retain(|link| in_use.contains(link));
         let RemoteExchange { address, last_connect, .. } = *remote;
         if !remote.unconfirmed_closes.is_empty()
+            && remote.is_reachable()
             && self.state.now >= last_connect + RELEASE_CONNECTION_INTERVAL
         {
             self.state.connect(transport, exchange, address);
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -23,6 +23,8 @@
     AddressChanged,
     /// The event bus reported the exchange gone.
     ExchangeGone,
+    /// The event bus reported another exchange at its address.
+    AddressTaken,
     /// Another process of the exchange listens at its address.
     FormerIncarnation,
     /// This process ends.
@@ -41,6 +43,7 @@
             Self::Drained => "drained",
             Self::AddressChanged => "address_changed",
             Self::ExchangeGone => "exchange_gone",
+            Self::AddressTaken => "address_taken",
             Self::FormerIncarnation => "former_incarnation",
             Self::Shutdown => "shutdown",
         }
@@ -58,6 +61,8 @@
     ReleasedByCaller,
     /// The event bus reported its exchange gone.
     ExchangeGone,
+    /// The event bus reported another exchange at the address of its exchange, whose process is gone.
+    AddressTaken,
     /// The event bus or the exchange's first report showed that the exchange has restarted.
     ExchangeRestarted,
     /// The exchange's first report showed that it holds none of the calls, though it has not restarted.
@@ -77,6 +82,7 @@
             Self::Cut => "cut",
             Self::ReleasedByCaller => "released_by_caller",
             Self::ExchangeGone => "exchange_gone",
+            Self::AddressTaken => "address_taken",
             Self::ExchangeRestarted => "exchange_restarted",
             Self::NotHeld => "not_held",
             Self::ExchangeRefused => "exchange_refused",
--- a/crates/platform/src/state.rs
+++ b/crates/platform/src/state.rs
@@ -222,6 +222,8 @@
 pub struct RemoteExchange {
     pub uid: Box<str>,
     pub address: SocketAddr,
+    /// Whether another exchange has been reported at the address since: this one is gone, though still listed.
+    pub address_taken: bool,
     pub status: ExchangeStatus,
     pub started: Duration,
     /// Links that are connecting or up, oldest first.
@@ -252,6 +254,11 @@
 }
 
 impl RemoteExchange {
+    /// Whether connections to its address lead to it, as far as is known.
+    pub fn is_reachable(&self) -> bool {
+        self.status != ExchangeStatus::Gone && !self.address_taken
+    }
+
     /// Whether it is draining, and has had no call for so long that it needs no link.
     fn is_drained(&self, now: Duration) -> bool {
         self.status == ExchangeStatus::Draining
--- a/crates/platform/src/state/actions.rs
+++ b/crates/platform/src/state/actions.rs
@@ -6,7 +6,7 @@
     CallId, Cause, ControllerActions, ExchangeId, ExchangeStatus, PeerId, SeizureNumber, TimerId,
 };
 
-use super::{MAX_EXTRA_LINKS, OpenSeizure, PlatformState, Timer};
+use super::{MAX_EXTRA_LINKS, OpenSeizure, PlatformState, RemoteExchange, Timer};
 use crate::Transport;
 
 /// Carries out the controller's actions while it handles one event.
@@ -28,8 +28,9 @@
             return;
         }
         // No link is free: the set-up is queued while a link is connecting, and one is opened if none is.
-        let Some(remote) = state.exchanges.get(&to).filter(|remote| remote.status == ExchangeStatus::Ready)
-        else {
+        let is_usable =
+            |remote: &&RemoteExchange| remote.status == ExchangeStatus::Ready && remote.is_reachable();
+        let Some(remote) = state.exchanges.get(&to).filter(is_usable) else {
             return state.end_seizure(id, Cause::Unreachable);
         };
         if !state.is_connecting(remote) && remote.links.len() < state.links_per_exchange + MAX_EXTRA_LINKS {
--- a/crates/platform/src/state/links.rs
+++ b/crates/platform/src/state/links.rs
@@ -129,8 +129,8 @@
     pub fn connect_for_releases(&mut self, transport: &mut dyn Transport, to: ExchangeId) {
         let Some(remote) = self.exchanges.get_mut(&to) else { return };
         remote.release_connection_planned = false;
-        let (listed, address) = (remote.status != ExchangeStatus::Gone, remote.address);
-        if listed && self.standing.values().any(|call| call.exchange == to) {
+        let (is_reachable, address) = (remote.is_reachable(), remote.address);
+        if is_reachable && self.standing.values().any(|call| call.exchange == to) {
             self.connect(transport, to, address);
         }
     }
@@ -166,6 +166,7 @@
     pub fn maintain_pool(&mut self, transport: &mut dyn Transport, to: ExchangeId) {
         let Some(remote) = self.exchanges.get(&to) else { return };
         let wanted = match remote.status {
+            _ if !remote.is_reachable() => 0,
             ExchangeStatus::Ready => self.links_per_exchange,
             ExchangeStatus::Draining if remote.is_drained(self.now) => 0,
             ExchangeStatus::Draining => 1,
