Platform, daemon: modules of their own for releases and for links

core/exchanges.rs held links, messages and what releases are about, server.rs the event loop and the choice of links. The parts move to core/releases.rs and server/links.rs as they are.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,7 @@
 //! | `exchange` | call control, membership and subscriber lines together, without I/O |
 //! | `link_claims` | incoming connections that name an exchange which has a link already |
 //! | `output_buffer` | the octets that wait to be written to a connection |
-//! | `server` | the mio loop: listeners, reads, timers, signals |
+//! | `server` | the mio loop: listeners, reads, timers, signals; outgoing connections and links |
 
 pub mod config;
 mod connections;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -1,5 +1,7 @@
 //! The mio loop: sockets, timers and signals around an [`Exchange`], which makes all decisions about calls.
 
+mod links;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -11,7 +13,7 @@
 use mintstall_isup::{Deframer, Frame};
 use mintstall_limits::{ConnectionMonitor, ConnectionTimeouts, MonitorAction};
 use mintstall_websocket::{HandshakeRejection, ServerHandshake, ServerHandshakeState, WebSocketEvent, close};
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use rand::Rng;
 use serde::Serialize;
@@ -26,7 +28,7 @@
     CLOCK_START, ConnectTarget, Connections, LOG_TARGET, MAX_ADMIN_MESSAGE_OCTETS, Purpose,
 };
 use crate::exchange::{Exchange, LineOpenError, MAX_MESSAGE_OCTETS};
-use crate::link_claims::{LinkClaim, LinkClaims};
+use crate::link_claims::LinkClaims;
 
 #[derive(Debug, Error)]
 pub enum ServerError {
@@ -50,11 +52,6 @@
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Connections accepted in a row. An accept storm must not keep open connections waiting.
 const MAX_ACCEPTS_AT_ONCE: usize = 64;
-/// Delay before a reconnect, doubled with each failure up to the maximum. The wait is drawn at random between half the
-/// delay and the whole.
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(100);
-const MAX_RECONNECT_DELAY: Duration = Duration::from_secs(5);
-
 const SIGNALS: Token = Token(0);
 const LINK_LISTENER: Token = Token(1);
 const LINE_LISTENER: Token = Token(2);
@@ -442,32 +439,6 @@
         }
     }
 
-    fn start_due_connects(&mut self) {
-        let now = Instant::now();
-        let due =
-            self.reconnects.iter_mut().filter(|(_, reconnect)| reconnect.due.is_some_and(|due| due <= now));
-        let due: Vec<_> =
-            due.map(|(target, reconnect)| (*target, reconnect.due.take().map(|_| reconnect.to))).collect();
-        for (target, to) in due {
-            let Some(to) = to else { continue };
-            let started = TcpStream::connect(to)
-                .and_then(|stream| self.connections.add(stream, Purpose::Connecting(target)));
-            if let Err(error) = started {
-                debug!(target: LOG_TARGET, dialled = ?target, %to, "cannot connect: {error}");
-                self.schedule_reconnect(target);
-            }
-        }
-    }
-
-    fn schedule_reconnect(&mut self, target: ConnectTarget) {
-        if let Some(reconnect) = self.reconnects.get_mut(&target) {
-            let delay =
-                MIN_RECONNECT_DELAY.saturating_mul(1 << reconnect.failures.min(8)).min(MAX_RECONNECT_DELAY);
-            reconnect.failures = reconnect.failures.saturating_add(1);
-            reconnect.due = Some(Instant::now() + delay.mul_f64(rand::rng().random_range(0.5..1.0)));
-        }
-    }
-
     fn on_ready(&mut self, token: Token, readable: bool, writable: bool) {
         let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
         if let Purpose::Connecting(target) = connection.purpose {
@@ -490,86 +461,6 @@
         }
     }
 
-    /// An outgoing connection is established or has failed.
-    fn on_connect_finished(&mut self, token: Token, target: ConnectTarget) {
-        let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
-        let error = connection.stream.take_error().ok().flatten();
-        if error.is_some() || connection.stream.peer_addr().is_err() {
-            if error.is_some() {
-                self.connections.close(Some(token), "cannot connect");
-            }
-            return;
-        }
-        connection.purpose = match target {
-            ConnectTarget::Link(to) => Purpose::Link(to),
-            ConnectTarget::Directory => Purpose::Directory,
-        };
-        if let Err(error) =
-            self.connections.poll.registry().reregister(&mut connection.stream, token, Interest::READABLE)
-        {
-            return self.connections.close(Some(token), &error.to_string());
-        }
-        match target {
-            ConnectTarget::Link(to) => self.on_link_connected(token, to),
-            ConnectTarget::Directory => {
-                self.connections.directory = Some(token);
-                info!(target: LOG_TARGET, "connected to the directory");
-                self.exchange.directory_connected(&mut self.connections);
-            }
-        }
-    }
-
-    /// A connection is the link of an exchange from now on, in place of any other.
-    fn on_link_connected(&mut self, token: Token, to: ExchangeNumber) {
-        let now = self.now();
-        if let Some(previous) = self.connections.links.insert(to, token) {
-            self.exchange.link_down(now, &mut self.connections, to);
-            if let Some(previous) = self.connections.by_token.get_mut(&previous) {
-                previous.purpose = Purpose::Closing;
-            }
-            self.connections.close(Some(previous), "replaced by a newer connection");
-        }
-        self.exchange.link_up(now, &mut self.connections, to);
-    }
-
-    /// An incoming connection names an exchange that has a link here.
-    fn on_link_named(&mut self, token: Token, from: ExchangeNumber, received: Vec<u8>) {
-        let now = self.now();
-        let has_open_link = self.connections.links.contains_key(&from)
-            && self.exchange.probe_link(now, &mut self.connections, from);
-        if !has_open_link {
-            let claim = LinkClaim::immediate(token, received);
-            return self.grant_claim(from, claim);
-        }
-        match self.link_claims.add(now, from, token, received) {
-            Ok(()) => {
-                info!(target: LOG_TARGET, exchange = from.0, "another connection names an exchange whose link is open: checking the link");
-                if let Some(connection) = self.connections.by_token.get_mut(&token) {
-                    connection.purpose = Purpose::WaitingLink(from);
-                }
-            }
-            Err(error) => self.connections.close(Some(token), &error.to_string()),
-        }
-    }
-
-    /// The connection of a claim becomes the link of the exchange.
-    fn grant_claim(&mut self, from: ExchangeNumber, claim: LinkClaim<Token>) {
-        let now = self.now();
-        let LinkClaim { connection: token, received, .. } = claim;
-        let Some(connection) = self.connections.by_token.get_mut(&token) else { return };
-        connection.purpose = Purpose::Link(from);
-        self.connections.unidentified.remove(token);
-        self.on_link_connected(token, from);
-        self.exchange.link_octets(now, &mut self.connections, from, &received);
-    }
-
-    fn grant_due_claims(&mut self, now: Duration) {
-        for (exchange, claim) in self.link_claims.take_due(now) {
-            info!(target: LOG_TARGET, exchange = exchange.0, "the link does not answer: another connection takes its place");
-            self.grant_claim(exchange, claim);
-        }
-    }
-
     fn read(&mut self, token: Token) {
         // At most 8 reads, so that a connection that always has data does not keep the others waiting.
         for _ in 0..8 {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -1,6 +1,6 @@
 //! The core: handles the events of callers, links, the event bus and timers, and passes them to the controller.
 //!
-//! `callers` and `exchanges` handle the messages and connections of each side, `discovery` the event bus, `leases`,
+//! `callers`, `exchanges` and `releases` handle the messages and connections of each side, `discovery` the event bus, `leases`,
 //! `link_liveness` and `incarnations` the failure detection, `shutdown` the end of the process; timers are handled here.
 //! State is kept in `crate::state`.
 
@@ -10,6 +10,7 @@
 mod incarnations;
 mod leases;
 mod link_liveness;
+mod releases;
 mod shutdown;
 
 use std::collections::BTreeMap;
