--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -129,3 +129,28 @@
     line.read_line(&mut text).unwrap();
     serde_json::from_str(&text).unwrap()
 }
+
+/// The most memory that a process has had resident so far, in KiB.
+pub fn peak_memory_kib(child: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let peak =
+        status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
+    peak.expect("the status of a process tells its peak")
+}
+
+/// Writes the pieces of an unfinished request to many connections, one piece after another, in a thread. Returns the
+/// connections at its end.
+pub fn write_in_pieces(
+    mut crowd: Vec<TcpStream>,
+    pieces: Vec<Vec<u8>>,
+    pause: Duration,
+) -> std::thread::JoinHandle<Vec<TcpStream>> {
+    std::thread::spawn(move || {
+        for piece in &pieces {
+            // The far end may have closed some, which is the point.
+            crowd.iter_mut().for_each(|connection| drop(connection.write_all(piece)));
+            std::thread::sleep(pause);
+        }
+        crowd
+    })
+}
--- a/crates/cli/tests/links.rs
+++ b/crates/cli/tests/links.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{CIRCUITS, Controller, TIMEOUT};
+use common::{CIRCUITS, Controller, TIMEOUT, peak_memory_kib};
 use mintstall_client::{CallOutcome, Client, SessionConfig, offer};
 use mintstall_emulator::{FarExchange, FarPlan};
 use mintstall_isup::Frame;
@@ -150,7 +150,7 @@
     assert!(!claim.is_closed());
 }
 
-// Guards against: octets that arrive on a connection which is replaced already, read as if they came on the link.
+// Guards against: memory taken up by what a connection sends that waits to become the link.
 #[test]
 fn a_connection_that_waits_may_not_send_without_end() {
     let controller = start("claim-flood.json");
@@ -164,8 +164,6 @@
     // The controller closes the connection, or leaves the rest unread until it is the link.
     let _ = stream.set_write_timeout(Some(Duration::from_millis(300)));
     let _ = stream.write_all(&frames);
-    let status = std::fs::read_to_string(format!("/proc/{}/status", controller.child.id())).unwrap();
-    let resident =
-        status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().split(' ').next()?.parse().ok());
-    assert!(resident.is_some_and(|kib: u64| kib < 32 << 10), "{resident:?} KiB");
+    let peak = peak_memory_kib(&controller.child);
+    assert!(peak < 32 << 10, "{peak} KiB");
 }
--- a/crates/cli/tests/node_bursts.rs
+++ b/crates/cli/tests/node_bursts.rs
@@ -12,8 +12,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::TIMEOUT;
 use common::node::{Caller, Node, config, invite, start_bus};
+use common::{TIMEOUT, peak_memory_kib};
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
 use nix::sys::signal::Signal;
 
@@ -262,8 +262,6 @@
         assert!(started.elapsed() < TIMEOUT, "it is not closed");
         thread::sleep(Duration::from_millis(50));
     }
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
-    let peak =
-        status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
-    assert!(peak.is_some_and(|kib: u64| kib < MEMORY_LIMIT_KIB), "{peak:?} KiB");
+    let peak = peak_memory_kib(&node.child);
+    assert!(peak < MEMORY_LIMIT_KIB, "{peak} KiB");
 }
--- a/crates/cli/tests/node_crowds.rs
+++ b/crates/cli/tests/node_crowds.rs
@@ -5,13 +5,11 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::TIMEOUT;
 use common::node::{Caller, Node, config, invite, request, start_bus, start_counting_exchange};
+use common::{TIMEOUT, peak_memory_kib, write_in_pieces};
 use serde_json::json;
 
 /// The least memory and the most descriptors that a controller gets on the platform.
@@ -49,15 +47,8 @@
     }
 }
 
-fn peak_memory_kib(node: &Node) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
-    let peak =
-        status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
-    peak.unwrap()
-}
-
 fn assert_memory_within_limit(node: &Node, what: &str) {
-    let peak = peak_memory_kib(node);
+    let peak = peak_memory_kib(&node.child);
     println!("{what}: {peak} KiB at most");
     assert!(peak < MEMORY_MB << 10, "{what}: {peak} KiB");
 }
@@ -123,22 +114,9 @@
 fn hundreds_of_unfinished_requests_keep_within_the_memory_limit_and_others_are_answered() {
     for (what, pieces) in unfinished_requests() {
         let node = start("crowd.json");
-        let mut crowd: Vec<TcpStream> = Vec::new();
-        for _ in 0..CROWD {
-            crowd.push(TcpStream::connect(node.callers).unwrap());
-        }
-        let is_over = Arc::new(AtomicBool::new(false));
-        let over = Arc::clone(&is_over);
-        let writer = thread::spawn(move || {
-            for piece in &pieces {
-                // The controller may have closed some, which is the point.
-                crowd.iter_mut().for_each(|caller| drop(caller.write_all(piece)));
-                thread::sleep(Duration::from_millis(40));
-            }
-            over.store(true, Ordering::Relaxed);
-            crowd
-        });
-        call_until(&node, what, &|| is_over.load(Ordering::Relaxed));
+        let crowd = (0..CROWD).map(|_| TcpStream::connect(node.callers).unwrap()).collect();
+        let writer = write_in_pieces(crowd, pieces, Duration::from_millis(40));
+        call_until(&node, what, &|| writer.is_finished());
         assert_memory_within_limit(&node, what);
         drop(writer.join().unwrap());
     }
--- a/crates/cli/tests/session_crowds.rs
+++ b/crates/cli/tests/session_crowds.rs
@@ -5,12 +5,11 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::sessions::{RawClient, Site, offer_request};
+use common::{peak_memory_kib, write_in_pieces};
 use mintstall_client::{CallOutcome, offer};
 use mintstall_emulator::FarPlan;
 use mintstall_isup::Frame;
@@ -37,10 +36,7 @@
 }
 
 fn assert_memory_is_bounded(site: &Site, what: &str) {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", site.controller.child.id())).unwrap();
-    let peak =
-        status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
-    let peak: u64 = peak.unwrap();
+    let peak = peak_memory_kib(&site.controller.child);
     println!("{what}: {peak} KiB at most");
     assert!(peak < MEMORY_KIB, "{what}: {peak} KiB");
 }
@@ -112,19 +108,9 @@
             true => RawClient::open(addr(&site, port)).stream,
             false => TcpStream::connect(addr(&site, port)).unwrap(),
         };
-        let mut crowd: Vec<TcpStream> = (0..CROWD).map(open).collect();
-        let is_over = Arc::new(AtomicBool::new(false));
-        let over = Arc::clone(&is_over);
-        let writer = thread::spawn(move || {
-            for piece in &pieces {
-                // The controller may have closed some, which is the point.
-                crowd.iter_mut().for_each(|client| drop(client.write_all(piece)));
-                thread::sleep(Duration::from_millis(30));
-            }
-            over.store(true, Ordering::Relaxed);
-            crowd
-        });
-        call_until(&site, what, &|| is_over.load(Ordering::Relaxed));
+        let crowd: Vec<TcpStream> = (0..CROWD).map(open).collect();
+        let writer = write_in_pieces(crowd, pieces, Duration::from_millis(30));
+        call_until(&site, what, &|| writer.is_finished());
         assert_memory_is_bounded(&site, what);
         drop(writer.join().unwrap());
         site.finish();
