--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -1,6 +1,6 @@
 //! The core: handles the events of callers, links, the event bus and timers, and passes them to the controller.
 //!
-//! `callers`, `exchanges` and `releases` handle the messages and connections of each side, `discovery` the event bus, `leases`,
+//! `callers`, `set_ups`, `exchanges` and `releases` handle the messages and connections of each side, `discovery` the event bus, `leases`,
 //! `link_liveness` and `incarnations` the failure detection, `shutdown` the end of the process; timers are handled here.
 //! State is kept in `crate::state`.
 
@@ -11,6 +11,7 @@
 mod leases;
 mod link_liveness;
 mod releases;
+mod set_ups;
 mod shutdown;
 
 use std::collections::BTreeMap;
