--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -13,6 +13,8 @@
 use mio::{Interest, Poll, Token};
 use tracing::{debug, info, warn};
 
+/// The target of log lines about connections.
+pub const LOG_TARGET: &str = "mintstall::connections";
 const FIRST_CONNECTION_TOKEN: usize = 2;
 /// A peer for which more octets wait is judged by what it takes, and a caller is not read from meanwhile.
 const SLOW_READER_OCTETS: usize = 128 << 10;
@@ -54,6 +56,24 @@
     }
 }
 
+/// Why a caller's connection is closed here without waiting for the other side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discard {
+    /// Another connection needs its place.
+    NoRoom,
+    /// The other side has not closed it within the time for that.
+    LingerExpired,
+}
+
+impl Discard {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no_room",
+            Self::LingerExpired => "linger_expired",
+        }
+    }
+}
+
 /// The state of a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -188,6 +208,21 @@
         Some(connection)
     }
 
+    /// Closes a connection without waiting for the other side. Returns whether it was open.
+    pub fn discard(&mut self, token: Token, reason: Discard) -> bool {
+        let Some(connection) = self.remove(token) else { return false };
+        metrics::counter!("connections_discarded", "reason" => reason.label()).increment(1);
+        debug!(
+            target: LOG_TARGET,
+            "{} {} closed: {}, {} octets unwritten",
+            connection.purpose.label(),
+            token.0,
+            reason.label(),
+            connection.output.waiting()
+        );
+        true
+    }
+
     /// Removes a lost connection. The loss is reported to the core later.
     pub fn fail(&mut self, token: Token, reason: Disconnect) {
         if let Some(connection) = self.remove(token) {
@@ -276,7 +311,7 @@
     let label = connection.purpose.label();
     metrics::counter!("connections_closed_unread", "peer" => label).increment(1);
     warn!(
-        target: "mintstall::connections",
+        target: LOG_TARGET,
         "{} closed with unread output: {} octets wait, {} were taken in {:?}, {} were added since the last attempt to \
          write, socket {}",
         connection.purpose,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,9 +20,9 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use thiserror::Error;
-use tracing::warn;
+use tracing::{debug, info, warn};
 
-use crate::connections::{Connections, Phase, Purpose, disconnect_reason};
+use crate::connections::{Connections, Discard, Phase, Purpose, disconnect_reason};
 
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -46,6 +46,8 @@
 /// The delay before a configuration file that can't be read is tried again.
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RELOAD_ATTEMPTS: u32 = 8;
+/// A turn of the event loop that takes longer is logged: the protocol's slack for each time limit.
+const LATE_TURN: Duration = Duration::from_millis(50);
 
 /// A controller with its sockets, timers and signals.
 pub struct Node {
@@ -128,6 +130,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) => return Err(NodeError::Poll(error)),
             }
+            let turn_started = Instant::now();
             self.connections.now = self.now();
             for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
                 self.note_departure(event.token());
@@ -157,6 +160,7 @@
             self.close_lingering();
             self.reload_if_due();
             self.log_counters();
+            log_late_turn(turn_started.elapsed());
         }
     }
 
@@ -171,7 +175,23 @@
         let since = *self.shutdown_complete_since.get_or_insert_with(Instant::now);
         let has_output = self.connections.by_token.values().any(|connection| connection.output.waiting() > 0);
         let lingers = self.connections.caller_count > 0 || has_output;
-        self.core.is_shutdown_complete(self.now()) && (!lingers || since.elapsed() >= SHUTDOWN_LINGER)
+        let may_exit =
+            self.core.is_shutdown_complete(self.now()) && (!lingers || since.elapsed() >= SHUTDOWN_LINGER);
+        if may_exit {
+            self.log_exit();
+        }
+        may_exit
+    }
+
+    /// Logs what the end of the process cuts off.
+    fn log_exit(&self) {
+        let connections = self.connections.by_token.values();
+        let unwritten: usize = connections.map(|connection| connection.output.waiting()).sum();
+        info!(
+            target: connections::LOG_TARGET,
+            "process ends: {} connections open, {unwritten} octets unwritten",
+            self.connections.by_token.len()
+        );
     }
 
     fn log_counters(&mut self) {
@@ -213,7 +233,7 @@
     fn close_lingering(&mut self) {
         let now = Instant::now();
         while let Some((_, token)) = self.connections.closing.pop_front_if(|(due, _)| *due <= now) {
-            self.connections.remove(token);
+            self.connections.discard(token, Discard::LingerExpired);
         }
     }
 
@@ -229,6 +249,8 @@
             };
             if self.connections.caller_count >= self.max_callers && !self.make_room() {
                 // Closes the new connection: all open ones have unanswered set-ups.
+                ::metrics::counter!("connections_refused").increment(1);
+                debug!(target: connections::LOG_TARGET, "a caller's connection refused: no other can be closed");
                 continue;
             }
             let caller = CallerConnectionId(self.connections.next_token as u64);
@@ -246,13 +268,13 @@
     /// Closes a lingering connection or else the least active caller. Returns whether there was one.
     fn make_room(&mut self) -> bool {
         while let Some((_, token)) = self.connections.closing.pop_front() {
-            if self.connections.remove(token).is_some() {
+            if self.connections.discard(token, Discard::NoRoom) {
                 return true;
             }
         }
         let Some(caller) = self.core.least_active_caller() else { return false };
         self.core.caller_disconnected(self.now(), &mut self.connections, caller);
-        self.connections.remove(Token(caller.0 as usize)).is_some()
+        self.connections.discard(Token(caller.0 as usize), Discard::NoRoom)
     }
 
     fn handle_signals(&mut self) {
@@ -385,5 +407,12 @@
     ready
 }
 
+fn log_late_turn(elapsed: Duration) {
+    if elapsed > LATE_TURN {
+        ::metrics::counter!("late_turns").increment(1);
+        debug!(target: connections::LOG_TARGET, "a turn of the event loop took {elapsed:?}");
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -111,6 +111,10 @@
     /// Tells the controller of the seizures that have ended since the last call.
     fn report_ended_seizures(&mut self, transport: &mut dyn Transport) {
         while let Some(end) = self.state.ended_seizures.pop_front() {
+            transport.log_debug(format_args!(
+                "call {}: attempt {} at exchange {} ended after {:?}: {:?}",
+                end.call.0, end.seizure.0, end.exchange.0, end.elapsed, end.cause
+            ));
             self.with_controller(transport, |controller, now, context| {
                 controller.on_seizure_ended(now, context, &end)
             });
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -8,7 +8,7 @@
 use super::shutdown::Shutdown;
 use super::{Core, partial_since};
 use crate::exchange_protocol::WireCallId;
-use crate::reasons::{CallEnd, CallerClose};
+use crate::reasons::{CallEnd, CallerClose, Withdrawal};
 use crate::state::{CallerEvidence, StandingCall};
 use crate::{CallerConnectionId, Transport};
 
@@ -74,7 +74,7 @@
         let Some(caller) = self.state.callers.get_mut(&connection) else { return };
         caller.has_left = true;
         for id in std::mem::take(&mut caller.open_calls) {
-            self.withdraw(transport, id);
+            self.withdraw(transport, id, Withdrawal::CallerLeft);
         }
         self.report_ended_seizures(transport);
     }
@@ -92,7 +92,7 @@
 
     pub(super) fn remove_caller(&mut self, transport: &mut dyn Transport, connection: CallerConnectionId) {
         for id in self.state.caller_disconnected(transport, connection) {
-            self.withdraw(transport, id);
+            self.withdraw(transport, id, Withdrawal::Disconnected);
         }
     }
 
@@ -103,7 +103,9 @@
         connection: CallerConnectionId,
         reason: CallerClose,
     ) {
-        transport.log_debug(format_args!("caller {} closed: {reason}", connection.0));
+        let open = self.state.callers.get(&connection).map_or(0, |caller| caller.open_calls.len());
+        transport
+            .log_debug(format_args!("caller {} closed: {reason}, {open} unanswered calls", connection.0));
         metrics::counter!("callers_closed", "reason" => reason.label()).increment(1);
         self.remove_caller(transport, connection);
         transport.close_caller_after_flush(connection);
@@ -118,7 +120,10 @@
     }
 
     /// Ends a call whose caller no longer waits for an answer.
-    pub(super) fn withdraw(&mut self, transport: &mut dyn Transport, id: CallId) {
+    fn withdraw(&mut self, transport: &mut dyn Transport, id: CallId, reason: Withdrawal) {
+        if let Some(call) = self.state.calls.get(&id) {
+            count_withdrawal(transport, call.id, reason);
+        }
         self.state.withdraw_call(id);
         self.with_controller(transport, |controller, now, context| {
             controller.on_caller_gone(now, context, id)
@@ -172,6 +177,9 @@
         let own_call =
             call.filter(|id| self.state.calls.get(id).is_some_and(|call| call.caller == connection));
         let Some(id) = own_call else { return reply(transport, connection, message, 481, "") };
+        if let Some(call) = self.state.calls.get(&id) {
+            count_withdrawal(transport, call.id, Withdrawal::Cancelled);
+        }
         reply(transport, connection, message, 200, "");
         self.state.answer(transport, id, 487, &[], b"");
         self.with_controller(transport, |controller, now, context| {
@@ -219,6 +227,12 @@
     }
 }
 
+/// Counts and logs a call that needs no final answer any more.
+fn count_withdrawal(transport: &mut dyn Transport, id: WireCallId, reason: Withdrawal) {
+    metrics::counter!("calls_withdrawn", "reason" => reason.label()).increment(1);
+    transport.log_debug(format_args!("{id} withdrawn: {reason}"));
+}
+
 /// Answers a request that opens no call.
 pub(super) fn reply(
     transport: &mut dyn Transport,
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -145,6 +145,57 @@
     }
 }
 
+/// Why a set-up was refused without an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SetUpRefusal {
+    /// A field is missing or invalid.
+    Invalid,
+    /// An open or standing call has its id.
+    DuplicateId,
+    /// Its caller has closed the connection.
+    CallerLeft,
+    /// This process ends.
+    Shutdown,
+    /// An attempt under its id has just been released.
+    ReleaseWait,
+    /// Too many set-ups are open, on its connection or altogether.
+    TooMany,
+}
+
+impl SetUpRefusal {
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Invalid => "invalid",
+            Self::DuplicateId => "duplicate_id",
+            Self::CallerLeft => "caller_left",
+            Self::Shutdown => "shutdown",
+            Self::ReleaseWait => "release_wait",
+            Self::TooMany => "too_many",
+        }
+    }
+}
+
+/// Why a call without a final answer needs none any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// Its caller has cancelled it.
+    Cancelled,
+    /// Its caller has closed the connection, of which some may still be unread.
+    CallerLeft,
+    /// The connection of its caller is lost, or was closed here.
+    Disconnected,
+}
+
+impl Withdrawal {
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::CallerLeft => "caller_left",
+            Self::Disconnected => "disconnected",
+        }
+    }
+}
+
 macro_rules! display_by_label {
     ($($name:ty),*) => {$(
         impl fmt::Display for $name {
@@ -155,4 +206,4 @@
     )*};
 }
 
-display_by_label!(LinkLoss, CallEnd, BusLoss, CallerClose);
+display_by_label!(LinkLoss, CallEnd, BusLoss, CallerClose, SetUpRefusal, Withdrawal);
