--- a/crates/cli/tests/common/node.rs
+++ b/crates/cli/tests/common/node.rs
@@ -64,6 +64,35 @@
     }
 }
 
+/// Starts an exchange that answers no set-up, and reports the messages that it receives.
+pub fn start_silent_exchange() -> (SocketAddr, Receiver<(MessageType, u64)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let sender = sender.clone();
+            thread::spawn(move || report_messages(stream, &sender));
+        }
+    });
+    (addr, receiver)
+}
+
+fn report_messages(mut stream: TcpStream, sender: &Sender<(MessageType, u64)>) {
+    let mut out = Vec::new();
+    let parameters: &[(u8, &[u8])] = &[(parameter::REPORT, b"idle:900;circuits:900")];
+    exchange_protocol::encode(&mut out, MessageType::State, exchange_protocol::WireCallId(0), parameters);
+    // The test may have ended and closed the other end.
+    let _ = stream.write_all(&out);
+    let (mut decoder, mut buffer) = (exchange_protocol::Decoder::default(), [0; 16384]);
+    while let Ok(count @ 1..) = stream.read(&mut buffer) {
+        decoder.push(&buffer[..count]);
+        while let Some(message) = decoder.next_message().unwrap() {
+            let _ = sender.send((message.kind, message.call.0));
+        }
+    }
+}
+
 /// Starts an exchange that answers every set-up while it has circuits, and reports how many are idle after each change.
 pub fn start_counting_exchange(circuits: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
