Platform: answer the calls on a connection before it is closed here

Cause: Core::drain_callers judges by the present time whether all connections are to be closed; its timer comes each 20 ms. ShutdownDeadline, which answers the open calls, is due at the end. A process that wakes late finds both due, runs them in the order of their due times, and closes first. Only calls whose deadline lies beyond the end are open then: those with more than 3 s, which the soak does not have. Ruled out: the guard time of each call (it is due at the end as well), and the exit (the log shows the close with open calls before it). Change: close_caller itself answers what is open, so no close depends on the order of timers. The virtual-time test fails before where a timer of the drain is due within the 20 ms before the end.

--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -96,7 +96,8 @@
         }
     }
 
-    /// Closes a caller's connection once everything sent on it is written.
+    /// Closes a caller's connection once everything sent on it is written. Each accepted call on it gets its final answer
+    /// first.
     pub(super) fn close_caller(
         &mut self,
         transport: &mut dyn Transport,
@@ -107,12 +108,12 @@
         transport
             .log_debug(format_args!("caller {} closed: {reason}, {open} unanswered calls", connection.0));
         metrics::counter!("callers_closed", "reason" => reason.label()).increment(1);
+        self.fail_open_calls(transport, connection);
         self.remove_caller(transport, connection);
         transport.close_caller_after_flush(connection);
     }
 
-    /// Sends final answers for the open calls of a connection that is about to be closed here, as each accepted call
-    /// gets one.
+    /// Sends final answers for the open calls of a connection that is about to be closed here.
     fn fail_open_calls(&mut self, transport: &mut dyn Transport, connection: CallerConnectionId) {
         let open =
             self.state.callers.get(&connection).map(|caller| caller.open_calls.clone()).unwrap_or_default();
--- /dev/null
+++ b/crates/platform/tests/shutdown.rs
@@ -0,0 +1,32 @@
+//! The end of a shutdown with calls that no exchange answers, in virtual time.
+
+mod common;
+
+use common::{Platform, config_with, invite, ms};
+use serde_json::json;
+
+/// When the shutdown of the test's settings ends: 0.25 s after the longest deadline, which counts as 3 s.
+const END_MS: u64 = 3250;
+/// Longer than any interval between two timers of the shutdown.
+const MAX_LATENESS_MS: u64 = 60;
+
+// Guards against: a connection closed before the calls on it are answered, when timers run late (issue 45).
+#[test]
+fn open_calls_are_answered_before_their_connection_is_closed_however_late_the_timers_run() {
+    for lateness in 0..=MAX_LATENESS_MS {
+        for before_end in 1..=MAX_LATENESS_MS {
+            let config = config_with(|config| config["settings"]["lanes"][0]["hard_limit_s"] = json!(6.0));
+            let mut platform = Platform::without_links(&config.unwrap());
+            platform.connect_links();
+            platform.connect_caller(1);
+            platform.send_from_caller(1, &invite(6, "dest:1;width:1;via:-1", "6000", "hello"));
+            platform.core.stop(platform.transport.now, &mut platform.transport);
+            platform.advance(ms(END_MS - before_end));
+            assert!(platform.messages_to_callers().is_empty());
+            platform.transport.now += ms(before_end + lateness);
+            platform.core.on_timer(platform.transport.now, &mut platform.transport);
+            assert_eq!(platform.messages_to_callers(), ["1: 500 INVITE"], "{before_end} and {lateness} ms");
+            assert_eq!(platform.transport.closed_callers.len(), 1, "{before_end} and {lateness} ms");
+        }
+    }
+}
