--- a/crates/cli/tests/common/node.rs
+++ b/crates/cli/tests/common/node.rs
@@ -15,9 +15,14 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 use super::{TIMEOUT, temp_file};
 
+/// The segments and buffers of a connection over a real network are smaller than on loopback.
+const NETWORK_SEGMENT_OCTETS: u32 = 1400;
+const SMALL_BUFFER_OCTETS: usize = 8 << 10;
+
 /// Starts an exchange that answers every set-up, and reports the messages that it receives.
 pub fn start_exchange() -> (SocketAddr, Receiver<(MessageType, u64)>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -38,7 +43,7 @@
         &mut out,
         MessageType::State,
         exchange_protocol::WireCallId(0),
-        &[(parameter::REPORT, b"idle:9;circuits:9")],
+        &[(parameter::REPORT, b"idle:900;circuits:900")],
     );
     let (mut decoder, mut buffer) = (exchange_protocol::Decoder::default(), [0; 4096]);
     loop {
@@ -212,6 +217,16 @@
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         Caller { stream, decoder: sip::Decoder::default() }
     }
+
+    /// Connects a caller over small segments, with a small receive buffer.
+    pub fn connect_with_small_buffers(&self) -> Caller {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(SMALL_BUFFER_OCTETS).unwrap();
+        socket.set_tcp_mss(NETWORK_SEGMENT_OCTETS).unwrap();
+        socket.connect(&self.callers.into()).unwrap();
+        socket.set_read_timeout(Some(TIMEOUT)).unwrap();
+        Caller { stream: socket.into(), decoder: sip::Decoder::default() }
+    }
 }
 
 impl Drop for Node {
@@ -265,6 +280,12 @@
     )
 }
 
+/// An INVITE with this description.
+pub fn invite_with(id: u64, dest: &str, description: &str) -> String {
+    let with_length = format!("Content-Length: {}\r\n\r\n{description}", description.len());
+    invite(id, dest).replace("Content-Length: 5\r\n\r\nhello", &with_length)
+}
+
 pub fn request(method: &str, id: u64) -> String {
     format!(
         "{method} sip:ping@net SIP/2.0\r\nCall-ID: {id:016x}\r\nCSeq: 1 {method}\r\nContent-Length: 0\r\n\r\n"
--- a/crates/cli/tests/node_bursts.rs
+++ b/crates/cli/tests/node_bursts.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::node::{Caller, Node, config, invite, start_bus};
+use common::node::{Caller, Node, config, invite, invite_with, start_bus};
 use common::{TIMEOUT, peak_memory_kib};
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
 use nix::sys::signal::Signal;
@@ -155,14 +155,6 @@
     }
 }
 
-fn invite_with(id: u64, description_octets: usize) -> String {
-    let body = "d".repeat(description_octets);
-    invite(id, "1").replace(
-        "Content-Length: 5\r\n\r\nhello",
-        &format!("Content-Length: {description_octets}\r\n\r\n{body}"),
-    )
-}
-
 /// Reads `count` messages that start with `start`, and asserts that the connection stays open until then.
 fn expect_messages(caller: &mut Caller, count: u64, start: &str, body_octets: usize) {
     for received in 0..count {
@@ -228,7 +220,7 @@
     exchange.hold_answers();
     node.signal(Signal::SIGSTOP);
     for (id, caller) in (0..).zip(&mut callers) {
-        caller.send(&invite_with(id, LONG_DESCRIPTION_OCTETS));
+        caller.send(&invite_with(id, "1", &"d".repeat(LONG_DESCRIPTION_OCTETS)));
     }
     node.signal(Signal::SIGCONT);
     exchange.wait_for_set_ups(CALLERS as usize);
