Platform: a shutdown serves connections with pending data until shortly before the kill

Cause: at the end of the shutdown all connections were closed. One with unwritten output can't be sent a close before the output is taken, so its caller goes on using it; what it sent was read and thrown away (Purpose::ClosingCaller), what had not been read because reads were paused stayed unread, and the process ended 0.2 s later with the output unwritten. The same held for connections closed during the drain. Ruled out: the output monitor (no connections_closed_unread in the log), the order of timers (that fix does not change the test). Change: a connection with unwritten output or unread input is kept and served until 0.1 s before the kill; the process ends at the latest 50 ms before it.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -163,6 +163,10 @@
         }
     }
 
+    pub fn has_unwritten_output(&self, token: Token) -> bool {
+        self.by_token.get(&token).is_some_and(|connection| connection.output.waiting() > 0)
+    }
+
     /// Adds output to a connection. What a burst adds is written before the end of the turn, so that the peer reads it
     /// while the rest is collected.
     fn push(&mut self, token: Option<Token>, octets: &[u8]) {
@@ -336,6 +340,13 @@
         self.paused_reads.contains(&Token(caller.0 as usize))
     }
 
+    fn has_pending_data(&self, caller: CallerConnectionId) -> bool {
+        let token = Token(caller.0 as usize);
+        self.has_unwritten_output(token)
+            || self.paused_reads.contains(&token)
+            || self.pending_reads.contains(&token)
+    }
+
     fn close_caller_after_flush(&mut self, caller: CallerConnectionId) {
         let token = Token(caller.0 as usize);
         if let Some(connection) = self.by_token.get_mut(&token) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -174,9 +174,10 @@
         self.accept();
         let since = *self.shutdown_complete_since.get_or_insert_with(Instant::now);
         let has_output = self.connections.by_token.values().any(|connection| connection.output.waiting() > 0);
-        let lingers = self.connections.caller_count > 0 || has_output;
+        let lingers = self.connections.caller_count > 0 && since.elapsed() < SHUTDOWN_LINGER;
+        let now = self.now();
         let may_exit =
-            self.core.is_shutdown_complete(self.now()) && (!lingers || since.elapsed() >= SHUTDOWN_LINGER);
+            self.core.is_shutdown_complete(now) && (self.core.must_exit(now) || !has_output && !lingers);
         if may_exit {
             self.log_exit();
         }
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -4,7 +4,8 @@
 //! | --- | --- | --- |
 //! | up to [`SERVICE_PERIOD`] | served, as callers learn of the shutdown only gradually | accepted, kept |
 //! | then, up to the deadline of accepted calls | refused at once | closed one by one as they are no longer needed |
-//! | after that | - | closed |
+//! | after that | refused at once | closed, but for those with pending data, whose callers can't see a close yet |
+//! | [`EXIT_MARGIN`] before the kill | - | closed |
 //!
 //! The process ends once no connection is left, well before the platform kills it: a kill while a message arrives would
 //! lose that message.
@@ -21,8 +22,12 @@
 const SERVICE_PERIOD: Duration = Duration::from_millis(750);
 /// Longer deadlines count as this long in the platform's protocol. The kill may come 0.7 s after the deadline.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
-/// Accepted calls are answered this long after the longest deadline at the latest.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// The platform kills the process no sooner than this after the longest deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// Accepted calls are answered this long before the kill, and the connections without pending data are closed.
+const ANSWER_MARGIN: Duration = Duration::from_millis(450);
+/// The last connections are closed this long before the kill.
+const EXIT_MARGIN: Duration = Duration::from_millis(100);
 /// Interval at which connections that are no longer needed are closed.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -32,8 +37,10 @@
     NotRequested,
     Requested {
         at: Duration,
-        /// When calls that have no answer yet get one, and all connections are closed.
+        /// When calls that have no answer yet get one, and connections without pending data are closed.
         ends: Duration,
+        /// When all connections are closed.
+        last_close: Duration,
     },
 }
 
@@ -47,27 +54,42 @@
         }
         let deadlines = self.settings.controller.call_types.iter().map(|call_type| call_type.guard_time);
         let longest = deadlines.max().unwrap_or_default().clamp(SERVICE_PERIOD, MAX_COUNTED_DEADLINE);
-        let duration = longest + ANSWER_MARGIN;
+        let until_kill = longest + KILL_DELAY;
+        let until_last_close = until_kill - EXIT_MARGIN;
+        let until_end = until_kill - ANSWER_MARGIN;
         transport.log_info(&format!(
             "shutdown requested: {} unanswered calls, {} standing calls, {} callers' connections",
             self.state.unanswered.len(),
             self.state.standing.len(),
             self.state.callers.len(),
         ));
-        self.shutdown = Shutdown::Requested { at: now, ends: now + duration };
-        self.state.set_timer(duration, Timer::ShutdownDeadline);
-        self.state.set_timer(SERVICE_PERIOD, Timer::DrainCallers);
+        self.shutdown =
+            Shutdown::Requested { at: now, ends: now + until_end, last_close: now + until_last_close };
+        self.state.set_timer(until_end, Timer::ShutdownDeadline);
+        self.state.set_timer(SERVICE_PERIOD.min(until_end), Timer::DrainCallers);
     }
 
     /// Whether set-ups are refused because the process is about to end.
     pub(super) fn is_draining(&self) -> bool {
-        matches!(self.shutdown, Shutdown::Requested { at, .. } if at + SERVICE_PERIOD <= self.state.now)
+        self.service_end().is_some_and(|end| end <= self.state.now)
+    }
+
+    /// Since when set-ups are refused, or will be, if a shutdown was requested.
+    fn service_end(&self) -> Option<Duration> {
+        match self.shutdown {
+            Shutdown::NotRequested => None,
+            Shutdown::Requested { at, ends, .. } => Some(ends.min(at + SERVICE_PERIOD)),
+        }
+    }
+
+    /// Whether the process has to end, whatever output still waits, since it would be killed soon.
+    pub fn must_exit(&self, now: Duration) -> bool {
+        matches!(self.shutdown, Shutdown::Requested { last_close, .. } if last_close + EXIT_MARGIN / 2 <= now)
     }
 
     /// Whether the process can end.
     pub fn is_shutdown_complete(&self, now: Duration) -> bool {
-        let service_over =
-            matches!(self.shutdown, Shutdown::Requested { at, .. } if at + SERVICE_PERIOD < now);
+        let service_over = self.service_end().is_some_and(|end| end < now);
         service_over && self.state.unanswered.is_empty() && self.state.callers.is_empty()
     }
 
@@ -79,10 +101,12 @@
         }
     }
 
-    /// Closes the callers' connections that are no longer needed; at the end of the shutdown, all.
+    /// Closes the callers' connections that are no longer needed; at the end of the shutdown, all that can be closed without
+    /// losing data; at last, all.
     pub(super) fn drain_callers(&mut self, transport: &mut dyn Transport) {
-        let Shutdown::Requested { ends, .. } = self.shutdown else { return };
-        let close_all = ends <= self.state.now;
+        let Shutdown::Requested { ends, last_close, .. } = self.shutdown else { return };
+        let has_ended = ends <= self.state.now;
+        let close_all = last_close <= self.state.now;
         let callers_awaiting_releases = self.callers_awaiting_releases();
         let finished = |connection: &CallerConnectionId, caller: &Caller| {
             caller.open_calls.is_empty()
@@ -90,11 +114,14 @@
                 && !callers_awaiting_releases.contains(connection)
                 && !caller.awaits_confirmation(self.state.now)
         };
+        let may_close = |connection: &CallerConnectionId, caller: &Caller| {
+            (has_ended || finished(connection, caller)) && !transport.has_pending_data(*connection)
+        };
         let callers = self
             .state
             .callers
             .iter()
-            .filter(|(connection, caller)| close_all || finished(connection, caller));
+            .filter(|(connection, caller)| close_all || may_close(connection, caller));
         for connection in callers.map(|(connection, _)| *connection).collect::<Vec<_>>() {
             self.close_caller(transport, connection, CallerClose::Shutdown);
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -45,6 +45,9 @@
     fn send_to_caller(&mut self, caller: CallerConnectionId, octets: &[u8]);
     /// Whether what a caller sends is left unread for now, because too much output waits.
     fn is_caller_read_paused(&self, caller: CallerConnectionId) -> bool;
+    /// Whether output for a caller waits to be written, or input from it that has arrived to be read. It can't know of a close
+    /// before it has read the output, so what it sends until then counts.
+    fn has_pending_data(&self, caller: CallerConnectionId) -> bool;
     /// Closes a caller's connection once everything sent on it is written. The core gets no more events of it.
     fn close_caller_after_flush(&mut self, caller: CallerConnectionId);
     /// Opens a link. The core is told by [`Core::link_connected`] or [`Core::link_disconnected`].
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -85,6 +85,7 @@
     pub rules: RuleChecker,
     /// Whether nothing is read from callers and exchanges.
     pub reads_are_paused: bool,
+    pub callers_with_pending_data: BTreeSet<CallerConnectionId>,
 }
 
 impl Transport for RecordingTransport {
@@ -161,6 +162,10 @@
         self.reads_are_paused
     }
 
+    fn has_pending_data(&self, caller: CallerConnectionId) -> bool {
+        self.callers_with_pending_data.contains(&caller)
+    }
+
     fn is_link_read_paused(&self, _link: LinkId) -> bool {
         self.reads_are_paused
     }
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{Platform, config_with, invite, ms};
+use common::{Platform, config_with, invite, ms, request};
+use mintstall_platform::CallerConnectionId;
 use serde_json::json;
 
 /// When the shutdown of the test's settings ends: 0.25 s after the longest deadline, which counts as 3 s.
@@ -30,3 +31,23 @@
         }
     }
 }
+
+// Guards against: answers that wait for a caller cut, and its requests thrown away, at the end of a shutdown (issue 45).
+#[test]
+fn a_connection_with_pending_data_is_served_until_shortly_before_the_kill() {
+    let mut platform = Platform::start();
+    platform.connect_caller(1);
+    platform.connect_caller(2);
+    platform.send_from_caller(1, &request("OPTIONS", 0));
+    platform.send_from_caller(2, &request("OPTIONS", 0));
+    platform.transport.callers_with_pending_data.insert(CallerConnectionId(1));
+    platform.core.stop(platform.transport.now, &mut platform.transport);
+    platform.advance(ms(END_MS + 100));
+    assert_eq!(platform.transport.closed_callers, [CallerConnectionId(2)]);
+    platform.messages_to_callers();
+    platform.send_invite(1, 6);
+    assert_eq!(platform.messages_to_callers(), ["1: 503 INVITE"]);
+    platform.transport.callers_with_pending_data.clear();
+    platform.advance(ms(50));
+    assert_eq!(platform.transport.closed_callers, [CallerConnectionId(2), CallerConnectionId(1)]);
+}
