Platform: end a shutdown before the kill also where the longest deadline is short

With deadlines under 0.45 s a shutdown that had an open call or a standing one ended at the kill or after it: its end was counted from at least 0.75 s plus 0.25 s. Change: both times are counted back from the kill; where that leaves less, service ends sooner. Measured: the new virtual-time test fails before at 10 ms (connection open 50 ms before the kill), passes for deadlines of 10 ms to 9 s.

--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -53,10 +53,9 @@
             return;
         }
         let deadlines = self.settings.controller.call_types.iter().map(|call_type| call_type.guard_time);
-        let longest = deadlines.max().unwrap_or_default().clamp(SERVICE_PERIOD, MAX_COUNTED_DEADLINE);
-        let until_kill = longest + KILL_DELAY;
+        let until_kill = deadlines.max().unwrap_or_default().min(MAX_COUNTED_DEADLINE) + KILL_DELAY;
         let until_last_close = until_kill - EXIT_MARGIN;
-        let until_end = until_kill - ANSWER_MARGIN;
+        let until_end = until_kill.saturating_sub(ANSWER_MARGIN).max(SERVICE_PERIOD).min(until_last_close);
         transport.log_info(&format!(
             "shutdown requested: {} unanswered calls, {} standing calls, {} callers' connections",
             self.state.unanswered.len(),
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -51,3 +51,25 @@
     platform.advance(ms(50));
     assert_eq!(platform.transport.closed_callers, [CallerConnectionId(2), CallerConnectionId(1)]);
 }
+
+// Guards against: a shutdown that is still serving when the process is killed, where deadlines are short (issue 45).
+#[test]
+fn no_connection_is_left_when_the_process_may_be_killed_whatever_the_longest_deadline() {
+    for deadline_ms in [10, 50, 100, 200, 300, 500, 700, 1000, 3000, 9000] {
+        let config = config_with(|config| {
+            config["settings"]["lanes"][0]["aim_s"] = json!(0.01);
+            config["settings"]["lanes"][0]["hard_limit_s"] = json!(deadline_ms as f64 / 1000.0);
+        });
+        let mut platform = Platform::without_links(&config.unwrap());
+        platform.connect_links();
+        platform.connect_caller(1);
+        let expires = deadline_ms.to_string();
+        platform.send_from_caller(1, &invite(6, "dest:1;width:1;via:-1", &expires, "hello"));
+        platform.transport.callers_with_pending_data.insert(CallerConnectionId(1));
+        platform.core.stop(platform.transport.now, &mut platform.transport);
+        platform.advance(ms(deadline_ms.min(3000) + 700 - 50));
+        assert_eq!(platform.transport.closed_callers.len(), 1, "deadline of {deadline_ms} ms");
+        assert!(platform.core.is_shutdown_complete(platform.transport.now), "deadline of {deadline_ms} ms");
+        assert!(platform.core.must_exit(platform.transport.now), "deadline of {deadline_ms} ms");
+    }
+}
