Node: make room for a crowd only by connections that nothing waits on

Cause: least_active_caller looked at open calls alone. An answer that waits in the output leaves no open call, and a request that is not read yet has none. A closing connection was dropped in the same way before its last output was written. The listener was handled before the connections, so a new caller could be closed in the turn in which its first request was there. Change: a connection with unwritten output or unread input is not closed; the one that is chosen is read first, and new connections come last in a turn.

--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -105,7 +105,7 @@
     /// Connections with output to write.
     pending_writes: Vec<Token>,
     /// Connections, and the listener, that may have more input than the limit per turn.
-    pub pending_reads: Vec<Token>,
+    pub pending_reads: BTreeSet<Token>,
     /// Connections that are not read from until less output waits.
     paused_reads: BTreeSet<Token>,
     /// Connections lost during a turn that have not been reported to the core yet.
@@ -128,7 +128,7 @@
             bus: BTreeMap::new(),
             caller_count: 0,
             pending_writes: Vec::new(),
-            pending_reads: Vec::new(),
+            pending_reads: BTreeSet::new(),
             paused_reads: BTreeSet::new(),
             failed: Vec::new(),
             closing: VecDeque::new(),
@@ -212,6 +212,13 @@
         Some(connection)
     }
 
+    /// The lingering connection without unwritten output that was closed first. It lingers no more.
+    pub fn next_to_discard(&mut self) -> Option<Token> {
+        let is_written = |(_, token): &(Instant, Token)| !self.has_unwritten_output(*token);
+        let position = self.closing.iter().position(is_written)?;
+        self.closing.remove(position).map(|(_, token)| token)
+    }
+
     /// Closes a connection without waiting for the other side. Returns whether it was open.
     pub fn discard(&mut self, token: Token, reason: Discard) -> bool {
         let Some(connection) = self.remove(token) else { return false };
@@ -253,7 +260,7 @@
             Ok(false) => connection.phase = Phase::WriteBlocked,
             Err(error) => {
                 connection.phase = Phase::WriteFailed(disconnect_reason(&error));
-                self.pending_reads.push(token);
+                self.pending_reads.insert(token);
             }
         }
         self.report_output(token, taken);
@@ -353,7 +360,7 @@
             connection.purpose = Purpose::ClosingCaller;
             self.closing.push_back((Instant::now() + LINGER, token));
             self.pending_writes.push(token);
-            self.pending_reads.push(token);
+            self.pending_reads.insert(token);
         }
     }
 
--- a/crates/node/src/connections/tests.rs
+++ b/crates/node/src/connections/tests.rs
@@ -176,7 +176,7 @@
     peers.connections.now += STALL_TIMEOUT;
     peers.end_turn();
     assert!(peers.closed().is_empty());
-    assert_eq!(peers.connections.pending_reads, [caller], "it is read from again");
+    assert_eq!(peers.connections.pending_reads, BTreeSet::from([caller]), "it is read from again");
 }
 
 // Guards against: answers are left unread on a link because its exchange reads late.
@@ -212,6 +212,6 @@
     peers.connections.now += SCARCE_STALL_TIMEOUT;
     peers.end_turn();
     assert_eq!(peers.closed(), [format!("caller {}", silent.0)]);
-    assert_eq!(peers.connections.pending_reads, [link]);
+    assert_eq!(peers.connections.pending_reads, BTreeSet::from([link]));
     assert!(!peers.connections.output_monitor.has_waiting());
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -139,10 +139,12 @@
                 events.iter().map(|event| (event.token(), event.is_writable())),
                 std::mem::take(&mut self.connections.pending_reads),
             );
-            // The event bus comes first, so that no new call goes to an exchange that it has just reported draining.
+            // The event bus comes first, so that no new call goes to an exchange that it has just reported draining. New
+            // connections come last: what has arrived on open ones tells which can be closed to make room for them.
             let mut ready: Vec<_> = ready.into_iter().collect();
             ready.sort_by_key(|(token, _)| {
-                (self.connections.by_token.get(token).map(|connection| connection.purpose), *token)
+                let purpose = self.connections.by_token.get(token).map(|connection| connection.purpose);
+                (*token == LISTENER, purpose, *token)
             });
             for (token, writable) in ready {
                 match token {
@@ -263,19 +265,32 @@
                 Err(error) => warn!("can't register a caller's connection: {error}"),
             }
         }
-        self.connections.pending_reads.push(LISTENER);
+        self.connections.pending_reads.insert(LISTENER);
     }
 
-    /// Closes a lingering connection or else the least active caller. Returns whether there was one.
+    /// Closes a lingering connection or else the least active caller. Returns whether there was one. No connection is closed
+    /// whose output is not written or whose input is not read.
     fn make_room(&mut self) -> bool {
-        while let Some((_, token)) = self.connections.closing.pop_front() {
+        while let Some(token) = self.connections.next_to_discard() {
             if self.connections.discard(token, Discard::NoRoom) {
                 return true;
             }
         }
-        let Some(caller) = self.core.least_active_caller() else { return false };
-        self.core.caller_disconnected(self.now(), &mut self.connections, caller);
-        self.connections.discard(Token(caller.0 as usize), Discard::NoRoom)
+        while let Some(caller) = self.core.least_active_caller(&self.connections) {
+            let token = Token(caller.0 as usize);
+            self.read(token);
+            self.report_failures();
+            // It may have closed the connection itself.
+            if self.connections.caller_count < self.max_callers {
+                return true;
+            }
+            // What was read may have opened calls, or may be more than is read at once.
+            if self.core.least_active_caller(&self.connections) == Some(caller) {
+                self.core.caller_disconnected(self.now(), &mut self.connections, caller);
+                return self.connections.discard(token, Discard::NoRoom);
+            }
+        }
+        false
     }
 
     fn handle_signals(&mut self) {
@@ -391,7 +406,7 @@
                 Err(error) => return self.connections.fail(token, disconnect_reason(&error)),
             }
         }
-        self.connections.pending_reads.push(token);
+        self.connections.pending_reads.insert(token);
     }
 }
 
@@ -399,7 +414,7 @@
 /// more may be left to read. One that is handled twice gets twice its share of the turn, and more with each turn.
 fn merge_ready(
     events: impl Iterator<Item = (Token, bool)>,
-    pending_reads: Vec<Token>,
+    pending_reads: impl IntoIterator<Item = Token>,
 ) -> BTreeMap<Token, bool> {
     let mut ready: BTreeMap<_, _> = pending_reads.into_iter().map(|token| (token, false)).collect();
     for (token, writable) in events {
--- a/crates/platform/src/core/shutdown.rs
+++ b/crates/platform/src/core/shutdown.rs
@@ -143,15 +143,16 @@
         connections
     }
 
-    /// The connection that can be closed to make room for another: of those without open set-ups one that has shown least
-    /// of whose it is, and among these the one that has been silent longest. A connection that has sent set-ups is not
-    /// closed in the middle of a message.
-    pub fn least_active_caller(&self) -> Option<CallerConnectionId> {
-        let closable = |caller: &Caller| {
+    /// The connection that can be closed to make room for another: of those without open set-ups or pending data one that
+    /// has shown least of whose it is, and among these the one that has been silent longest. A connection that has sent
+    /// set-ups is not closed in the middle of a message.
+    pub fn least_active_caller(&self, transport: &dyn Transport) -> Option<CallerConnectionId> {
+        let closable = |connection: &CallerConnectionId, caller: &Caller| {
             let is_in_message = caller.evidence >= CallerEvidence::SetUp && caller.partial_since.is_some();
-            caller.open_calls.is_empty() && !is_in_message
+            caller.open_calls.is_empty() && !is_in_message && !transport.has_pending_data(*connection)
         };
-        let idle = self.state.callers.iter().filter(|(_, caller)| closable(caller));
+        let callers = self.state.callers.iter();
+        let idle = callers.filter(|(connection, caller)| closable(connection, caller));
         idle.min_by_key(|(_, caller)| (caller.evidence, caller.last_received))
             .map(|(connection, _)| *connection)
     }
--- a/crates/platform/tests/release_targets.rs
+++ b/crates/platform/tests/release_targets.rs
@@ -182,7 +182,10 @@
     platform.connect_caller(BAD);
     send_unknown_releases(&mut platform, BAD);
     for expected in [BAD, SECOND, FIRST] {
-        assert_eq!(platform.core.least_active_caller(), Some(CallerConnectionId(expected)));
+        assert_eq!(
+            platform.core.least_active_caller(&platform.transport),
+            Some(CallerConnectionId(expected))
+        );
         close_caller(&mut platform, expected);
     }
 }
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -641,7 +641,7 @@
     assert!(platform.messages_to_callers().len() >= 500 - 256, "set-ups over the limit are refused at once");
     platform.advance(ms(1500));
     assert_eq!(platform.transport.rules.final_answers.len(), 500, "each has one answer");
-    assert_eq!(platform.core.least_active_caller(), Some(CallerConnectionId(3)));
+    assert_eq!(platform.core.least_active_caller(&platform.transport), Some(CallerConnectionId(3)));
 }
 
 #[test]
