--- a/crates/cli/tests/common/node.rs
+++ b/crates/cli/tests/common/node.rs
@@ -238,6 +238,16 @@
     }
 }
 
+/// A listener whose connections have small segments and small receive buffers.
+pub fn listen_with_small_buffers() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER_OCTETS).unwrap();
+    socket.set_tcp_mss(NETWORK_SEGMENT_OCTETS).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(128).unwrap();
+    socket.into()
+}
+
 pub struct Caller {
     pub stream: TcpStream,
     pub decoder: sip::Decoder,
--- a/crates/cli/tests/node_crowds.rs
+++ b/crates/cli/tests/node_crowds.rs
@@ -4,12 +4,14 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::node::{Caller, Node, config, invite, request, start_bus, start_counting_exchange};
 use common::{TIMEOUT, peak_memory_kib, write_in_pieces};
+use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
+use nix::sys::signal::Signal;
 use serde_json::json;
 
 /// The least memory and the most descriptors that a controller gets on the platform.
@@ -183,3 +185,51 @@
         assert_memory_within_limit(&node, what);
     }
 }
+
+// Guards against: a link closed because the rest of a message, which had arrived, was behind a crowd's requests (issue 45).
+#[test]
+fn an_answer_behind_the_requests_of_a_crowd_is_read_before_its_link_is_judged() {
+    const READY_CALLERS: usize = 400;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (bus, _) = start_bus();
+    let mut config = config(listener.local_addr().unwrap(), bus);
+    config["limits"] = json!({ "cores": 0.3, "memory_mb": MEMORY_MB, "sockets": SOCKETS });
+    let node = Node::start("ready-crowd.json", &config);
+    let mut links: Vec<_> = (0..LINKS).map(|_| listener.accept().unwrap().0).collect();
+    links.iter_mut().for_each(|link| link.write_all(&idle_report()).unwrap());
+    let mut crowd: Vec<_> = (0..READY_CALLERS).map(|_| node.connect()).collect();
+    thread::sleep(Duration::from_millis(300));
+    let mut caller = node.connect();
+    caller.send(&invite(7, "1"));
+    let link =
+        links.iter_mut().find_map(|link| has_set_up(link).then_some(link)).expect("the set-up was sent on");
+    let answer = message(MessageType::Answer, &[(parameter::DESCRIPTION, b"answer")]);
+    let (first_half, second_half) = answer.split_at(answer.len() / 2);
+    link.write_all(first_half).unwrap();
+    thread::sleep(Duration::from_millis(50));
+    node.signal(Signal::SIGSTOP);
+    crowd.iter_mut().for_each(|member| member.send(&request("OPTIONS", 0)));
+    link.write_all(second_half).unwrap();
+    thread::sleep(Duration::from_millis(1000));
+    node.signal(Signal::SIGCONT);
+    assert_eq!(caller.next_message(), Some(("200".to_string(), "answer".to_string())));
+}
+
+/// Links that a controller opens to its only exchange.
+const LINKS: usize = 4;
+
+fn message(kind: MessageType, parameters: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut octets = Vec::new();
+    exchange_protocol::encode(&mut octets, kind, WireCallId(7), parameters);
+    octets
+}
+
+fn idle_report() -> Vec<u8> {
+    message(MessageType::State, &[(parameter::REPORT, b"idle:9;circuits:9")])
+}
+
+/// Whether something comes on a link, which can only be a set-up.
+fn has_set_up(link: &mut TcpStream) -> bool {
+    link.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    matches!(link.read(&mut [0; 4096]), Ok(1..))
+}
--- a/crates/platform/tests/queued_set_ups.rs
+++ b/crates/platform/tests/queued_set_ups.rs
@@ -42,3 +42,16 @@
     platform.connect_links();
     assert_eq!(platform.set_ups_sent().len(), 1);
 }
+
+// Guards against: a set-up sent after its time was over, because its link came up before the timers ran (issue 45).
+#[test]
+fn a_set_up_whose_time_is_over_when_the_link_comes_up_is_not_sent() {
+    for late_by in [0, 1, 100, 2000] {
+        let mut platform = with_queued_set_up(true);
+        platform.transport.now += ms(1500 + late_by);
+        platform.connect_links();
+        platform.advance(ms(0));
+        assert!(platform.set_ups_sent().is_empty(), "late by {late_by} ms");
+        assert_eq!(platform.messages_to_callers().len(), 1, "late by {late_by} ms");
+    }
+}
