Platform: take back set-ups of which nothing is written when their call ends

Cause: output is written at the end of a turn, or when the socket takes it, and a set-up in it could not be taken back; give_up_seizure only added a release behind it (state/calls.rs). The same held for set-ups that a link does not take, of calls that time out. Change: OutputBuffer keeps where each set-up begins, and gives it back whole while nothing of it is written. The seizure then ends as one never sent: no release, no release wait. That holds also where cancelling is not allowed.

--- a/crates/cli/tests/node_ended_set_ups.rs
+++ b/crates/cli/tests/node_ended_set_ups.rs
@@ -127,30 +127,23 @@
 
 /// Reads a link to its end. Returns how many set-ups came, and how many of them began after `written`.
 fn read_set_ups(mut link: UnreadLink) -> (usize, usize) {
-    let (mut decoder, mut buffer) = (exchange_protocol::Decoder::default(), [0; 16384]);
-    let (mut offset, mut all, mut late) = (0, 0, 0);
+    const LENGTH_OCTETS: usize = 2;
+    let (mut received, mut buffer) = (Vec::new(), [0; 16384]);
     while let Ok(count @ 1..) = link.stream.read(&mut buffer) {
-        decoder.push(&buffer[..count]);
-        while let Some(message) = decoder.next_message().unwrap() {
-            if message.kind == MessageType::SetUp {
-                all += 1;
-                late += usize::from(offset >= link.written);
-                offset += exchange_protocol::set_up_length(
-                    "voice",
-                    "7f3a9c21e0b4d655",
-                    message.description.unwrap(),
-                ) as u64;
-            } else {
-                offset += RELEASE_OCTETS;
-            }
+        received.extend_from_slice(&buffer[..count]);
+    }
+    let (mut start, mut all, mut late) = (0, 0, 0);
+    while let [high, low, kind, ..] = received[start..] {
+        if kind == MessageType::SetUp as u8 {
+            all += 1;
+            late += usize::from(start as u64 >= link.written);
         }
+        start += LENGTH_OCTETS + usize::from(u16::from_be_bytes([high, low]));
     }
+    assert_eq!(start, received.len(), "all messages are whole");
     (all, late)
 }
 
-/// Octets of a release by the controller.
-const RELEASE_OCTETS: u64 = 15;
-
 // Guards against: a set-up that waits in the output of a link, sent on after its call was given up (issue 45).
 #[test]
 fn a_set_up_that_an_exchange_has_not_taken_is_not_sent_on_once_it_is_cancelled() {
--- a/crates/daemon/src/output_buffer/tests.rs
+++ b/crates/daemon/src/output_buffer/tests.rs
@@ -75,3 +75,45 @@
     }
     assert!(buffer.pending.capacity() <= 512 << 10, "{}", buffer.pending.capacity());
 }
+
+#[test]
+fn a_message_is_taken_back_whole_or_not_at_all() {
+    let mut buffer = OutputBuffer::new(64);
+    buffer.push(b"ab");
+    buffer.push_revocable(1, b"cdef");
+    buffer.push(b"gh");
+    buffer.push_revocable(2, b"ijkl");
+    buffer.push_revocable(3, b"mnop");
+    let mut writer = SlowWriter { octets: 3, blocked: false };
+    assert!(!buffer.write_to(&mut writer).unwrap(), "the first message is begun");
+    assert!(!buffer.revoke(1) && buffer.revoke(2) && !buffer.revoke(2) && !buffer.revoke(9));
+    buffer.push_revocable(4, b"qrst");
+    assert!(buffer.revoke(3));
+    let mut written = Vec::new();
+    assert!(buffer.write_to(&mut written).unwrap());
+    assert_eq!(written, b"defghqrst");
+    assert!(!buffer.revoke(4) && buffer.revocable.is_empty());
+}
+
+// Each message is either written whole or taken back, whatever the writer takes at a time.
+#[test]
+fn messages_taken_back_leave_the_others_whole() {
+    for octets in 1..9 {
+        let mut buffer = OutputBuffer::new(1 << 10);
+        let mut writer = SlowWriter { octets, blocked: false };
+        let (mut waiting, mut revoked) = (0, 0);
+        for key in 0..50 {
+            buffer.push_revocable(key, &[b'a' + (key % 26) as u8; 5]);
+            waiting += 5;
+            let before = buffer.waiting();
+            buffer.write_to(&mut writer).unwrap();
+            waiting -= before - buffer.waiting();
+            if key % 3 == 2 && buffer.revoke(key - 1) {
+                waiting -= 5;
+                revoked += 1;
+            }
+            assert_eq!(buffer.waiting(), waiting, "{octets} octets at a time, message {key}");
+        }
+        assert!(octets > 4 || revoked > 0);
+    }
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -8,7 +8,7 @@
 
 use mintstall_daemon::output_buffer::OutputBuffer;
 use mintstall_limits::{OutputMonitor, StalledPeer};
-use mintstall_platform::{BusConnectionId, CallerConnectionId, Disconnect, LinkId, Transport};
+use mintstall_platform::{BusConnectionId, CallId, CallerConnectionId, Disconnect, LinkId, Transport};
 use mio::net::TcpStream;
 use mio::{Interest, Poll, Token};
 use tracing::{debug, info, warn};
@@ -170,12 +170,16 @@
     /// Adds output to a connection. What a burst adds is written before the end of the turn, so that the peer reads it
     /// while the rest is collected.
     fn push(&mut self, token: Option<Token>, octets: &[u8]) {
+        self.push_with(token, |output| output.push(octets));
+    }
+
+    fn push_with(&mut self, token: Option<Token>, add: impl FnOnce(&mut OutputBuffer)) {
         let Some(token) = token else { return };
         let Some(connection) = self.by_token.get_mut(&token) else { return };
         if connection.phase == Phase::HalfClosed {
             return;
         }
-        connection.output.push(octets);
+        add(&mut connection.output);
         let write_now = connection.phase == Phase::Open && connection.output.waiting() >= EAGER_WRITE_OCTETS;
         self.pending_writes.push(token);
         if write_now {
@@ -374,6 +378,21 @@
         self.push(self.links.get(&link).copied(), octets);
     }
 
+    fn send_set_up(&mut self, link: LinkId, call: CallId, octets: &[u8]) {
+        let token = self.links.get(&link).copied();
+        self.push_with(token, |output| output.push_revocable(call.0, octets));
+    }
+
+    fn revoke_set_up(&mut self, link: LinkId, call: CallId) -> bool {
+        let Some(token) = self.links.get(&link).copied() else { return false };
+        let Some(connection) = self.by_token.get_mut(&token) else { return false };
+        let is_revoked = connection.output.revoke(call.0);
+        if is_revoked {
+            self.report_output(token, 0);
+        }
+        is_revoked
+    }
+
     fn is_write_blocked(&self, link: LinkId) -> bool {
         let connection = self.links.get(&link).and_then(|token| self.by_token.get(token));
         connection
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use mintstall::Controller;
-use mintstall::interface::{CallId, ExchangeId};
+use mintstall::interface::{CallId, Cause, ExchangeId};
 use mintstall_settings::Settings;
 
 use self::shutdown::Shutdown;
@@ -164,10 +164,19 @@
     fn fail_unanswered_call(&mut self, transport: &mut dyn Transport, id: CallId, status: u16) {
         if self.state.calls.get(&id).is_some_and(|call| call.answer_state == AnswerState::Pending) {
             self.state.answer(transport, id, status, &[], b"");
-            self.with_controller(transport, |controller, now, context| {
-                controller.on_caller_gone(now, context, id)
-            });
+            self.report_caller_gone(transport, id);
+        }
+    }
+
+    /// Tells the controller that a call needs no answer any more. Its set-up is not sent if that can be helped, whether or
+    /// not the controller may cancel.
+    fn report_caller_gone(&mut self, transport: &mut dyn Transport, id: CallId) {
+        if self.state.revoke_set_up(transport, id) {
+            self.state.end_seizure(id, Cause::Cancelled);
         }
+        self.with_controller(transport, |controller, now, context| {
+            controller.on_caller_gone(now, context, id)
+        });
     }
 
     /// Restarts the time of each incomplete message whose rest may have arrived, but is left unread here.
--- a/crates/platform/src/core/callers.rs
+++ b/crates/platform/src/core/callers.rs
@@ -126,9 +126,7 @@
             count_withdrawal(transport, call.id, reason);
         }
         self.state.withdraw_call(id);
-        self.with_controller(transport, |controller, now, context| {
-            controller.on_caller_gone(now, context, id)
-        });
+        self.report_caller_gone(transport, id);
     }
 
     pub(super) fn handle_message(
@@ -183,9 +181,7 @@
         }
         reply(transport, connection, message, 200, "");
         self.state.answer(transport, id, 487, &[], b"");
-        self.with_controller(transport, |controller, now, context| {
-            controller.on_caller_gone(now, context, id)
-        });
+        self.report_caller_gone(transport, id);
     }
 
     pub(super) fn handle_bye(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,6 +25,8 @@
 use std::fmt::Arguments;
 use std::net::SocketAddr;
 
+pub use mintstall::interface::CallId;
+
 pub use crate::config::{Config, ConfigError};
 pub use crate::core::{Core, Disconnect};
 
@@ -53,6 +55,10 @@
     /// Opens a link. The core is told by [`Core::link_connected`] or [`Core::link_disconnected`].
     fn connect_link(&mut self, link: LinkId, to: SocketAddr);
     fn send_to_link(&mut self, link: LinkId, octets: &[u8]);
+    /// Sends a set-up, which can be taken back by its call until some of it is written.
+    fn send_set_up(&mut self, link: LinkId, call: CallId, octets: &[u8]);
+    /// Takes back the set-up of a call. Returns whether nothing of it was written, and so nothing ever will be.
+    fn revoke_set_up(&mut self, link: LinkId, call: CallId) -> bool;
     /// Whether data sent on a link still waits to be written.
     fn is_write_blocked(&self, link: LinkId) -> bool;
     /// Whether what arrives on a link is left unread for now, because too much output waits.
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -125,7 +125,7 @@
         if let Some(seizure) = self.calls.get_mut(&id).and_then(|call| call.open_seizure.as_mut()) {
             seizure.link = Some(link_id);
         }
-        transport.send_to_link(link_id, &octets);
+        transport.send_set_up(link_id, id, &octets);
         transport.log_debug(format_args!("{wire_id} sent on link {} with {expires_ms} ms left", link_id.0));
         true
     }
@@ -164,17 +164,38 @@
     /// Gives up a seizure and releases it at the exchange. Later seizures of the call use other links, so that a late
     /// message is not taken for one of theirs.
     pub fn give_up_seizure(&mut self, transport: &mut dyn Transport, id: CallId, cause: Cause) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let Some(seizure) = &call.open_seizure else { return };
+        let Some(call) = self.calls.get(&id) else { return };
+        let (wire_id, Some(seizure)) = (call.id, &call.open_seizure) else { return };
         // Without a link the set-up was never sent, so the exchange has not acted on it.
         let Some(link) = seizure.link else { return self.end_seizure(id, Cause::Unreachable) };
+        if self.revoke_set_up(transport, id) {
+            return self.end_seizure(id, cause);
+        }
         if let Some(link) = self.links.get_mut(&link) {
-            link.abandoned_set_ups.insert(self.now, call.id, id);
+            link.abandoned_set_ups.insert(self.now, wire_id, id);
         }
-        release_on(transport, link, call.id);
+        release_on(transport, link, wire_id);
         self.end_seizure(id, cause);
     }
 
+    /// Takes back a set-up of which nothing is written yet. Returns whether it could; the seizure is then as if it still
+    /// waited for a link.
+    pub fn revoke_set_up(&mut self, transport: &mut dyn Transport, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let Some(seizure) = &mut call.open_seizure else { return false };
+        let Some(link_id) = seizure.link.filter(|link_id| transport.revoke_set_up(*link_id, id)) else {
+            return false;
+        };
+        seizure.link = None;
+        let wire_id = call.id;
+        if let Some(link) = self.links.get_mut(&link_id) {
+            link.open_set_ups.remove(&wire_id);
+        }
+        metrics::counter!("set_ups_revoked").increment(1);
+        transport.log_debug(format_args!("{wire_id} taken back, unwritten, from link {}", link_id.0));
+        true
+    }
+
     pub fn on_seizure_timeout(&mut self, transport: &mut dyn Transport, id: CallId, number: SeizureNumber) {
         let Some(seizure) = self.calls.get(&id).and_then(|call| call.open_seizure.as_ref()) else { return };
         if seizure.number != number {
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use mintstall::interface::CallId;
 use mintstall_platform::exchange_protocol::{self, MessageType, WireCallId, parameter};
 use mintstall_platform::{BusConnectionId, CallerConnectionId, Config, Core, Disconnect, LinkId, Transport};
 use mintstall_sip as sip;
@@ -86,6 +87,9 @@
     /// Whether nothing is read from callers and exchanges.
     pub reads_are_paused: bool,
     pub callers_with_pending_data: BTreeSet<CallerConnectionId>,
+    /// Whether no link takes output, so that set-ups can be taken back.
+    pub set_ups_stay_unwritten: bool,
+    pub unwritten_set_ups: BTreeMap<(LinkId, u64), WireCallId>,
 }
 
 impl Transport for RecordingTransport {
@@ -154,6 +158,24 @@
         }
     }
 
+    fn send_set_up(&mut self, link: LinkId, call: CallId, octets: &[u8]) {
+        self.send_to_link(link, octets);
+        if self.set_ups_stay_unwritten {
+            let mut decoder = exchange_protocol::Decoder::default();
+            decoder.push(octets);
+            let id = decoder.next_message().unwrap().unwrap().call;
+            self.unwritten_set_ups.insert((link, call.0), id);
+        }
+    }
+
+    fn revoke_set_up(&mut self, link: LinkId, call: CallId) -> bool {
+        let Some(id) = self.unwritten_set_ups.remove(&(link, call.0)) else { return false };
+        self.link_messages
+            .retain(|message| (message.0, message.1, message.2) != (link, MessageType::SetUp, id));
+        self.rules.open_set_ups.remove(&id);
+        true
+    }
+
     fn is_write_blocked(&self, _link: LinkId) -> bool {
         false
     }
--- a/crates/platform/tests/queued_set_ups.rs
+++ b/crates/platform/tests/queued_set_ups.rs
@@ -55,3 +55,48 @@
         assert_eq!(platform.messages_to_callers().len(), 1, "late by {late_by} ms");
     }
 }
+
+/// The set-up of call 7 waits in the output of its link, of which the exchange takes nothing.
+fn with_unwritten_set_up(may_cancel: bool) -> Platform {
+    let config =
+        config_with(|config| config["settings"]["limits"]["cancelling"] = json!(may_cancel)).unwrap();
+    let mut platform = Platform::without_links(&config);
+    platform.connect_bus();
+    platform.connect_links();
+    platform.connect_caller(1);
+    platform.transport.set_ups_stay_unwritten = true;
+    platform.send_from_caller(1, &invite(7, "dest:1;width:1;via:-1", "1500", "hello"));
+    assert_eq!(platform.transport.unwritten_set_ups.len(), 1);
+    platform
+}
+
+// Guards against: a set-up that an exchange has not taken, sent on after its call has ended (issue 45).
+#[test]
+fn a_set_up_that_is_not_written_yet_is_taken_back_when_its_caller_gives_it_up() {
+    for may_cancel in [true, false] {
+        let mut cancelled = with_unwritten_set_up(may_cancel);
+        cancelled.send_from_caller(1, &request("CANCEL", 7));
+        assert!(cancelled.transport.link_messages.is_empty(), "cancelled; cancelling allowed: {may_cancel}");
+
+        let mut left = with_unwritten_set_up(may_cancel);
+        left.core.caller_left(left.transport.now, &mut left.transport, CallerConnectionId(1));
+        assert!(left.transport.link_messages.is_empty(), "left; cancelling allowed: {may_cancel}");
+
+        let mut overdue = with_unwritten_set_up(may_cancel);
+        overdue.advance(ms(1600));
+        assert!(overdue.set_ups_sent().is_empty(), "overdue; cancelling allowed: {may_cancel}");
+        assert_eq!(overdue.messages_to_callers().len(), 1);
+    }
+}
+
+// An id whose set-up was never sent is free at once.
+#[test]
+fn an_id_whose_set_up_was_taken_back_may_come_again_at_once() {
+    let mut platform = with_unwritten_set_up(true);
+    platform.send_from_caller(1, &request("CANCEL", 7));
+    platform.messages_to_callers();
+    platform.transport.set_ups_stay_unwritten = false;
+    platform.connect_caller(2);
+    platform.send_from_caller(2, &invite(7, "dest:1;width:1;via:-1", "1500", "hello"));
+    assert_eq!(platform.set_ups_sent().len(), 1);
+}
