Platform: take back unwritten set-ups when their exchange begins to drain

Found by reading, as kin of the set-ups that are sent on after their call has ended: what waits in the output of a link when the bus reports the exchange terminating was written whenever the exchange read on, after the grace as well. Such set-ups are taken back and go elsewhere. Measured: the new virtual-time test fails before, passes now; draining_exchange passes.

--- a/crates/platform/src/core/discovery.rs
+++ b/crates/platform/src/core/discovery.rs
@@ -217,6 +217,10 @@
             let is_new = !self.state.exchanges.contains_key(&entry.id);
             let remote = self.state.exchanges.entry(entry.id).or_insert(new_remote);
             remote.status = entry.status;
+            if entry.status != ExchangeStatus::Ready {
+                self.state.revoke_set_ups_to(transport, entry.id);
+            }
+            let Some(remote) = self.state.exchanges.get_mut(&entry.id) else { continue };
             let is_restarted = std::mem::replace(&mut remote.started, entry.started) != entry.started;
             if is_restarted {
                 ended.push((entry.id, entry.started, CallEnd::ExchangeRestarted));
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -1,6 +1,6 @@
 //! Calls without a final answer, and their seizures.
 
-use mintstall::interface::{CallId, Cause, SeizureEnded, SeizureNumber};
+use mintstall::interface::{CallId, Cause, ExchangeId, SeizureEnded, SeizureNumber};
 use mintstall_sip as sip;
 
 use super::releases::release_on;
@@ -196,6 +196,17 @@
         true
     }
 
+    /// Takes back the set-ups to an exchange of which nothing is written yet. Their calls are set up elsewhere.
+    pub fn revoke_set_ups_to(&mut self, transport: &mut dyn Transport, exchange: ExchangeId) {
+        let links = self.links.values().filter(|link| link.exchange == exchange);
+        let calls: Vec<_> = links.flat_map(|link| link.open_set_ups.values()).copied().collect();
+        for id in calls {
+            if self.revoke_set_up(transport, id) {
+                self.end_seizure(id, Cause::Unreachable);
+            }
+        }
+    }
+
     pub fn on_seizure_timeout(&mut self, transport: &mut dyn Transport, id: CallId, number: SeizureNumber) {
         let Some(seizure) = self.calls.get(&id).and_then(|call| call.open_seizure.as_ref()) else { return };
         if seizure.number != number {
--- a/crates/platform/tests/draining_exchange.rs
+++ b/crates/platform/tests/draining_exchange.rs
@@ -56,3 +56,17 @@
     platform.bus_event(3, false, &[target("one", 1, "in_service", 0)]);
     assert_eq!(attempts_to_connect(&platform), 4);
 }
+
+// Guards against: a set-up that its exchange has not taken, written after the exchange has begun to drain (issue 45).
+#[test]
+fn set_ups_that_are_not_written_when_their_exchange_begins_to_drain_are_taken_back() {
+    let mut platform = Platform::start();
+    platform.connect_caller(1);
+    platform.transport.set_ups_stay_unwritten = true;
+    platform.send_invite(1, 7);
+    assert_eq!(platform.transport.unwritten_set_ups.len(), 1);
+    platform.bus_event(2, false, &[target("one", 1, "terminating", 0)]);
+    assert!(platform.transport.unwritten_set_ups.values().all(|id| id.0 != 7));
+    platform.advance(ms(1600));
+    assert_eq!(platform.messages_to_callers().len(), 1);
+}
