Platform: do not send a set-up whose time is over when its link comes up

Exchanges got set-ups with 0 ms left: events of sockets come before timers in a turn, so a link that came up after the time of a queued set-up sent it, and the timer that ends it ran afterwards (state/calls.rs, send_set_up). Change: nothing is sent once the time of the seizure is over. Measured: the virtual-time test failed, passes for 0 to 2,000 ms; shown in virtual time only.

--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -96,7 +96,7 @@
     }
 
     /// Sends the set-up of a seizure that has no link yet. False if it has to wait for a free link. If its caller no longer
-    /// waits, nothing is sent, and the seizure ends.
+    /// waits, or its time is over, nothing is sent, and the seizure ends.
     pub(super) fn send_set_up(&mut self, transport: &mut dyn Transport, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else { return true };
         let Some(seizure) = call.open_seizure.as_ref().filter(|seizure| seizure.link.is_none()) else {
@@ -106,9 +106,13 @@
             self.end_seizure(id, Cause::Unreachable);
             return true;
         }
+        let remaining = seizure.timeout.saturating_sub(self.now.saturating_sub(seizure.seized_at));
+        if remaining.is_zero() {
+            self.end_seizure(id, Cause::Unreachable);
+            return true;
+        }
         let Some(remote) = self.exchanges.get(&seizure.exchange) else { return false };
         let Some(link_id) = self.pick_link(transport, remote, (id, call)) else { return false };
-        let remaining = seizure.timeout.saturating_sub(self.now.saturating_sub(seizure.seized_at));
         let expires_ms = remaining.as_millis().to_string();
         let mut octets = Vec::with_capacity(64 + call.description.len());
         let parameters = [
