Node, daemon: read what has arrived before timers judge what has not

The log: 'link 1 lost: incomplete_message' in the turn after a pause, with the answer answered by nobody. Cause: a process that does not run for a while, between the return of a poll and its timers, runs the timers with the new time on what it had received before. One poll also returned 256 events at most, the rest came after the timers. Ruled out as the only cause: the 256 events (raising them alone does not change the test; the first poll after the pause returned 33 of 402). Change: if a timer is due and the last poll began over 10 ms ago, what is ready is polled and read again first, at most four times; one poll returns an event for each descriptor.

--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -52,6 +52,11 @@
 const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// Connections accepted in a row. An accept storm must not keep open connections waiting.
 const MAX_ACCEPTS_AT_ONCE: usize = 64;
+const EVENTS_PER_POLL: usize = 1024;
+/// Polls in a row before timers run, so that a flood does not keep them from running.
+const MAX_POLLS_PER_TURN: usize = 4;
+/// Before timers run, what had arrived until this long ago has been read.
+const MAX_INPUT_AGE: Duration = Duration::from_millis(10);
 const SIGNALS: Token = Token(0);
 const LINK_LISTENER: Token = Token(1);
 const LINE_LISTENER: Token = Token(2);
@@ -230,25 +235,19 @@
 
     /// Runs until SIGTERM or SIGINT, and then until the orderly stop is complete.
     pub fn run(mut self) -> Result<(), ServerError> {
-        let mut events = Events::with_capacity(1024);
+        let mut events = Events::with_capacity(EVENTS_PER_POLL);
         loop {
-            let timeout = self.poll_timeout();
-            match self.connections.poll.poll(&mut events, timeout) {
-                Ok(()) => {}
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(ServerError::Poll(error)),
-            }
-            for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
-                self.note_departure(event.token());
-            }
-            for event in &events {
-                match event.token() {
-                    SIGNALS => self.on_signals(),
-                    listener @ (LINK_LISTENER | LINE_LISTENER | ADMIN_LISTENER | CALL_LISTENER) => {
-                        _ = self.accepting.insert(listener)
-                    }
-                    token => self.on_ready(token, event.is_readable(), event.is_writable()),
+            let mut timeout = self.poll_timeout();
+            // Timers judge by what has been received. All that is ready, and what arrived while the process did not run, is
+            // read before them.
+            for _ in 0..MAX_POLLS_PER_TURN {
+                let polled_at = Instant::now();
+                self.poll_and_handle(&mut events, timeout)?;
+                if events.iter().count() < EVENTS_PER_POLL && polled_at.elapsed() <= MAX_INPUT_AGE {
+                    break;
                 }
+                self.connections.flush_all();
+                timeout = Some(Duration::ZERO);
             }
             let accepting = std::mem::take(&mut self.accepting);
             accepting.into_iter().for_each(|listener| self.accept(listener));
@@ -265,6 +264,28 @@
         }
     }
 
+    /// Waits for events, and handles them.
+    fn poll_and_handle(&mut self, events: &mut Events, timeout: Option<Duration>) -> Result<(), ServerError> {
+        match self.connections.poll.poll(events, timeout) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
+            Err(error) => return Err(ServerError::Poll(error)),
+        }
+        for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
+            self.note_departure(event.token());
+        }
+        for event in events.iter() {
+            match event.token() {
+                SIGNALS => self.on_signals(),
+                listener @ (LINK_LISTENER | LINE_LISTENER | ADMIN_LISTENER | CALL_LISTENER) => {
+                    _ = self.accepting.insert(listener)
+                }
+                token => self.on_ready(token, event.is_readable(), event.is_writable()),
+            }
+        }
+        Ok(())
+    }
+
     fn poll_timeout(&self) -> Option<Duration> {
         let now = self.now();
         let exchange = self.exchange.next_timer().map(|at| at.saturating_sub(now));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,8 @@
 const READ_BUFFER_OCTETS: usize = 16 << 10;
 /// Per connection and turn, so that one that floods the controller does not hold up the others.
 const MAX_READS_PER_TURN: usize = 4;
+/// The most events of one poll, whatever number of descriptors the configuration allows.
+const MAX_EVENTS: usize = 1 << 16;
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 /// The output that waits for all connections may take up the memory limit divided by this.
 const OUTPUT_SHARE_OF_MEMORY: usize = 4;
@@ -46,6 +48,10 @@
 /// The delay before a configuration file that can't be read is tried again.
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RELOAD_ATTEMPTS: u32 = 8;
+/// Before timers run, what had arrived until this long ago has been read. Well below the protocol's slack.
+const MAX_INPUT_AGE: Duration = Duration::from_millis(10);
+/// So that a flood, which takes longer than that to read, does not keep timers from running.
+const MAX_REPEATED_POLLS: usize = 4;
 /// A turn of the event loop that takes longer is logged: the protocol's slack for each time limit.
 const LATE_TURN: Duration = Duration::from_millis(50);
 
@@ -60,6 +66,8 @@
     started_unix: Duration,
     started: Instant,
     max_callers: usize,
+    /// As many as there can be connections: timers judge by what has been received, so all that is ready is read first.
+    max_events: usize,
     /// Whether connections are left that could not be accepted yet.
     retry_accept: bool,
     buffer: Vec<u8>,
@@ -96,6 +104,7 @@
             started_unix,
             started,
             max_callers: config.sockets * 5 / 8,
+            max_events: config.sockets.min(MAX_EVENTS),
             retry_accept: false,
             buffer: vec![0; READ_BUFFER_OCTETS],
             counter_log: metrics::CounterLog::default(),
@@ -116,7 +125,7 @@
 
     /// Runs until a signal has stopped the controller and its shutdown is complete.
     pub fn run(mut self) -> Result<(), NodeError> {
-        let mut events = Events::with_capacity(256);
+        let mut events = Events::with_capacity(self.max_events);
         loop {
             self.report_failures();
             self.connections.flush_all();
@@ -125,44 +134,68 @@
             if self.may_exit() {
                 return Ok(());
             }
-            match self.connections.poll.poll(&mut events, Some(self.poll_timeout())) {
-                Ok(()) => {}
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) => return Err(NodeError::Poll(error)),
-            }
-            let turn_started = Instant::now();
-            self.connections.now = self.now();
-            for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
-                self.note_departure(event.token());
-            }
-            let ready = merge_ready(
-                events.iter().map(|event| (event.token(), event.is_writable())),
-                std::mem::take(&mut self.connections.pending_reads),
-            );
-            // The event bus comes first, so that no new call goes to an exchange that it has just reported draining. New
-            // connections come last: what has arrived on open ones tells which can be closed to make room for them.
-            let mut ready: Vec<_> = ready.into_iter().collect();
-            ready.sort_by_key(|(token, _)| {
-                let purpose = self.connections.by_token.get(token).map(|connection| connection.purpose);
-                (*token == LISTENER, purpose, *token)
-            });
-            for (token, writable) in ready {
-                match token {
-                    LISTENER => self.accept(),
-                    SIGNALS => self.handle_signals(),
-                    token => self.handle_ready(token, writable),
+            let timeout = self.poll_timeout();
+            let mut polled_at = self.poll_and_handle(&mut events, timeout)?;
+            // Timers judge by what has been received. What arrived while the process did not run is read before them.
+            for _ in 0..MAX_REPEATED_POLLS {
+                if !self.is_timer_due() || polled_at.elapsed() <= MAX_INPUT_AGE {
+                    break;
                 }
-                self.report_failures();
-            }
-            if std::mem::take(&mut self.retry_accept) {
-                self.accept();
+                polled_at = self.poll_and_handle(&mut events, Duration::ZERO)?;
             }
             let now = self.now();
             self.core.on_timer(now, &mut self.connections);
             self.close_lingering();
             self.reload_if_due();
             self.log_counters();
-            log_late_turn(turn_started.elapsed());
+        }
+    }
+
+    fn is_timer_due(&self) -> bool {
+        self.core.next_timer().is_some_and(|due| due <= self.now())
+    }
+
+    /// Waits for events, and handles them. Returns when the wait began: what had arrived until then has been read.
+    fn poll_and_handle(&mut self, events: &mut Events, timeout: Duration) -> Result<Instant, NodeError> {
+        let polled_at = Instant::now();
+        match self.connections.poll.poll(events, Some(timeout)) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
+            Err(error) => return Err(NodeError::Poll(error)),
+        }
+        let turn_started = Instant::now();
+        self.connections.now = self.now();
+        for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
+            self.note_departure(event.token());
+        }
+        let ready = merge_ready(
+            events.iter().map(|event| (event.token(), event.is_writable())),
+            std::mem::take(&mut self.connections.pending_reads),
+        );
+        self.handle_all(ready);
+        log_late_turn(turn_started.elapsed());
+        Ok(polled_at)
+    }
+
+    /// Handles the connections that are ready. The event bus comes first, so that no new call goes to an exchange that it has
+    /// just reported draining. New connections come last: what has arrived on open ones tells which can be closed to make
+    /// room for them.
+    fn handle_all(&mut self, ready: BTreeMap<Token, bool>) {
+        let mut ready: Vec<_> = ready.into_iter().collect();
+        ready.sort_by_key(|(token, _)| {
+            let purpose = self.connections.by_token.get(token).map(|connection| connection.purpose);
+            (*token == LISTENER, purpose, *token)
+        });
+        for (token, writable) in ready {
+            match token {
+                LISTENER => self.accept(),
+                SIGNALS => self.handle_signals(),
+                token => self.handle_ready(token, writable),
+            }
+            self.report_failures();
+        }
+        if std::mem::take(&mut self.retry_accept) {
+            self.accept();
         }
     }
 
