Decisions: a set-up that was taken back unsent gives its circuits back

Cause: a seizure lowers the known number of free circuits until the exchange reports anew. A set-up that never reached the exchange is followed by no report. Change: Cause::Revoked. It returns the circuits, counts for no processor and no concurrency limit, and a waiting call goes again.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -61,6 +61,8 @@
     uids: BTreeMap<Box<str>, ExchangeId>,
     last_exchange: u32,
     shutdown: Shutdown,
+    /// What is received may have waited unread since this time.
+    earliest_arrival: Duration,
 }
 
 impl Core {
@@ -88,6 +90,7 @@
             uids: BTreeMap::new(),
             last_exchange: 0,
             shutdown: Shutdown::NotRequested,
+            earliest_arrival: Duration::MAX,
         };
         for event in &config.initial_events {
             core.apply_event(transport, event);
@@ -121,6 +124,11 @@
         }
     }
 
+    /// What is passed to the core from now on may have arrived as early as at this time.
+    pub fn set_earliest_arrival(&mut self, at: Duration) {
+        self.earliest_arrival = at;
+    }
+
     /// When [`Core::on_timer`] has to be called next.
     pub fn next_timer(&self) -> Option<Duration> {
         self.state.timers.next_expiry()
@@ -172,7 +180,7 @@
     /// not the controller may cancel.
     fn report_caller_gone(&mut self, transport: &mut dyn Transport, id: CallId) {
         if self.state.revoke_set_up(transport, id) {
-            self.state.end_seizure(id, Cause::Cancelled);
+            self.state.end_seizure(id, Cause::Revoked);
         }
         self.with_controller(transport, |controller, now, context| {
             controller.on_caller_gone(now, context, id)
--- a/crates/platform/src/state/calls.rs
+++ b/crates/platform/src/state/calls.rs
@@ -173,6 +173,7 @@
         // Without a link the set-up was never sent, so the exchange has not acted on it.
         let Some(link) = seizure.link else { return self.end_seizure(id, Cause::Unreachable) };
         if self.revoke_set_up(transport, id) {
+            let cause = if cause == Cause::Cancelled { Cause::Revoked } else { cause };
             return self.end_seizure(id, cause);
         }
         if let Some(link) = self.links.get_mut(&link) {
@@ -206,7 +207,7 @@
         let calls: Vec<_> = links.flat_map(|link| link.open_set_ups.values()).copied().collect();
         for id in calls {
             if self.revoke_set_up(transport, id) {
-                self.end_seizure(id, Cause::Unreachable);
+                self.end_seizure(id, Cause::Revoked);
             }
         }
     }
@@ -268,6 +269,7 @@
         Cause::Unreachable => "unreachable",
         Cause::Cut => "cut",
         Cause::Cancelled => "cancelled",
+        Cause::Revoked => "revoked",
         Cause::NotSent { .. } => "not_sent",
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -402,6 +402,7 @@
             Cause::TimedOut | Cause::Unreachable | Cause::ProcessorFull { .. } => {
                 self.record_failure(now, actions, end)
             }
+            Cause::Revoked => self.return_circuits(call, id),
             // The end of a call says nothing about the processor that set it up long ago.
             Cause::NotSent { .. } | Cause::Cancelled | Cause::Cut | Cause::Done => {}
             _ => self.record_success(actions, id),
@@ -412,7 +413,12 @@
             {
                 let no_answer = matches!(cause, Cause::TimedOut | Cause::Unreachable);
                 let failed = no_answer || matches!(cause, Cause::ProcessorFull { .. });
-                self.update_concurrency(now, id, !failed && end.elapsed <= self.latency_threshold, no_answer);
+                if cause == Cause::Revoked {
+                    self.count_unsent(now, id);
+                } else {
+                    let prompt = !failed && end.elapsed <= self.latency_threshold;
+                    self.update_concurrency(now, id, prompt, no_answer);
+                }
                 if !end.closed {
                     resume(self, now, actions, call, cause);
                 }
@@ -865,6 +871,22 @@
         self.last_answer_late = late || self.last_answer_late && no_answer;
     }
 
+    /// Counts the end of a set-up that was never sent, which tells nothing of any processor.
+    fn count_unsent(&mut self, now: Duration, id: ExchangeId) {
+        let exchange = self.exchanges.get_mut(&id).map(|exchange| &mut exchange.concurrency);
+        for concurrency in exchange.into_iter().chain([&mut self.concurrency]) {
+            concurrency.on_set_up_ended(now, self.latency_threshold, false, false);
+        }
+    }
+
+    /// Guards against a group that seems full: a set-up that was never sent is followed by no report of free circuits.
+    fn return_circuits(&mut self, call: CallId, id: ExchangeId) {
+        let width = self.calls.get(&call).map_or(0.0, |(call, _)| f64::from(call.offer.width));
+        if let Some(free) = self.exchanges.get_mut(&id).and_then(|exchange| exchange.free_circuits.as_mut()) {
+            *free += width;
+        }
+    }
+
     fn record_success(&mut self, actions: &mut dyn ControllerActions, id: ExchangeId) {
         self.region_ejections.remove(&self.own_zone);
         if let Some(exchange) = self.exchanges.get_mut(&id) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -186,6 +186,8 @@
     /// The set-up or the standing call was cut.
     Cut,
     Cancelled,
+    /// Taken back before any of it was sent. It holds no circuit.
+    Revoked,
     /// Never sent: no free circuit in the own group, or (`own_down`) the own processor is down.
     NotSent {
         own_down: bool,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -530,3 +530,19 @@
     harness.advance(ms(1100));
     assert_eq!(harness.take_retry_times(), [ms(0)], "no retry time where callers follow none");
 }
+
+// Guards against: a group that seems full after callers who give up before anything was sent (issue 45).
+#[test]
+fn set_up_that_was_taken_back_unsent_returns_its_circuit_and_counts_for_no_processor() {
+    let mut harness = Harness::new(&default_config(), 3.0);
+    for call in 0..100 {
+        assert!(harness.is_sent(call, 1, 1), "call {call}");
+        harness.withdraw(call);
+        harness.end_seizure(call, 0, 1, Cause::Revoked);
+    }
+    harness.offer(200, 1);
+    harness.end_seizure(200, 0, 1, Cause::Revoked);
+    harness.advance(ms(500));
+    let sent = [Seized(200, 1), Seized(200, 1)];
+    assert_eq!(harness.take_actions(), [&[Cancelled(99)][..], &sent].concat(), "a waiting call goes again");
+}
