Node: the time in which a set-up waited unread counts

Cause: the deadline was counted from the read (core/set_ups.rs, offer_call). Change: the event loop tells the core how early what it reads may have come: during the turn before, if the poll did not wait, and while the process did not run, by how much later than it should the poll returned. What is left is the deadline; with nothing left the set-up is refused with 503 and not sent on. Not seen: a pause shorter than the poll's own time-out (at most 0.25 s) that ends before it.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,8 @@
 /// The delay before a configuration file that can't be read is tried again.
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RELOAD_ATTEMPTS: u32 = 8;
+/// A poll that returns sooner found something that had come before it.
+const IMMEDIATE_POLL: Duration = Duration::from_millis(1);
 /// Before timers run, what had arrived until this long ago has been read. Well below the protocol's slack.
 const MAX_INPUT_AGE: Duration = Duration::from_millis(10);
 /// So that a flood, which takes longer than that to read, does not keep timers from running.
@@ -73,6 +75,10 @@
     buffer: Vec<u8>,
     counter_log: metrics::CounterLog,
     next_counter_log: Instant,
+    /// When the last poll returned.
+    turn_started: Instant,
+    /// How much later than it should the last poll returned.
+    overslept: Duration,
     /// Since when the core's shutdown has been complete.
     shutdown_complete_since: Option<Instant>,
     /// When the configuration is read again, and how many attempts are left.
@@ -109,6 +115,8 @@
             buffer: vec![0; READ_BUFFER_OCTETS],
             counter_log: metrics::CounterLog::default(),
             next_counter_log: started + metrics::LOG_INTERVAL,
+            turn_started: started,
+            overslept: Duration::ZERO,
             shutdown_complete_since: None,
             reload_retry: None,
         })
@@ -158,13 +166,19 @@
     /// Waits for events, and handles them. Returns when the wait began: what had arrived until then has been read.
     fn poll_and_handle(&mut self, events: &mut Events, timeout: Duration) -> Result<Instant, NodeError> {
         let polled_at = Instant::now();
+        let turn_time = polled_at - self.turn_started;
         match self.connections.poll.poll(events, Some(timeout)) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
             Err(error) => return Err(NodeError::Poll(error)),
         }
-        let turn_started = Instant::now();
+        self.turn_started = Instant::now();
         self.connections.now = self.now();
+        let poll_time = self.turn_started - polled_at;
+        let overslept = poll_time.saturating_sub(timeout);
+        let unread = unread_time(turn_time + self.overslept, poll_time, overslept);
+        self.overslept = overslept;
+        self.core.set_earliest_arrival(self.connections.now.saturating_sub(unread));
         for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
             self.note_departure(event.token());
         }
@@ -173,7 +187,7 @@
             std::mem::take(&mut self.connections.pending_reads),
         );
         self.handle_all(ready);
-        log_late_turn(turn_started.elapsed());
+        log_late_turn(self.turn_started.elapsed());
         Ok(polled_at)
     }
 
@@ -456,6 +470,12 @@
     ready
 }
 
+/// How long what a poll reports may have waited: since the last poll collected events (`since_last_poll`) if this one did not
+/// wait, and while the process did not run if it returned later than it should (`overslept`).
+fn unread_time(since_last_poll: Duration, poll_time: Duration, overslept: Duration) -> Duration {
+    if poll_time < IMMEDIATE_POLL { since_last_poll + overslept } else { overslept }
+}
+
 fn log_late_turn(elapsed: Duration) {
     if elapsed > LATE_TURN {
         ::metrics::counter!("late_turns").increment(1);
--- a/crates/node/src/tests.rs
+++ b/crates/node/src/tests.rs
@@ -21,3 +21,11 @@
     let ready = merge_ready([(Token(7), true), (Token(7), false)].into_iter(), vec![Token(7)]);
     assert_eq!(ready, BTreeMap::from([(Token(7), true)]));
 }
+
+#[test]
+fn what_a_poll_reports_may_have_waited_for_a_turn_or_while_the_process_did_not_run() {
+    let ms = Duration::from_millis;
+    assert_eq!(unread_time(ms(80), ms(0), ms(0)), ms(80), "it came during the turn before");
+    assert_eq!(unread_time(ms(80), ms(100), ms(0)), ms(0), "the poll waited for it");
+    assert_eq!(unread_time(ms(80), ms(1000), ms(750)), ms(750), "the process did not run");
+}
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -43,7 +43,7 @@
         message: &Message,
         set_up: &SetUp,
     ) {
-        let refusal = self.refusal(connection, set_up.id);
+        let refusal = self.refusal(connection, set_up);
         if !matches!(refusal, Some(SetUpRefusal::DuplicateId | SetUpRefusal::CallerLeft)) {
             self.state.raise_evidence(transport, connection, CallerEvidence::SetUp);
         }
@@ -60,6 +60,7 @@
             SetUpRefusal::Shutdown => {
                 reply(transport, connection, message, 503, "this controller shuts down")
             }
+            SetUpRefusal::Overdue => reply(transport, connection, message, 503, "its time is over"),
             SetUpRefusal::ReleaseWait => {
                 let wait = self.state.release_waits.remaining(self.state.now, set_up.id);
                 refuse_for(transport, connection, message, wait.unwrap_or_default())
@@ -68,9 +69,14 @@
         }
     }
 
-    /// Why a set-up under this id can't be accepted now on a connection, if it can't.
-    fn refusal(&self, connection: CallerConnectionId, id: WireCallId) -> Option<SetUpRefusal> {
-        let state = &self.state;
+    /// How long what is received now may have waited unread.
+    fn unread_time(&self) -> Duration {
+        self.state.now.saturating_sub(self.earliest_arrival)
+    }
+
+    /// Why a set-up can't be accepted now on a connection, if it can't.
+    fn refusal(&self, connection: CallerConnectionId, set_up: &SetUp) -> Option<SetUpRefusal> {
+        let (state, id) = (&self.state, set_up.id);
         let caller = state.callers.get(&connection);
         if state.unanswered.contains_key(&id) || state.standing.contains_key(&id) {
             return Some(SetUpRefusal::DuplicateId);
@@ -81,6 +87,9 @@
         if self.is_draining() {
             return Some(SetUpRefusal::Shutdown);
         }
+        if set_up.expires <= self.unread_time() {
+            return Some(SetUpRefusal::Overdue);
+        }
         if state.release_waits.remaining(state.now, id).is_some() {
             return Some(SetUpRefusal::ReleaseWait);
         }
@@ -98,7 +107,8 @@
         set_up: &SetUp,
     ) {
         let now = self.state.now;
-        let deadline = self.answer_deadline(now + set_up.expires);
+        let remaining = set_up.expires.saturating_sub(self.unread_time());
+        let deadline = self.answer_deadline(now + remaining);
         let id = CallId(self.state.next_number());
         transport.log_debug(format_args!(
             "{} offered by caller {} as call {}: {set_up:?}",
--- a/crates/platform/src/reasons.rs
+++ b/crates/platform/src/reasons.rs
@@ -158,6 +158,8 @@
     Shutdown,
     /// An attempt under its id has just been released.
     ReleaseWait,
+    /// It had waited unread until its time was over.
+    Overdue,
     /// Too many set-ups are open, on its connection or altogether.
     TooMany,
 }
@@ -170,6 +172,7 @@
             Self::CallerLeft => "caller_left",
             Self::Shutdown => "shutdown",
             Self::ReleaseWait => "release_wait",
+            Self::Overdue => "overdue",
             Self::TooMany => "too_many",
         }
     }
--- a/crates/platform/tests/queued_set_ups.rs
+++ b/crates/platform/tests/queued_set_ups.rs
@@ -100,3 +100,17 @@
     platform.send_from_caller(2, &invite(7, "dest:1;width:1;via:-1", "1500", "hello"));
     assert_eq!(platform.set_ups_sent().len(), 1);
 }
+
+// Guards against: a set-up that waited unread past its time, sent on with all of it (issue 45).
+#[test]
+fn the_time_in_which_a_set_up_waited_unread_counts() {
+    for (unread_ms, is_sent) in [(0, true), (1400, true), (1500, false), (9000, false)] {
+        let mut platform = Platform::start();
+        platform.connect_caller(1);
+        platform.core.set_earliest_arrival(platform.transport.now - ms(unread_ms));
+        platform.send_invite(1, 7);
+        assert_eq!(platform.set_ups_sent().len(), usize::from(is_sent), "unread for {unread_ms} ms");
+        platform.advance(ms(1500 - unread_ms.min(1500) + 1));
+        assert_eq!(platform.messages_to_callers().len(), 1, "unread for {unread_ms} ms");
+    }
+}
