--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -49,6 +49,8 @@
     pub mean_interval: Duration,
     /// Number of destinations; the caller calls the numbers 1 to `destination_count`.
     pub destination_count: u16,
+    /// How long the most patient set-ups wait for their answer.
+    pub longest_deadline: Duration,
     pub seed: u64,
 }
 
@@ -360,8 +362,9 @@
 
     fn send_new_set_up(&mut self, connection: &Arc<Connection>, redials: u32) {
         let call: CallId = self.rng.random();
+        let longest_ms = self.plan.longest_deadline.as_millis() as u64;
         let (priority_class, usual_patience_ms) =
-            if self.rng.random_bool(0.7) { ("voice", 1500) } else { ("data", 2500) };
+            if self.rng.random_bool(0.7) { ("voice", 1500) } else { ("data", longest_ms) };
         let expires_ms =
             if self.rng.random_bool(0.1) { self.rng.random_range(20..200) } else { usual_patience_ms };
         let destination = self.rng.random_range(1..=self.plan.destination_count);
@@ -416,8 +419,8 @@
         let due: Vec<_> = self.cancels.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, call) in due {
             if connection.lock().open_set_ups.contains_key(&call) {
-                self.group.recorder.add(Event::CancelSent { call });
                 let _ = (&connection.stream).write_all(request("CANCEL", call, "sip:x@net").as_bytes());
+                self.group.recorder.add(Event::CancelSent { call });
             }
         }
     }
@@ -440,8 +443,8 @@
         let idle = connection.lock().open_set_ups.is_empty() && self.last_sent.elapsed() > IDLE_TIMEOUT;
         let closes_early = self.plan.behavior == CallerBehavior::GivesUpEarly && self.rng.random_bool(0.002);
         if (idle || closes_early) && !connection.closed.swap(true, Ordering::Relaxed) {
-            self.group.recorder.add(Event::ClosedByCaller { connection: connection.id });
             let _ = connection.stream.shutdown(Shutdown::Both);
+            self.group.recorder.add(Event::ClosedByCaller { connection: connection.id });
             self.connection = None;
         }
     }
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -15,12 +15,13 @@
 use serde_json::{Value, json};
 
 use crate::callers::{Connection, answers_options};
+use crate::plan::ShutdownSignals;
 use crate::record::{ControllerIndex, Event, Recorder};
 use crate::sync::lock;
 
-/// The longest time that a call waits for its answer.
-pub const MAX_CALL_DEADLINE: Duration = Duration::from_millis(2500);
-/// SIGKILL follows SIGTERM at the earliest after [`MAX_CALL_DEADLINE`] and this time.
+/// SIGKILL follows SIGTERM at the earliest after the longest deadline, counted as this where it is longer, ...
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// ... and this time.
 pub const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Callers still open new connections for this time after SIGTERM.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(300);
@@ -30,6 +31,10 @@
 pub const DRAIN_GRACE: Duration = Duration::from_secs(2);
 /// Time that must pass between the release of an attempt and the next attempt of the call.
 pub const RELEASE_TIME: Duration = Duration::from_millis(200);
+/// In a series of signals: the time between two, and when and how long the process is stopped before the kill.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(150);
+const PAUSE_BEFORE_KILL: Duration = Duration::from_millis(550);
+const SHUTDOWN_PAUSE: Duration = Duration::from_millis(150);
 const MAX_SOCKETS: usize = 256;
 const MAX_MEMORY_KIB: u64 = 64 << 10;
 
@@ -69,8 +74,16 @@
     directory: PathBuf,
     recorder: Recorder,
     seed: u64,
-    /// Whether the settings allow the controller to probe exchanges.
-    probes_enabled: bool,
+    options: Options,
+}
+
+/// What the settings of a controller allow and ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Whether the controller may probe exchanges.
+    pub probes_enabled: bool,
+    /// The longest time that a call waits for its answer.
+    pub longest_deadline: Duration,
 }
 
 /// The controller program, and the directory for its configuration and log files.
@@ -87,7 +100,7 @@
         bus: SocketAddr,
         files: &Files,
         seed: u64,
-        probes_enabled: bool,
+        options: Options,
         recorder: &Recorder,
     ) -> Self {
         let state = State { phase: Phase::Down, child: None, start_count: 0, bus };
@@ -100,7 +113,7 @@
             directory: files.directory.clone(),
             recorder: recorder.clone(),
             seed,
-            probes_enabled,
+            options,
         }
     }
 
@@ -142,7 +155,7 @@
     fn write_config(&self, initial_events: &Value, bus: SocketAddr, start_count: u32) -> io::Result<()> {
         let seed = self.seed.wrapping_add(u64::from(start_count));
         let call_type = |name: &str, setup_target: f64, deadline: f64, semantics: &str| json!({"name": name, "aim_s": setup_target, "hard_limit_s": deadline, "worth": 1.0, "semantics": semantics});
-        let deadline = MAX_CALL_DEADLINE.as_secs_f64();
+        let deadline = self.options.longest_deadline.as_secs_f64();
         let config = json!({
             "name": format!("n{}", self.index), "listen": self.listen, "seed": format!("{seed:016x}"), "bus": bus,
             "limits": {"cores": 0.5, "memory_mb": MAX_MEMORY_KIB / 1024, "sockets": MAX_SOCKETS},
@@ -151,7 +164,7 @@
                 "lanes": [call_type("voice", 0.8, 1.5, "free"), call_type("data", 1.0, deadline, "single_shot")],
                 "tenants": [{"name": "acme"}], "dcs": ["east"],
                 "specifics": {"own_number": 0, "widths": [1, 1], "call_length_s": [4.0, 4.0], "clear_wait_s": RELEASE_TIME.as_secs_f64()},
-                "limits": {"most_tries": 4, "cancelling": true, "retry_after": true, "max_retry_after_s": 1.0, "probes": self.probes_enabled, "dial_timeout_s": 0.5},
+                "limits": {"most_tries": 4, "cancelling": true, "retry_after": true, "max_retry_after_s": 1.0, "probes": self.options.probes_enabled, "dial_timeout_s": 0.5},
                 "report": {"fields": ["idle", "circuits"]},
                 "rules": {"fall_multiple": 2.5, "cold_from": 0.5, "ramp_time_s": 3.0}
             }
@@ -214,12 +227,25 @@
     }
 
     /// Sends SIGTERM and waits for the exit. Sends SIGKILL at the earliest time allowed if the process still runs then.
-    pub fn shut_down(&self) {
+    pub fn shut_down(&self, signals: ShutdownSignals) {
         let since = Instant::now();
+        let kill_after = self.options.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_AFTER_DEADLINE;
         self.lock().phase = Phase::Terminating { since };
         self.recorder.add(Event::Terminating { controller: self.index });
-        self.signal(Signal::SIGTERM);
-        while since.elapsed() < MAX_CALL_DEADLINE + KILL_AFTER_DEADLINE {
+        let mut series = match signals {
+            ShutdownSignals::Single => vec![(Duration::ZERO, Signal::SIGTERM)],
+            ShutdownSignals::Series => vec![
+                (Duration::ZERO, Signal::SIGHUP),
+                (Duration::ZERO, Signal::SIGTERM),
+                (SIGNAL_INTERVAL, Signal::SIGHUP),
+                (2 * SIGNAL_INTERVAL, Signal::SIGTERM),
+                (kill_after - PAUSE_BEFORE_KILL, Signal::SIGSTOP),
+                (kill_after - PAUSE_BEFORE_KILL + SHUTDOWN_PAUSE, Signal::SIGCONT),
+            ],
+        };
+        while since.elapsed() < kill_after {
+            let due = series.iter().take_while(|(at, _)| *at <= since.elapsed()).count();
+            series.drain(..due).for_each(|(_, signal)| self.signal(signal));
             if self.has_exited() {
                 return;
             }
@@ -228,6 +254,16 @@
         self.kill();
     }
 
+    /// Stops the process for a while, several times in a row.
+    pub fn pause(&self, count: u32, pause: Duration) {
+        for _ in 0..count {
+            self.signal(Signal::SIGSTOP);
+            thread::sleep(pause);
+            self.signal(Signal::SIGCONT);
+            thread::sleep(pause / 2);
+        }
+    }
+
     pub fn kill(&self) {
         let mut state = self.lock();
         state.phase = Phase::Down;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -23,6 +23,23 @@
 /// the run.
 const SETTLE_TIME: Duration = Duration::from_millis(11_500);
 
+/// The longest time that a call waits for its answer, and that of runs with long deadlines: longer than the longest that
+/// counts for the time of the kill.
+const LONGEST_DEADLINE: Duration = Duration::from_millis(2500);
+const LONG_DEADLINE: Duration = Duration::from_secs(6);
+/// With the other callers, less than a third of a controller's descriptors.
+const MAX_CROWD: usize = 60;
+const LATE_DRAW_SEED: u64 = 0x1a7e;
+
+/// The signals of a planned restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShutdownSignals {
+    Single,
+    /// SIGHUP before it, and SIGTERM and SIGHUP again after it. The process is also stopped for a while shortly before the
+    /// end of its shutdown.
+    Series,
+}
+
 /// The index of a destination. A fault of an exchange hits the one that serves the destination at that time.
 pub type DestinationIndex = usize;
 
@@ -32,6 +49,13 @@
     /// SIGTERM, SIGKILL at the earliest time allowed, and a new start 300 ms later.
     Restart {
         controller: ControllerIndex,
+        signals: ShutdownSignals,
+    },
+    /// The process is stopped for a while, several times in a row.
+    Pauses {
+        controller: ControllerIndex,
+        count: u32,
+        pause: Duration,
     },
     /// SIGKILL without warning, and a new start.
     Kill {
@@ -118,6 +142,10 @@
     /// How the controllers are scheduled, if they have less than a core.
     pub time_slices: Option<TimeSlices>,
     pub connection_faults: ConnectionFaults,
+    /// The longest time that a call waits for its answer.
+    pub longest_deadline: Duration,
+    /// Callers of each controller beside those of `behaviors`.
+    pub crowd: usize,
 }
 
 /// The main kind of faults of a run. A seed selects one; some faults of other kinds are drawn in addition.
@@ -187,7 +215,7 @@
     fn add_restarts(&mut self) {
         let mut at = self.draw_millis(FIRST_FAULT_MS, 5000);
         for controller in 0..CONTROLLERS {
-            self.add(at, Fault::Restart { controller });
+            self.add(at, Fault::Restart { controller, signals: ShutdownSignals::Single });
             at += self.draw_millis(300, 2500);
         }
     }
@@ -351,8 +379,11 @@
         };
         let answer_bursts = (theme == Theme::AnswerBursts).then(|| draw.answer_bursts());
         let time_slices = (theme == Theme::AnswerBursts).then(|| draw.time_slices());
+        let late = LateDraw::new(seed, theme, &mut draw.faults);
         draw.faults.sort_by_key(|(at, _)| *at);
         Self {
+            longest_deadline: late.longest_deadline,
+            crowd: late.crowd,
             seed,
             duration: run_duration(&draw.faults),
             faults: draw.faults,
@@ -391,6 +422,51 @@
             answer_bursts: None,
             time_slices: None,
             connection_faults: ConnectionFaults::default(),
+            longest_deadline: LONGEST_DEADLINE,
+            crowd: 0,
+        }
+    }
+}
+
+/// What is drawn apart from the rest of a plan, so that seeds draw the same other faults as before.
+struct LateDraw {
+    longest_deadline: Duration,
+    crowd: usize,
+}
+
+impl LateDraw {
+    /// Adds to shutdowns what they meet in service: signals in series, exchanges that hang, pauses, long deadlines.
+    fn new(seed: u64, theme: Theme, faults: &mut Vec<(Duration, Fault)>) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ LATE_DRAW_SEED);
+        let is_shutdowns = theme == Theme::Shutdowns;
+        let has_series = is_shutdowns || rng.random_bool(0.5);
+        let has_hangs = is_shutdowns || rng.random_bool(0.2);
+        let has_long_deadlines = is_shutdowns || rng.random_bool(0.3);
+        let has_crowd = !matches!(theme, Theme::HighLoad | Theme::AnswerBursts) && rng.random_bool(0.35);
+        let mut restarts = Vec::new();
+        for (at, fault) in faults.iter_mut() {
+            if let Fault::Restart { signals, .. } = fault {
+                restarts.push(*at);
+                *signals = if has_series { ShutdownSignals::Series } else { ShutdownSignals::Single };
+            }
+        }
+        for at in restarts {
+            if has_hangs {
+                let destination = rng.random_range(0..DESTINATIONS);
+                let duration = millis(rng.random_range(3000..5000));
+                faults.push((at, Fault::Hang { destination, duration }));
+            }
+        }
+        if is_shutdowns || theme == Theme::Network && rng.random_bool(0.5) {
+            for controller in 0..CONTROLLERS {
+                let at = millis(rng.random_range(FIRST_FAULT_MS..LAST_FAULT_MS));
+                let (count, pause) = (rng.random_range(1..6), millis(rng.random_range(20..250)));
+                faults.push((at, Fault::Pauses { controller, count, pause }));
+            }
+        }
+        Self {
+            longest_deadline: if has_long_deadlines { LONG_DEADLINE } else { LONGEST_DEADLINE },
+            crowd: if has_crowd { rng.random_range(20..=MAX_CROWD) } else { 0 },
         }
     }
 }
@@ -398,7 +474,7 @@
 fn run_duration(faults: &[(Duration, Fault)]) -> Duration {
     let ends = faults.iter().map(|(at, fault)| {
         *at + match fault {
-            Fault::Restart { .. } => millis(3500),
+            Fault::Restart { .. } => millis(4000),
             _ => Duration::ZERO,
         }
     });
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::listener::{PartitionableListener, reset};
-use crate::record::{ConnectionId, ControllerIndex, Event, Recorder};
+use crate::record::{ConnectionId, ControllerIndex, Event, Micros, Recorder, now};
 use crate::sync::lock;
 
 /// Interval at which a thread checks for a change of the network state, a reset or the end of the run.
@@ -276,15 +276,22 @@
 /// the close after all messages before it.
 fn read_direction(shared: &Shared, link: &Link, direction: Direction, mut from: TcpStream, pipe: &Pipe) {
     let (mut decoder, mut buffer) = (Decoder::default(), [0; READ_OCTETS]);
+    let mut last_read = now();
     while !shared.stopped.load(Ordering::Relaxed) && !link.reset.load(Ordering::Relaxed) {
         if pipe.is_full() {
             thread::sleep(POLL_INTERVAL);
             continue;
         }
-        match from.read(&mut buffer) {
+        let arrived_after = last_read;
+        let result = from.read(&mut buffer);
+        // A full buffer may leave octets that had arrived by then.
+        if !matches!(result, Ok(READ_OCTETS)) {
+            last_read = now();
+        }
+        match result {
             Ok(count @ 1..) => {
                 if direction == Direction::ToExchange {
-                    record_messages(shared, link, direction, &mut decoder, &buffer[..count]);
+                    record_messages(shared, link, direction, &mut decoder, &buffer[..count], arrived_after);
                 }
                 pipe.push(&buffer[..count]);
             }
@@ -330,7 +337,7 @@
         }
         let forwarded = forward(link, &received.octets, &mut to, |octets| {
             if direction == Direction::ToController {
-                record_messages(shared, link, direction, &mut decoder, octets);
+                record_messages(shared, link, direction, &mut decoder, octets, now());
             }
         });
         if received.source_closed && forwarded.is_ok() && direction == Direction::ToExchange {
@@ -371,14 +378,21 @@
 }
 
 /// Decodes the octets of one direction and records the set-ups and releases in them.
-fn record_messages(shared: &Shared, link: &Link, direction: Direction, decoder: &mut Decoder, octets: &[u8]) {
+fn record_messages(
+    shared: &Shared,
+    link: &Link,
+    direction: Direction,
+    decoder: &mut Decoder,
+    octets: &[u8],
+    arrived_after: Micros,
+) {
     decoder.push(octets);
     let controller = shared.controller;
     while let Ok(Some(message)) = decoder.next_message() {
         let (uid, call, link) = (link.uid.clone(), message.call.0, link.id);
         match (direction, message.kind) {
             (Direction::ToExchange, MessageType::SetUp) => {
-                shared.recorder.add(Event::SetUpPassed { uid, call, controller, link });
+                shared.recorder.add(Event::SetUpPassed { arrived_after, uid, call, controller, link });
             }
             (Direction::ToExchange, MessageType::Release) => {
                 shared.recorder.add(Event::ReleasePassed { uid, call, controller, link });
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -123,8 +123,10 @@
         by_controller: bool,
     },
     // Events that proxies record.
-    /// The first octet of a set-up has been read from the controller.
+    /// A set-up has been read from the controller. Its last octets had not arrived at `arrived_after`, so the time until this
+    /// was recorded may be that of the proxy.
     SetUpPassed {
+        arrived_after: Micros,
         uid: String,
         call: CallId,
         controller: ControllerIndex,
--- a/crates/soak/src/rule_checker.rs
+++ b/crates/soak/src/rule_checker.rs
@@ -306,6 +306,18 @@
         }
     }
 
+    /// When a set-up ended for its caller, and how. None if it was sent twice: it then ends with the second.
+    fn end_for_caller(&self, call: &Call) -> Option<(Micros, &'static str)> {
+        let [sent] = &call.sent[..] else { return None };
+        let ends = [
+            (Some(sent.at + sent.expires_after), "its time was over"),
+            (call.cancelled, "cancelled"),
+            (call.answers.first().map(|(at, ..)| *at), "answered"),
+            (self.closed_by_caller.get(&sent.connection).copied(), "its caller had closed the connection"),
+        ];
+        ends.into_iter().filter_map(|(at, how)| Some((at?, how))).min()
+    }
+
     /// Whether the call needs no answer by `due`.
     fn needs_no_answer(&self, call: &Call, sent: &SentSetUp, due: Micros) -> bool {
         let given_up = call.cancelled.is_some_and(|at| at <= due);
@@ -443,8 +455,9 @@
     let mut calls: BTreeMap<CallId, Vec<Attempt>> = BTreeMap::new();
     for Record { at, event } in records {
         match event {
-            Event::SetUpPassed { uid, call, controller, link } => {
+            Event::SetUpPassed { arrived_after, uid, call, controller, link } => {
                 check_drain(history, violations, *at, *controller, uid, *call);
+                check_not_ended(history, violations, *arrived_after, uid, *call);
                 let attempts = calls.entry(*call).or_default();
                 check_repetition(violations, *at, *call, attempts);
                 let attempt = Attempt {
@@ -514,6 +527,24 @@
     }
 }
 
+/// Checks that a set-up is not sent on after it has ended for its caller.
+fn check_not_ended(
+    history: &RunHistory,
+    violations: &mut Vec<Violation>,
+    at: Micros,
+    uid: &str,
+    call: CallId,
+) {
+    let Some((ended, how)) = history.calls.get(&call).and_then(|known| history.end_for_caller(known)) else {
+        return;
+    };
+    if at > ended + SLACK {
+        let late_ms = (at - ended) / MILLISECOND;
+        let what = format!("call {call:016x} is sent to {uid} {late_ms} ms after its end: {how}");
+        violations.push(violation(Rule::Lost, at, what));
+    }
+}
+
 /// Checks a further attempt of a call: the previous attempt must have ended and its release time must have passed.
 fn check_repetition(violations: &mut Vec<Violation>, at: Micros, call: CallId, attempts: &[Attempt]) {
     let Some(previous) = attempts.last() else { return };
@@ -573,6 +604,11 @@
         Event::SetUpSent { call: CALL, connection: 1, controller: 0, expires_ms: 1500 }
     }
 
+    fn passed_at(ms: Micros, uid: &str, link: ConnectionId) -> Record {
+        let arrived_after = ms * MILLISECOND;
+        at(ms, Event::SetUpPassed { arrived_after, uid: uid.into(), call: CALL, controller: 0, link })
+    }
+
     fn served(uid: &str) -> [Record; 3] {
         let description = format!("{uid}/{CALL:016x}\r\nc=IN IP4 10.4.7.9\r\n");
         [
@@ -621,11 +657,26 @@
         assert_eq!(rules(&records_with(vec![call_ended, delivered, informed(2200)])), [Rule::Lost]);
     }
 
+    #[test]
+    fn set_ups_must_not_be_sent_on_after_they_have_ended_for_their_caller() {
+        let passed = |ms| passed_at(ms, "s-1", 1);
+        let answered =
+            Event::FinalAnswer { call: CALL, connection: 1, status: 503, description: String::new() };
+        let rules_after = |ended: Event, ms| rules(&[at(0, sent()), at(100, ended), passed(ms)]);
+        for ended in
+            [Event::CancelSent { call: CALL }, Event::ClosedByCaller { connection: 1 }, answered.clone()]
+        {
+            assert_eq!(rules_after(ended.clone(), 150), [], "{ended:?}");
+            assert_eq!(rules_after(ended.clone(), 151), [Rule::Lost], "{ended:?}");
+        }
+        let late_answer = at(1600, answered);
+        assert_eq!(rules(&[at(0, sent()), passed(1550), late_answer.clone()]), []);
+        assert_eq!(rules(&[at(0, sent()), passed(1551), late_answer]), [Rule::Lost], "its time was over");
+    }
+
     #[test]
     fn attempts_that_overlap_come_too_early_or_go_to_a_draining_exchange_break_different_rules() {
-        let passed = |ms, uid: &str, link| {
-            at(ms, Event::SetUpPassed { uid: uid.into(), call: CALL, controller: 0, link })
-        };
+        let passed = |ms, uid: &str, link| passed_at(ms, uid, link);
         let received = |ms| at(ms, Event::SetUpReceived { uid: "s-1".into(), call: CALL });
         let released =
             at(100, Event::ReleasePassed { uid: "s-1".into(), call: CALL, controller: 0, link: 1 });
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,6 +2,7 @@
 //! checked against the rules.
 
 use std::io::{self, BufRead, BufReader};
+use std::iter::repeat_n;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,8 +17,8 @@
 
 use crate::address::allocate;
 use crate::bad_callers;
-use crate::callers::{CallerGroup, CallerPlan};
-use crate::controller::{ControllerProcess, DRAIN_GRACE, Files};
+use crate::callers::{CallerBehavior, CallerGroup, CallerPlan};
+use crate::controller::{ControllerProcess, DRAIN_GRACE, Files, Options};
 use crate::event_bus::{EventBus, Target};
 use crate::exchange::ExchangeConfig;
 use crate::plan::{CONTROLLERS, DESTINATIONS, Fault, Plan};
@@ -32,6 +33,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time in which callers announce the standing calls to a controller that has restarted.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
+/// Mean time between two set-ups of one caller of a crowd.
+const CROWD_SET_UP_INTERVAL: Duration = Duration::from_millis(1200);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between two checks of a controller's memory and descriptors.
 const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -148,7 +151,7 @@
                     bus_addresses[index][0],
                     &files,
                     plan.seed + index as u64,
-                    plan.probes_enabled,
+                    Options { probes_enabled: plan.probes_enabled, longest_deadline: plan.longest_deadline },
                     &recorder,
                 )
             })
@@ -245,15 +248,18 @@
         let mut threads = Vec::new();
         for controller in &self.controllers {
             let group = CallerGroup::new(controller, &self.recorder, &self.stopped);
-            for (position, behavior) in self.plan.behaviors.iter().copied().enumerate() {
+            let usual =
+                self.plan.behaviors.iter().map(|behavior| (*behavior, self.plan.mean_set_up_interval));
+            let crowd = repeat_n((CallerBehavior::Plain, CROWD_SET_UP_INTERVAL), self.plan.crowd);
+            for (position, (behavior, mean_interval)) in usual.chain(crowd).enumerate() {
                 let seed = self.plan.seed << 16 ^ (controller.index * 64 + position) as u64;
-                let plan = CallerPlan {
+                threads.push(group.spawn(CallerPlan {
                     behavior,
-                    mean_interval: self.plan.mean_set_up_interval,
+                    mean_interval,
                     destination_count: DESTINATIONS as u16,
+                    longest_deadline: self.plan.longest_deadline,
                     seed,
-                };
-                threads.push(group.spawn(plan));
+                }));
             }
             if self.plan.bad_callers {
                 let (controller, recorder, stopped) =
@@ -289,9 +295,10 @@
 
     fn apply_fault(&self, fault: Fault) {
         match fault {
-            Fault::Restart { controller } => {
-                self.restart(&self.controllers[controller], ControllerProcess::shut_down)
+            Fault::Restart { controller, signals } => {
+                self.restart(&self.controllers[controller], |controller| controller.shut_down(signals))
             }
+            Fault::Pauses { controller, count, pause } => self.controllers[controller].pause(count, pause),
             Fault::Kill { controller } => self.restart(&self.controllers[controller], |controller| {
                 // An exchange repeats its releases on the first connection from a restarted controller. They are lost
                 // for good if the controller is killed before a caller has announced its calls.
@@ -328,7 +335,7 @@
         }
     }
 
-    fn restart(&self, controller: &ControllerProcess, stop: fn(&ControllerProcess)) {
+    fn restart(&self, controller: &ControllerProcess, stop: impl FnOnce(&ControllerProcess)) {
         let _guard = controller.lock_restart();
         stop(controller);
         self.wait_for(RESTART_DELAY);
