Daemon: accept what is queued before the listeners are closed by a stop

Clients saw: a connection that the system had accepted was reset with the request on it as the controller stopped. Cause: on_signals dropped the listeners at once, and with them their accept queues. Change: what is queued is accepted first; it is served like the other connections, so its offers are refused. Measured: the test failed 3 of 3 (connection reset), passes 3 of 3.

--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -322,6 +322,10 @@
         }
         if signals.iter().any(|signal| *signal != SIGHUP) && self.stopping_since.is_none() {
             info!(target: LOG_TARGET, "stopping: refusing new calls, {} calls in progress", self.exchange.call_control.status().calls);
+            // Connections that the operating system has accepted are served, since their peers may have sent requests.
+            for listener in [LINK_LISTENER, LINE_LISTENER, CALL_LISTENER] {
+                self.accept(listener);
+            }
             self.exchange.stop(&mut self.connections);
             self.stopping_since = Some(Instant::now());
             (self.link_listener, self.line_listener, self.call_listener) = (None, None, None);
