--- a/crates/cli/tests/node_ended_set_ups.rs
+++ b/crates/cli/tests/node_ended_set_ups.rs
@@ -55,6 +55,34 @@
     assert_eq!(set_ups(&received), [0; 0]);
 }
 
+// Guards against: the same in hundreds of processes that do not run for a while.
+#[test]
+fn cancelled_set_ups_are_not_sent_on_by_a_large_fleet_that_is_paused() {
+    const FLEET: u64 = 300;
+    let (exchange, received) = start_exchange();
+    let (bus, _) = start_bus();
+    let controllers = (0..FLEET).map(|id| {
+        let config = config(exchange, bus);
+        thread::spawn(move || {
+            let node = Node::start(&format!("cancelled-{id}.json"), &config);
+            let mut caller = node.connect();
+            caller.send(&invite(FLEET + id, "1"));
+            assert_eq!(caller.next_status(), "200");
+            node.signal(Signal::SIGSTOP);
+            caller.send(&invite(id, "1"));
+            thread::sleep(Duration::from_millis(100));
+            caller.send(&request("CANCEL", id));
+            thread::sleep(Duration::from_millis(100));
+            node.signal(Signal::SIGCONT);
+            while caller.next_status() != "487" {}
+        })
+    });
+    let controllers: Vec<_> = controllers.collect();
+    controllers.into_iter().for_each(|controller| controller.join().unwrap());
+    let sent_on: Vec<_> = set_ups(&received).into_iter().filter(|id| *id < FLEET).collect();
+    assert_eq!(sent_on.len(), 0, "of {FLEET}: {sent_on:?}");
+}
+
 // Guards against: a set-up sent on after its own time, in which its caller had waited, was over (issue 45).
 #[test]
 fn a_set_up_whose_time_was_over_before_it_was_read_is_not_sent_on() {
