--- a/crates/cli/tests/common/node.rs
+++ b/crates/cli/tests/common/node.rs
@@ -23,15 +23,27 @@
 const NETWORK_SEGMENT_OCTETS: u32 = 1400;
 const SMALL_BUFFER_OCTETS: usize = 8 << 10;
 
+/// Messages that an exchange has received, by their call.
+pub type ReceivedMessages = Receiver<(MessageType, u64)>;
+
 /// Starts an exchange that answers every set-up, and reports the messages that it receives.
-pub fn start_exchange() -> (SocketAddr, Receiver<(MessageType, u64)>) {
+pub fn start_exchange() -> (SocketAddr, ReceivedMessages) {
+    start_exchange_with(serve_link)
+}
+
+/// Starts an exchange that answers no set-up, and reports the messages that it receives.
+pub fn start_silent_exchange() -> (SocketAddr, ReceivedMessages) {
+    start_exchange_with(report_messages)
+}
+
+fn start_exchange_with(serve: fn(TcpStream, &Sender<(MessageType, u64)>)) -> (SocketAddr, ReceivedMessages) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let (sender, receiver) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let sender = sender.clone();
-            thread::spawn(move || serve_link(stream, &sender));
+            thread::spawn(move || serve(stream, &sender));
         }
     });
     (addr, receiver)
@@ -69,20 +81,6 @@
     }
 }
 
-/// Starts an exchange that answers no set-up, and reports the messages that it receives.
-pub fn start_silent_exchange() -> (SocketAddr, Receiver<(MessageType, u64)>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    let (sender, receiver) = channel();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let sender = sender.clone();
-            thread::spawn(move || report_messages(stream, &sender));
-        }
-    });
-    (addr, receiver)
-}
-
 fn report_messages(mut stream: TcpStream, sender: &Sender<(MessageType, u64)>) {
     let mut out = Vec::new();
     let parameters: &[(u8, &[u8])] = &[(parameter::REPORT, b"idle:900;circuits:900")];
