Soak: a set-up counts as late from the beginning of the proxy's read before it

In a trial with 262 processes (load average 300) set-ups were reported as sent 0.4 to 9 s after their end. A read that times out returns when its thread runs again, long after it found nothing, so what came meanwhile was taken for later. Change: the time before the read counts.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -283,10 +283,11 @@
             continue;
         }
         let arrived_after = last_read;
+        let read_began = now();
         let result = from.read(&mut buffer);
-        // A full buffer may leave octets that had arrived by then.
+        // All that had arrived by then has been read, unless the buffer is full. A read can return long after it found nothing.
         if !matches!(result, Ok(READ_OCTETS)) {
-            last_read = now();
+            last_read = read_began;
         }
         match result {
             Ok(count @ 1..) => {
